--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdaptiveLimit.java
@@ -0,0 +1,162 @@
+package org.verbenadyke.kernel.admission;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Finds an upstream's capacity from its own sheds and from its throughput. The limit grows while it is used up and
+ * growing raises the throughput; it shrinks when the upstream sheds, or when growing only raised the latency. Latency
+ * alone doesn't shrink it: a service made slow by those below it still has all its slots.
+ *
+ * <p>State changes once a window by replacing one immutable record; the calls between only add to counters.
+ */
+public final class AdaptiveLimit implements ConcurrencyLimit {
+    private static final long WINDOW_NANOS = 100_000_000L;
+    private static final int WINDOW_LEAST_CALLS = 8;
+    private static final double GROWTH = 1.25;
+    private static final double SHED_DECREASE = 0.92;
+    private static final double PLATEAU_DECREASE = 0.85;
+    private static final double SATURATION = 0.8;
+    private static final double LEAST_GAIN = 0.25;
+    private static final double SETTLED_STEP = 1.0;
+    private static final int HOLD_WINDOWS = 10;
+    private static final double SMOOTHING = 0.3;
+
+    private final LimitSettings settings;
+    private final AtomicReference<State> state;
+
+    private AdaptiveLimit(LimitSettings settings) {
+        this.settings = settings;
+        this.state = new AtomicReference<>(
+                new State(settings.initial(), true, 0, 0, 0, 0, Window.startingAt(Long.MIN_VALUE)));
+    }
+
+    /**
+     * Creates a limit.
+     *
+     * @param settings the bounds
+     * @return the limit, at its initial value
+     */
+    public static AdaptiveLimit of(LimitSettings settings) {
+        return new AdaptiveLimit(settings);
+    }
+
+    @Override
+    public int current() {
+        return (int) state.get().limit;
+    }
+
+    @Override
+    public void finished(long nowNanos, long latencyNanos, int inFlight, Outcome outcome) {
+        if (outcome == Outcome.IGNORED) {
+            return;
+        }
+        State seen;
+        State next;
+        do {
+            seen = state.get();
+            next = step(seen, nowNanos, latencyNanos, inFlight, outcome);
+        } while (!state.compareAndSet(seen, next));
+    }
+
+    private State step(State s, long now, long latency, int inFlight, Outcome outcome) {
+        Window w = s.window.plus(now, latency, inFlight, outcome);
+        if (outcome == Outcome.SHED && s.limit > inFlight * SHED_DECREASE) {
+            return s.with(clamp(inFlight * SHED_DECREASE), false, HOLD_WINDOWS, Window.startingAt(now));
+        }
+        if (!w.full(now)) {
+            return s.with(s.limit, s.starting, s.hold, w);
+        }
+        return closeWindow(s, w, now);
+    }
+
+    private State closeWindow(State s, Window w, long now) {
+        double throughput = w.throughput(now);
+        if (w.peak < s.limit * SATURATION) {
+            return s.with(s.limit, s.starting, Math.max(0, s.hold - 1), Window.startingAt(now));
+        }
+        if (s.hold > 0) {
+            return s.settled(s.limit, throughput, w.latency(), s.hold - 1, now);
+        }
+        if (grewInVain(s, throughput, w.latency())) {
+            return s.settled(clamp(s.limit * PLATEAU_DECREASE), throughput, w.latency(), HOLD_WINDOWS, now);
+        }
+        double grown = s.starting ? s.limit * GROWTH : s.limit + Math.max(SETTLED_STEP, s.limit * (GROWTH - 1) / 2);
+        return new State(clamp(grown), s.starting, 0, s.limit, throughput, w.latency(), Window.startingAt(now));
+    }
+
+    private boolean grewInVain(State s, double throughput, double latency) {
+        if (s.previousLimit <= 0 || s.limit <= s.previousLimit || s.previousThroughput <= 0) {
+            return false;
+        }
+        double limitGain = s.limit / s.previousLimit - 1;
+        double throughputGain = throughput / s.previousThroughput - 1;
+        double latencyGain = latency / s.previousLatency - 1;
+        return throughputGain < limitGain * LEAST_GAIN && latencyGain > limitGain * LEAST_GAIN;
+    }
+
+    private double clamp(double limit) {
+        return Math.min(settings.maximum(), Math.max(settings.minimum(), limit));
+    }
+
+    /**
+     * The state between two changes.
+     *
+     * @param limit the limit in force
+     * @param starting whether the first ceiling was not met yet
+     * @param hold windows to wait before growing again
+     * @param previousLimit the limit before the last growth, 0 if none
+     * @param previousThroughput calls per second at that limit
+     * @param previousLatency mean latency at that limit, in nanoseconds
+     * @param window the current window
+     */
+    private record State(
+            double limit,
+            boolean starting,
+            int hold,
+            double previousLimit,
+            double previousThroughput,
+            double previousLatency,
+            Window window) {
+        State with(double newLimit, boolean newStarting, int newHold, Window w) {
+            return new State(newLimit, newStarting, newHold, previousLimit, previousThroughput, previousLatency, w);
+        }
+
+        State settled(double newLimit, double throughput, double latency, int newHold, long now) {
+            double t = previousThroughput + SMOOTHING * (throughput - previousThroughput);
+            double l = previousLatency + SMOOTHING * (latency - previousLatency);
+            return new State(newLimit, false, newHold, newLimit, t, l, Window.startingAt(now));
+        }
+    }
+
+    /**
+     * What happened in one window.
+     *
+     * @param start when it began, in nanoseconds
+     * @param calls how many calls finished
+     * @param latencySum their latencies added up, in nanoseconds
+     * @param peak the most calls in flight
+     */
+    private record Window(long start, int calls, long latencySum, int peak) {
+        static Window startingAt(long now) {
+            return new Window(now, 0, 0, 0);
+        }
+
+        Window plus(long now, long latency, int inFlight, Outcome outcome) {
+            long begin = start == Long.MIN_VALUE ? now : start;
+            int more = outcome == Outcome.ANSWERED ? 1 : 0;
+            return new Window(begin, calls + more, latencySum + more * latency, Math.max(peak, inFlight));
+        }
+
+        boolean full(long now) {
+            return calls >= WINDOW_LEAST_CALLS && now - start >= WINDOW_NANOS;
+        }
+
+        double throughput(long now) {
+            return calls * 1e9 / Math.max(1, now - start);
+        }
+
+        double latency() {
+            return (double) latencySum / Math.max(1, calls);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionLevel.java
@@ -0,0 +1,110 @@
+package org.verbenadyke.kernel.admission;
+
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.LongAdder;
+
+import org.verbenadyke.kernel.call.Importance;
+
+/**
+ * The rank below which calls are refused beside an upstream. Once a window it is set from a histogram of the ranks that
+ * arrived, so that what is admitted fits what the upstream finished. It rises at once under overload and falls in
+ * growing steps when the overload has passed.
+ */
+public final class AdmissionLevel {
+    /** The length of a window in nanoseconds. */
+    public static final long WINDOW_NANOS = 50_000_000L;
+
+    private static final double OVERLOADED_SHARE = 0.95;
+    private static final int FIRST_STEP = 16;
+    private static final int STEP_GROWTH = 2;
+    private static final int LEAST_ARRIVALS = 4;
+    private static final int RISE_MOST = 256;
+
+    private final AtomicIntegerArray arrivals = new AtomicIntegerArray(Importance.RANKS);
+    private final LongAdder finished = new LongAdder();
+    private final LongAdder overload = new LongAdder();
+    private volatile int level;
+    private int step = FIRST_STEP;
+
+    private AdmissionLevel() {}
+
+    /**
+     * Creates a level that admits everything.
+     *
+     * @return the level
+     */
+    public static AdmissionLevel open() {
+        return new AdmissionLevel();
+    }
+
+    /**
+     * Returns the rank below which calls are refused.
+     *
+     * @return the rank, 0 when all are admitted
+     */
+    public int current() {
+        return level;
+    }
+
+    /**
+     * Notes an arriving call, admitted or not.
+     *
+     * @param rank its rank
+     * @return whether the rank is admitted
+     */
+    public boolean arrive(int rank) {
+        arrivals.incrementAndGet(rank);
+        return rank >= level;
+    }
+
+    /** Notes that the upstream finished a call. */
+    public void finished() {
+        finished.increment();
+    }
+
+    /** Notes that a call waited too long or found the queue full. */
+    public void overloaded() {
+        overload.increment();
+    }
+
+    /** Ends a window; called by one thread at a time, every {@link #WINDOW_NANOS}. */
+    public void endWindow() {
+        int[] seen = new int[Importance.RANKS];
+        int total = 0;
+        for (int i = 0; i < seen.length; i++) {
+            seen[i] = arrivals.getAndSet(i, 0);
+            total += seen[i];
+        }
+        long done = finished.sumThenReset();
+        boolean over = overload.sumThenReset() > 0;
+        if (over && total >= LEAST_ARRIVALS) {
+            raise(seen, Math.max(1, (long) (done * OVERLOADED_SHARE)));
+            return;
+        }
+        if (!over) {
+            lower();
+        }
+    }
+
+    private void raise(int[] seen, long capacity) {
+        step = FIRST_STEP;
+        long admitted = 0;
+        int rank = Importance.RANKS;
+        while (rank > 0 && admitted + seen[rank - 1] <= capacity) {
+            rank--;
+            admitted += seen[rank];
+        }
+        if (rank > level) {
+            level = Math.min(rank, level + RISE_MOST);
+        }
+    }
+
+    private void lower() {
+        if (level == 0) {
+            step = FIRST_STEP;
+            return;
+        }
+        level = Math.max(0, level - step);
+        step = Math.min(Importance.RANKS, step * STEP_GROWTH);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
@@ -0,0 +1,103 @@
+package org.verbenadyke.kernel.admission;
+
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * The calls that wait for a slot: the most important first, then the deepest in its chain, then the earliest. Safe for
+ * many threads.
+ */
+public final class AdmissionQueue {
+    private static final Comparator<Entry> ORDER = Comparator.<Entry>comparingInt(
+                    e -> -e.call().importance().ordinal())
+            .thenComparingInt(e -> -e.call().depth())
+            .thenComparingLong(Entry::order);
+
+    private final ConcurrentSkipListSet<Entry> entries = new ConcurrentSkipListSet<>(ORDER);
+    private final AtomicInteger size = new AtomicInteger();
+    private final AtomicLong orders = new AtomicLong();
+
+    private AdmissionQueue() {}
+
+    /**
+     * Creates a queue.
+     *
+     * @return an empty queue
+     */
+    public static AdmissionQueue empty() {
+        return new AdmissionQueue();
+    }
+
+    /**
+     * Adds a call.
+     *
+     * @param call the call
+     * @param nowNanos the time
+     */
+    public void add(Waiting call, long nowNanos) {
+        entries.add(new Entry(call, orders.getAndIncrement(), nowNanos));
+        size.incrementAndGet();
+    }
+
+    /**
+     * Takes the call to serve next.
+     *
+     * @return the call, if any waits
+     */
+    public Optional<Entry> pollFirst() {
+        return taken(entries.pollFirst());
+    }
+
+    /**
+     * Takes the call to give up first.
+     *
+     * @return the call, if any waits
+     */
+    public Optional<Entry> pollLast() {
+        return taken(entries.pollLast());
+    }
+
+    /**
+     * Takes a call out before its turn.
+     *
+     * @param call the call
+     * @return whether it still waited
+     */
+    public boolean remove(Waiting call) {
+        for (Entry entry : entries) {
+            if (entry.call() == call && entries.remove(entry)) {
+                size.decrementAndGet();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns how many calls wait.
+     *
+     * @return the number, exact when no other thread is at work
+     */
+    public int size() {
+        return size.get();
+    }
+
+    private Optional<Entry> taken(Entry entry) {
+        if (entry != null) {
+            size.decrementAndGet();
+        }
+        return Optional.ofNullable(entry);
+    }
+
+    /**
+     * A waiting call.
+     *
+     * @param call the call
+     * @param order its place among equals
+     * @param since when it began to wait, in nanoseconds
+     */
+    public record Entry(Waiting call, long order, long since) {}
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/GateSettings.java
@@ -0,0 +1,38 @@
+package org.verbenadyke.kernel.admission;
+
+/**
+ * How a gate queues.
+ *
+ * @param sheds whether calls are refused by level, queue length and deadline; if not, the queue is unbounded and first
+ *     come, first served
+ * @param queueShare the length of the queue as a share of the limit
+ * @param queueLeast the least length of the queue
+ * @param targetWaitNanos the wait in the queue from which on the upstream counts as overloaded, in nanoseconds
+ */
+public record GateSettings(boolean sheds, double queueShare, int queueLeast, long targetWaitNanos) {
+    private static final double DEFAULT_SHARE = 0.5;
+    private static final int DEFAULT_LEAST = 8;
+    private static final long DEFAULT_TARGET_NANOS = 10_000_000L;
+
+    /**
+     * Returns the settings in use unless others are given.
+     *
+     * @return the settings
+     */
+    public static GateSettings standard() {
+        return new GateSettings(true, DEFAULT_SHARE, DEFAULT_LEAST, DEFAULT_TARGET_NANOS);
+    }
+
+    /**
+     * Returns the settings of the baseline: an unbounded queue and no shedding.
+     *
+     * @return the settings
+     */
+    public static GateSettings unbounded() {
+        return new GateSettings(false, 0, Integer.MAX_VALUE, Long.MAX_VALUE);
+    }
+
+    int queueMost(int limit) {
+        return (int) Math.max(queueLeast, Math.min(Integer.MAX_VALUE, limit * queueShare));
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/budget/ParentBudget.java
@@ -0,0 +1,69 @@
+package org.verbenadyke.kernel.budget;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+
+/**
+ * A budget whose count is held further up: each retry is asked for over the link the call came by. A question that is
+ * never answered counts as denied, and what was granted on a lost answer counts as spent.
+ */
+public final class ParentBudget implements RetryBudget {
+    private final Link parent;
+    private final CallId call;
+    private final AtomicLong tickets = new AtomicLong();
+    private final Map<Long, Consumer<Boolean>> open = new ConcurrentHashMap<>();
+    private volatile boolean closed;
+
+    private ParentBudget(Link parent, CallId call) {
+        this.parent = parent;
+        this.call = call;
+    }
+
+    /**
+     * Creates the budget of a received call.
+     *
+     * @param parent the link the call came by
+     * @param call the call
+     * @return the budget
+     */
+    public static ParentBudget of(Link parent, CallId call) {
+        return new ParentBudget(parent, call);
+    }
+
+    @Override
+    public void spend(Consumer<Boolean> decision) {
+        long ticket = tickets.incrementAndGet();
+        open.put(ticket, decision);
+        parent.send(new Message.Spend(call, ticket));
+        if (closed) {
+            granted(ticket, false);
+        }
+    }
+
+    /**
+     * Takes the answer to a question.
+     *
+     * @param ticket the question
+     * @param granted whether the retry may be made
+     */
+    public void granted(long ticket, boolean granted) {
+        Consumer<Boolean> decision = open.remove(ticket);
+        if (decision != null) {
+            decision.accept(granted);
+        }
+    }
+
+    /** Denies every open question and all later ones: the call above has ended. */
+    public void close() {
+        closed = true;
+        for (Long ticket : open.keySet()) {
+            granted(ticket, false);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RequestId.java
@@ -0,0 +1,34 @@
+package org.verbenadyke.kernel.call;
+
+/**
+ * Names one request of a caller along its whole chain.
+ *
+ * @param incarnation the incarnation of the node where the request entered
+ * @param sequence a number that this incarnation gives out once
+ */
+public record RequestId(long incarnation, long sequence) {
+    /** How many admission buckets there are; a power of two. */
+    public static final int BUCKETS = 256;
+
+    private static final long MIX_1 = 0xff51afd7ed558ccdL;
+    private static final long MIX_2 = 0xc4ceb9fe1a85ec53L;
+    private static final int HALF_SHIFT = 33;
+
+    /**
+     * Hashes the id evenly into a bucket, the same on every node, so that admission is consistent along the chain.
+     *
+     * @return the bucket, from 0 to {@link #BUCKETS} - 1
+     */
+    public int bucket() {
+        long h = incarnation * MIX_2 + sequence;
+        h = (h ^ (h >>> HALF_SHIFT)) * MIX_1;
+        h = (h ^ (h >>> HALF_SHIFT)) * MIX_2;
+        h ^= h >>> HALF_SHIFT;
+        return (int) (h & (BUCKETS - 1));
+    }
+
+    @Override
+    public String toString() {
+        return Long.toHexString(incarnation) + "-" + Long.toHexString(sequence);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -0,0 +1,115 @@
+package org.verbenadyke.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.routing.Candidate;
+
+/**
+ * One attempt of a request. Its state is changed only inside its request's serial runner; the link alone is read from
+ * elsewhere.
+ */
+final class Attempt {
+    private final CallId id;
+    private final Dispatch dispatch;
+    private final Candidate candidate;
+    private final long startNanos;
+    private final List<Message> held = new ArrayList<>();
+    private volatile Link link;
+    private boolean headSeen;
+    private long received;
+    private boolean concluded;
+    private boolean awaited;
+
+    Attempt(CallId id, Dispatch dispatch, Candidate candidate, long startNanos) {
+        this.id = id;
+        this.dispatch = dispatch;
+        this.candidate = candidate;
+        this.startNanos = startNanos;
+    }
+
+    CallId id() {
+        return id;
+    }
+
+    Dispatch dispatch() {
+        return dispatch;
+    }
+
+    Candidate candidate() {
+        return candidate;
+    }
+
+    long startNanos() {
+        return startNanos;
+    }
+
+    Link link() {
+        return link;
+    }
+
+    void bind(Link newLink) {
+        unbind();
+        newLink.awaiting(1);
+        awaited = true;
+        this.link = newLink;
+    }
+
+    /** Stops waiting on the link, which stays known. */
+    void unbind() {
+        if (link != null && awaited) {
+            link.awaiting(-1);
+        }
+        awaited = false;
+    }
+
+    boolean sent() {
+        return link != null;
+    }
+
+    boolean headSeen() {
+        return headSeen;
+    }
+
+    void sawHead() {
+        headSeen = true;
+    }
+
+    /** Notes that the node beside the upstream has said its last word on the attempt. */
+    void conclude() {
+        concluded = true;
+    }
+
+    boolean concluded() {
+        return concluded;
+    }
+
+    long received() {
+        return received;
+    }
+
+    void receive(int bytes) {
+        received += bytes;
+    }
+
+    List<Message> held() {
+        return held;
+    }
+
+    /** Takes the report of the node beside the upstream. */
+    void learn(Request request, Message.Report report, long nowNanos) {
+        candidate.reported(request.pathClass(), report, nowNanos);
+        request.observer().level(report.level());
+    }
+
+    /** Notes that the upstream failed, which may take it out of the choice for a while. */
+    void failed(Dispatcher.Parts parts) {
+        if (candidate.failed(parts.timers().nanos())) {
+            parts.counters().count(Event.UPSTREAM_EJECTED);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -0,0 +1,389 @@
+package org.verbenadyke.kernel.dispatch;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import org.verbenadyke.kernel.call.AnswerSink;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RetryReason;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.concurrent.Serial;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.routing.Choice;
+import org.verbenadyke.kernel.routing.RouteQuery;
+import org.verbenadyke.kernel.time.Subscription;
+
+/**
+ * One request on its way: routes it, retries it within its budget and passes its answer on. Everything happens inside a
+ * serial runner, so its fields need no other protection.
+ */
+final class Dispatch implements CallHandle {
+    private static final int REROUTES_MOST = 3;
+    private static final long PAUSE_NANOS = 50_000_000L;
+    private static final int FAILED = 500;
+    private static final int UNAVAILABLE = 503;
+
+    private final Dispatcher dispatcher;
+    private final Dispatcher.Parts parts;
+    private final Request request;
+    private final AnswerSink sink;
+    private final Serial serial = Serial.create();
+    private final Set<String> tried = new HashSet<>();
+    private Attempt current;
+    private boolean done;
+    private boolean committed;
+    private boolean asking;
+    private int reroutes;
+    private RunState fate = RunState.NOT_RUN;
+    private Subscription deadline;
+
+    Dispatch(Dispatcher dispatcher, Request request, AnswerSink sink) {
+        this.dispatcher = dispatcher;
+        this.parts = dispatcher.parts();
+        this.request = request;
+        this.sink = sink;
+    }
+
+    void start() {
+        serial.run(() -> {
+            long left = request.deadlineNanos() - parts.timers().nanos();
+            deadline = parts.timers().after(left, () -> serial.run(this::deadlinePassed));
+            next();
+        });
+    }
+
+    @Override
+    public void credit(int bytes) {
+        serial.run(() -> {
+            if (!done && current != null && current.sent()) {
+                current.link().send(new Message.Credit(current.id(), bytes));
+            }
+        });
+    }
+
+    @Override
+    public void cancel() {
+        serial.run(() -> {
+            if (done) {
+                return;
+            }
+            parts.counters().refused(fate, RefusalReason.CANCELLED);
+            finish();
+        });
+    }
+
+    void received(Attempt attempt, Link link, Message message) {
+        serial.run(() -> {
+            if (done || attempt != current || attempt.link() != link) {
+                parts.counters().count(Event.MESSAGE_UNMATCHED);
+                return;
+            }
+            take(attempt, message);
+        });
+    }
+
+    void linkLost(Attempt attempt, Link link) {
+        serial.run(() -> {
+            if (!done && attempt == current && attempt.link() == link) {
+                lost(attempt);
+            }
+        });
+    }
+
+    private void take(Attempt attempt, Message message) {
+        if (asking && !(message instanceof Message.Spend)) {
+            attempt.held().add(message);
+            return;
+        }
+        switch (message) {
+            case Message.Head m -> head(attempt, m);
+            case Message.Data m -> data(attempt, m);
+            case Message.End m -> end(attempt, m);
+            case Message.Refused m -> refused(attempt, m);
+            case Message.Spend m ->
+                request.budget().spend(granted -> attempt.link().send(new Message.Grant(m.id(), m.ticket(), granted)));
+            default -> parts.counters().count(Event.MESSAGE_UNMATCHED);
+        }
+    }
+
+    private void next() {
+        if (done) {
+            return;
+        }
+        RouteQuery query = new RouteQuery(
+                request.service(),
+                request.pathClass(),
+                request.importance().rank(request.id()),
+                request.idempotent() ? "" : request.key(),
+                tried);
+        switch (parts.router().route(query, parts.timers().nanos())) {
+            case Choice.To to -> open(dispatcher.open(this, to.candidate()));
+            case Choice.Shed shed -> {
+                request.observer().level(shed.level());
+                refuse(RefusalReason.SHED_EARLY);
+            }
+            case Choice.Nowhere n -> refuse(RefusalReason.NO_UPSTREAM);
+        }
+    }
+
+    private void open(Attempt attempt) {
+        current = attempt;
+        parts.links().acquire(attempt.candidate().upstream().node(), link -> serial.run(() -> send(attempt, link)));
+    }
+
+    private void send(Attempt attempt, Optional<Link> link) {
+        if (done || attempt != current) {
+            return;
+        }
+        if (link.isEmpty()) {
+            attempt.failed(parts);
+            reroute(attempt, RefusalReason.CONNECT_FAILED);
+            return;
+        }
+        long left = request.deadlineNanos() - parts.timers().nanos();
+        if (left <= 0) {
+            deadlinePassed();
+            return;
+        }
+        attempt.bind(link.get());
+        parts.ledger().attempted(request.id(), request.service(), attempt.id());
+        link.get().send(RetryRules.call(request, attempt, left));
+        if (link.get().closed()) {
+            lost(attempt);
+        }
+    }
+
+    private void head(Attempt attempt, Message.Head m) {
+        if (attempt.headSeen()) {
+            return;
+        }
+        attempt.learn(request, m.report(), parts.timers().nanos());
+        long now = parts.timers().nanos();
+        if (m.status() < FAILED) {
+            attempt.candidate().succeeded(now - attempt.startNanos());
+            dispatcher.ratio(request).succeeded();
+            commit(attempt, m);
+            return;
+        }
+        if (m.status() == UNAVAILABLE) {
+            attempt.candidate().shed();
+        } else if (!m.settled()) {
+            attempt.failed(parts);
+        }
+        if (!RetryRules.retryable(request, m, dispatcher.settings().perHop())) {
+            request.observer().childFailed();
+            commit(attempt, m);
+            return;
+        }
+        fate = RunState.MAY_HAVE_RUN;
+        askRetry(m.status() == UNAVAILABLE ? RetryReason.SHED : RetryReason.UPSTREAM_FAILED, () -> {
+            request.observer().childFailed();
+            commit(attempt, m);
+        });
+    }
+
+    private void commit(Attempt attempt, Message.Head m) {
+        attempt.sawHead();
+        committed = true;
+        deadline.cancel();
+        sink.head(m.status(), m.headers());
+        List<Message> held = List.copyOf(attempt.held());
+        attempt.held().clear();
+        held.forEach(h -> take(attempt, h));
+    }
+
+    private void data(Attempt attempt, Message.Data m) {
+        if (!attempt.headSeen() || m.offset() != attempt.received()) {
+            parts.counters().count(Event.MESSAGE_UNMATCHED);
+            return;
+        }
+        attempt.receive(m.bytes().length);
+        sink.data(m.bytes());
+    }
+
+    private void end(Attempt attempt, Message.End m) {
+        if (!attempt.headSeen() || m.length() != attempt.received()) {
+            parts.counters().count(Event.MESSAGE_UNMATCHED);
+            abort(attempt);
+            return;
+        }
+        attempt.conclude();
+        parts.ledger().answered(request.id(), attempt.id());
+        sink.end();
+        finish();
+    }
+
+    private void refused(Attempt attempt, Message.Refused m) {
+        attempt.learn(request, m.report(), parts.timers().nanos());
+        attempt.conclude();
+        Refusal refusal = m.refusal();
+        if (committed) {
+            abort(attempt);
+            return;
+        }
+        if (refusal.state() != RunState.NOT_RUN || !request.idempotent()) {
+            fate = refusal.state();
+        }
+        switch (refusal.reason()) {
+            case DRAINING, STOPPING -> {
+                attempt.candidate().drain();
+                reroute(attempt, refusal.reason());
+            }
+            case SEALED, FENCED, KEY_NOT_OWNER -> reroute(attempt, refusal.reason());
+            case UPSTREAM_UNREACHABLE -> {
+                attempt.failed(parts);
+                reroute(attempt, refusal.reason());
+            }
+            case SHED_LEVEL, SHED_QUEUE -> askRetry(RetryReason.SHED, () -> give(refusal));
+            case UPSTREAM_BROKEN, CONNECTION_LOST -> {
+                attempt.failed(parts);
+                retryIfIdempotent(refusal);
+            }
+            default -> give(refusal);
+        }
+    }
+
+    private void retryIfIdempotent(Refusal refusal) {
+        if (request.idempotent()) {
+            askRetry(RetryReason.CONNECTION_LOST, () -> give(refusal));
+            return;
+        }
+        give(refusal);
+    }
+
+    private void lost(Attempt attempt) {
+        if (!request.idempotent()) {
+            inquire(attempt);
+            return;
+        }
+        if (attempt.headSeen()) {
+            abort(attempt);
+            return;
+        }
+        fate = RunState.MAY_HAVE_RUN;
+        attempt.failed(parts);
+        if (asking) {
+            return;
+        }
+        retryIfIdempotent(Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST));
+    }
+
+    private void inquire(Attempt attempt) {
+        fate = RunState.MAY_HAVE_RUN;
+        Inquiry.ask(parts, attempt, serial, () -> !done && attempt == current, this::lost);
+    }
+
+    private void reroute(Attempt attempt, RefusalReason reason) {
+        if (reroutes >= REROUTES_MOST) {
+            refuse(reason);
+            return;
+        }
+        reroutes++;
+        parts.counters().retried(RetryReason.REROUTED);
+        abandon(attempt);
+        if (reason == RefusalReason.KEY_NOT_OWNER) {
+            later(this::next);
+            return;
+        }
+        next();
+    }
+
+    private void later(Runnable step) {
+        Attempt waiting = current;
+        parts.timers()
+                .after(
+                        PAUSE_NANOS,
+                        () -> serial.run(() -> {
+                            if (!done && waiting == current) {
+                                step.run();
+                            }
+                        }));
+    }
+
+    private void askRetry(RetryReason reason, Runnable otherwise) {
+        boolean bounded = dispatcher.settings().ratio() > 0;
+        if (bounded && !dispatcher.ratio(request).take()) {
+            parts.counters().retried(RetryReason.DENIED_RATIO);
+            otherwise.run();
+            return;
+        }
+        asking = true;
+        request.budget().spend(granted -> serial.run(() -> decided(granted, reason, otherwise)));
+    }
+
+    private void decided(boolean granted, RetryReason reason, Runnable otherwise) {
+        asking = false;
+        if (done) {
+            return;
+        }
+        if (!granted) {
+            dispatcher.ratio(request).putBack();
+            parts.counters().retried(RetryReason.DENIED_BUDGET);
+            otherwise.run();
+            if (!done && current.link().closed()) {
+                lost(current);
+            }
+            return;
+        }
+        parts.counters().retried(reason);
+        abandon(current);
+        next();
+    }
+
+    private void abandon(Attempt attempt) {
+        tried.add(attempt.candidate().upstream().id());
+        attempt.held().clear();
+        close(attempt);
+        current = null;
+    }
+
+    private void close(Attempt attempt) {
+        if (attempt.sent() && !attempt.concluded() && !attempt.link().closed()) {
+            attempt.link().send(new Message.Cancel(attempt.id()));
+        }
+        dispatcher.close(attempt);
+    }
+
+    private void deadlinePassed() {
+        if (done || committed) {
+            return;
+        }
+        if (current != null && current.sent()) {
+            fate = RunState.MAY_HAVE_RUN;
+        }
+        refuse(RefusalReason.DEADLINE);
+    }
+
+    private void abort(Attempt attempt) {
+        parts.counters().count(Event.ANSWER_ABORTED);
+        request.observer().childFailed();
+        sink.aborted();
+        finish();
+    }
+
+    private void refuse(RefusalReason reason) {
+        long least = dispatcher.settings().retryAfterMillis();
+        give(new Refusal(fate, reason, RetryAfter.spread(least, parts.random().get())));
+    }
+
+    private void give(Refusal refusal) {
+        RunState state = fate == RunState.NOT_RUN ? refusal.state() : fate;
+        request.observer().childFailed();
+        parts.counters().refused(state, refusal.reason());
+        sink.refused(new Refusal(state, refusal.reason(), refusal.retryAfterMillis()));
+        finish();
+    }
+
+    private void finish() {
+        done = true;
+        deadline.cancel();
+        if (current != null) {
+            close(current);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -0,0 +1,166 @@
+package org.verbenadyke.kernel.dispatch;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.verbenadyke.kernel.budget.RatioBudget;
+import org.verbenadyke.kernel.call.AnswerSink;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.link.Links;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.routing.Candidate;
+import org.verbenadyke.kernel.routing.Router;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * Sends requests to upstreams through the nodes beside them and matches the answers. Safe for many threads.
+ */
+public final class Dispatcher {
+    private final Parts parts;
+    private final DispatchSettings settings;
+    private final AtomicLong sequence = new AtomicLong();
+    private final Map<CallId, Attempt> attempts = new ConcurrentHashMap<>();
+    private final Map<Pair, RatioBudget> ratios = new ConcurrentHashMap<>();
+
+    private Dispatcher(Parts parts, DispatchSettings settings) {
+        this.parts = parts;
+        this.settings = settings;
+    }
+
+    /**
+     * Creates a dispatcher.
+     *
+     * @param parts what it works with
+     * @param settings how it retries
+     * @return the dispatcher
+     */
+    public static Dispatcher create(Parts parts, DispatchSettings settings) {
+        return new Dispatcher(parts, settings);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @param sink takes its answer
+     * @return the handle to steer it by
+     */
+    public CallHandle dispatch(Request request, AnswerSink sink) {
+        Dispatch dispatch = new Dispatch(this, request, sink);
+        dispatch.start();
+        return dispatch;
+    }
+
+    /**
+     * Takes a message that belongs to an attempt.
+     *
+     * @param link the link it came by
+     * @param message a head, data, end, refusal or question for budget
+     */
+    public void received(Link link, Message message) {
+        Optional<CallId> id = idOf(message);
+        Attempt attempt = id.map(attempts::get).orElse(null);
+        if (attempt == null) {
+            parts.counters.count(Event.MESSAGE_UNMATCHED);
+            return;
+        }
+        attempt.dispatch().received(attempt, link, message);
+    }
+
+    /**
+     * Takes notice that a link has ended.
+     *
+     * @param link the link
+     */
+    public void linkLost(Link link) {
+        for (Attempt attempt : attempts.values()) {
+            if (attempt.link() == link) {
+                attempt.dispatch().linkLost(attempt, link);
+            }
+        }
+    }
+
+    /**
+     * Returns the attempts under way.
+     *
+     * @return their number
+     */
+    public int underWay() {
+        return attempts.size();
+    }
+
+    Parts parts() {
+        return parts;
+    }
+
+    DispatchSettings settings() {
+        return settings;
+    }
+
+    Attempt open(Dispatch dispatch, Candidate candidate) {
+        CallId id = new CallId(parts.incarnation, sequence.incrementAndGet());
+        Attempt attempt = new Attempt(id, dispatch, candidate, parts.timers.nanos());
+        attempts.put(id, attempt);
+        candidate.sent();
+        return attempt;
+    }
+
+    void close(Attempt attempt) {
+        if (attempts.remove(attempt.id()) != null) {
+            attempt.candidate().ended();
+            attempt.unbind();
+        }
+    }
+
+    RatioBudget ratio(Request request) {
+        return ratios.computeIfAbsent(
+                new Pair(request.caller(), request.service()), p -> RatioBudget.of(settings.ratio(), settings.burst()));
+    }
+
+    private static Optional<CallId> idOf(Message message) {
+        return switch (message) {
+            case Message.Head m -> Optional.of(m.id());
+            case Message.Data m -> Optional.of(m.id());
+            case Message.End m -> Optional.of(m.id());
+            case Message.Refused m -> Optional.of(m.id());
+            case Message.Spend m -> Optional.of(m.id());
+            default -> Optional.empty();
+        };
+    }
+
+    /**
+     * What a dispatcher works with.
+     *
+     * @param incarnation drawn anew at each start of the process
+     * @param timers the time
+     * @param router chooses upstreams
+     * @param links where links come from
+     * @param random where each thread's randomness comes from
+     * @param counters where refusals and retries are counted
+     * @param ledger checks the promises
+     */
+    public record Parts(
+            long incarnation,
+            TimerService timers,
+            Router router,
+            Links links,
+            Supplier<RandomGenerator> random,
+            Counters counters,
+            Ledger ledger) {}
+
+    /**
+     * A calling and a called service.
+     *
+     * @param caller the calling service
+     * @param service the called one
+     */
+    private record Pair(String caller, String service) {}
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryAfter.java
@@ -0,0 +1,26 @@
+package org.verbenadyke.kernel.dispatch;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Spreads the times at which refused callers come back.
+ */
+public final class RetryAfter {
+    private static final int SPREAD = 3;
+
+    private RetryAfter() {}
+
+    /**
+     * Draws a time.
+     *
+     * @param leastMillis the least, in milliseconds
+     * @param random where randomness comes from
+     * @return a time from the least to three times the least, in milliseconds
+     */
+    public static long spread(long leastMillis, RandomGenerator random) {
+        if (leastMillis <= 0) {
+            return 0;
+        }
+        return leastMillis + random.nextLong(leastMillis * (SPREAD - 1) + 1);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -0,0 +1,292 @@
+package org.verbenadyke.kernel.engine;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.verbenadyke.kernel.admission.AdmissionLevel;
+import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.budget.RetryBudget;
+import org.verbenadyke.kernel.budget.RootBudget;
+import org.verbenadyke.kernel.call.AnswerSink;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.config.Configuration;
+import org.verbenadyke.kernel.dispatch.CallHandle;
+import org.verbenadyke.kernel.dispatch.ChainObserver;
+import org.verbenadyke.kernel.dispatch.Dispatcher;
+import org.verbenadyke.kernel.dispatch.Request;
+import org.verbenadyke.kernel.link.LinkPool;
+import org.verbenadyke.kernel.link.Transport;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.routing.Router;
+import org.verbenadyke.kernel.serve.CallContext;
+import org.verbenadyke.kernel.serve.CallServer;
+import org.verbenadyke.kernel.serve.LocalUpstream;
+import org.verbenadyke.kernel.serve.UpstreamPort;
+
+/**
+ * The request path of one node: takes requests, sends them to upstreams through the nodes beside them, and serves the
+ * calls of other nodes. Has no input or output and no threads of its own.
+ */
+public final class Engine {
+    private final EngineParts parts;
+    private final Policy policy;
+    private final Router router;
+    private final LinkPool links;
+    private final Dispatcher dispatcher;
+    private final CallServer server;
+    private final KeyedBudgets keyedBudgets;
+    private final AtomicLong requests = new AtomicLong();
+    private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
+
+    private Engine(EngineParts parts, Policy policy) {
+        this.parts = parts;
+        this.policy = policy;
+        this.router = Router.create(
+                parts.nodeId(),
+                parts.place(),
+                policy.subsetSize(),
+                PlugIns.chooser(policy.chooser()),
+                parts.random(),
+                policy.gate().sheds());
+        Message.Hello self = new Message.Hello(Message.VERSION, parts.nodeId(), parts.incarnation());
+        this.links = LinkPool.create(
+                self, parts.timers(), policy.link(), parts.transport(), parts.counters(), new Incoming());
+        this.dispatcher = Dispatcher.create(
+                new Dispatcher.Parts(
+                        parts.incarnation(),
+                        parts.timers(),
+                        router,
+                        links,
+                        parts.random(),
+                        parts.counters(),
+                        parts.ledger()),
+                policy.dispatch());
+        this.server = CallServer.create(
+                new CallServer.Parts(
+                        parts.timers(), parts.random(), parts.counters(), parts.ledger(), parts.keyClaims()),
+                policy.serve());
+        this.keyedBudgets = KeyedBudgets.keeping(policy.keyRetentionNanos());
+    }
+
+    /**
+     * Creates an engine and subscribes it to the timers.
+     *
+     * @param parts what it works with
+     * @param policy how it decides
+     * @return the engine
+     */
+    public static Engine create(EngineParts parts, Policy policy) {
+        Engine engine = new Engine(parts, policy);
+        parts.timers().every(AdmissionLevel.WINDOW_NANOS, engine::endWindow);
+        parts.timers().every(engine.server.sweepNanos(), engine::sweep);
+        return engine;
+    }
+
+    /**
+     * Takes a connection that another node opened.
+     *
+     * @return takes the connection's events
+     */
+    public Transport.Handler accept() {
+        return links.accept();
+    }
+
+    /**
+     * Takes a request of a caller from outside.
+     *
+     * @param inbound the request
+     * @param sink takes its answer
+     * @return the handle to steer it by
+     */
+    public CallHandle enter(Inbound inbound, AnswerSink sink) {
+        parts.counters().count(Event.REQUEST_IN);
+        RequestId id = new RequestId(parts.incarnation(), requests.incrementAndGet());
+        Configuration config = configuration.get();
+        Message.Content content = inbound.content();
+        Importance importance = config.importance(inbound.service(), content.method(), content.path());
+        Request request = new Request(
+                id,
+                "",
+                inbound.service(),
+                content,
+                importance,
+                0,
+                parts.timers().nanos() + ttl(inbound),
+                inbound.idempotent(),
+                inbound.key(),
+                rootBudget(inbound, id, config),
+                ChainObserver.none());
+        return dispatcher.dispatch(request, sink);
+    }
+
+    /**
+     * Takes a call that the upstream beside this node makes while it serves another.
+     *
+     * @param token what names the call it serves
+     * @param inbound the call
+     * @param sink takes its answer
+     * @return the handle to steer it by, empty when the call was refused at once
+     */
+    public Optional<CallHandle> callFrom(String token, Inbound inbound, AnswerSink sink) {
+        Optional<CallContext> context = server.context(token);
+        if (context.isEmpty()) {
+            parts.counters().refused(RunState.NOT_RUN, RefusalReason.CONTEXT_UNKNOWN);
+            sink.refused(Refusal.notRun(RefusalReason.CONTEXT_UNKNOWN, 0));
+            return Optional.empty();
+        }
+        CallContext c = context.get();
+        parts.counters().count(Event.REQUEST_IN);
+        long deadline = Math.min(c.deadlineNanos(), parts.timers().nanos() + ttl(inbound));
+        RetryBudget budget = policy.perHopRetries() > 0 ? RootBudget.of(policy.perHopRetries()) : c.budget();
+        Request request = new Request(
+                c.request(),
+                server.upstream().map(LocalUpstream::service).orElse(""),
+                inbound.service(),
+                inbound.content(),
+                c.importance(),
+                c.depth() + 1,
+                deadline,
+                inbound.idempotent(),
+                inbound.key(),
+                budget,
+                c);
+        return Optional.of(dispatcher.dispatch(request, sink));
+    }
+
+    /**
+     * Attaches the upstream that announced itself beside this node. Its keys stay when it announces itself again.
+     *
+     * @param id its id
+     * @param service the service it serves
+     * @param port the way to it
+     * @return the upstream
+     */
+    public LocalUpstream attach(String id, String service, UpstreamPort port) {
+        Gate gate = Gate.of(policy.gate(), PlugIns.limit(policy.limit(), policy.limits()));
+        KeyTable keys = server.upstream()
+                .map(LocalUpstream::keys)
+                .orElseGet(() -> KeyTable.keeping(policy.keyRetentionNanos()));
+        LocalUpstream local = LocalUpstream.of(id, service, port, gate, keys, parts.timers());
+        server.attach(local);
+        return local;
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param next the configuration; an older version than the one in force is ignored
+     */
+    public void configure(Configuration next) {
+        Configuration before = configuration.getAndUpdate(c -> next.version() > c.version() ? next : c);
+        if (next.version() > before.version()) {
+            parts.ledger().applied(next.version());
+            parts.counters().count(Event.CONFIG_APPLIED);
+        }
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration
+     */
+    public Configuration configuration() {
+        return configuration.get();
+    }
+
+    /**
+     * Returns the router.
+     *
+     * @return the router, to be told of upstreams
+     */
+    public Router router() {
+        return router;
+    }
+
+    /**
+     * Returns the links.
+     *
+     * @return the links to other nodes
+     */
+    public LinkPool links() {
+        return links;
+    }
+
+    /**
+     * Returns the serving side.
+     *
+     * @return the server
+     */
+    public CallServer server() {
+        return server;
+    }
+
+    /**
+     * Returns the sending side.
+     *
+     * @return the dispatcher
+     */
+    public Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    private long ttl(Inbound inbound) {
+        long most = policy.serve().maxTtlNanos();
+        return Math.min(most, inbound.ttlNanos().orElse(policy.defaultTtlNanos()));
+    }
+
+    private RetryBudget rootBudget(Inbound inbound, RequestId id, Configuration config) {
+        if (policy.perHopRetries() > 0) {
+            return RootBudget.of(policy.perHopRetries());
+        }
+        if (!inbound.key().isEmpty()) {
+            return keyedBudgets.of(
+                    inbound.service() + " " + inbound.key(),
+                    config.retries(),
+                    parts.timers().nanos());
+        }
+        parts.ledger().minted(id, config.retries());
+        return RootBudget.of(config.retries());
+    }
+
+    private void endWindow() {
+        server.upstream().ifPresent(u -> u.gate().endWindow());
+    }
+
+    private void sweep() {
+        server.sweep();
+        parts.ledger().rotate();
+        keyedBudgets.expire(parts.timers().nanos());
+    }
+
+    /**
+     * Sorts what comes over the links.
+     */
+    private final class Incoming implements LinkPool.Listener {
+        @Override
+        public void received(Link link, Message message) {
+            switch (message) {
+                case Message.Call m -> server.received(link, m);
+                case Message.Credit m -> server.received(link, m);
+                case Message.Cancel m -> server.received(link, m);
+                case Message.Grant m -> server.received(link, m);
+                case Message.Inquire m -> server.received(link, m);
+                case Message.Gossip m -> parts.gossip().accept(link, m);
+                default -> dispatcher.received(link, message);
+            }
+        }
+
+        @Override
+        public void linkLost(Link link) {
+            dispatcher.linkLost(link);
+            server.linkLost(link);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -0,0 +1,40 @@
+package org.verbenadyke.kernel.engine;
+
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.link.Transport;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.routing.Place;
+import org.verbenadyke.kernel.serve.KeyClaims;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * What an engine works with.
+ *
+ * @param nodeId the node's name
+ * @param incarnation drawn anew at each start of the process
+ * @param place where the node stands
+ * @param timers the time
+ * @param transport opens connections to other nodes
+ * @param random where each thread's randomness comes from
+ * @param counters the node's counters
+ * @param ledger checks the promises
+ * @param keyClaims decides about idempotency keys
+ * @param gossip takes news from other nodes
+ */
+public record EngineParts(
+        String nodeId,
+        long incarnation,
+        Place place,
+        TimerService timers,
+        Transport transport,
+        Supplier<RandomGenerator> random,
+        Counters counters,
+        Ledger ledger,
+        KeyClaims keyClaims,
+        BiConsumer<Link, Message.Gossip> gossip) {}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Policy.java
@@ -0,0 +1,83 @@
+package org.verbenadyke.kernel.engine;
+
+import org.verbenadyke.kernel.admission.GateSettings;
+import org.verbenadyke.kernel.admission.LimitSettings;
+import org.verbenadyke.kernel.dispatch.DispatchSettings;
+import org.verbenadyke.kernel.link.LinkSettings;
+import org.verbenadyke.kernel.serve.ServeSettings;
+
+/**
+ * How a node decides.
+ *
+ * @param chooser the plug-in that chooses among upstreams
+ * @param limit the plug-in that limits concurrency
+ * @param subsetSize how many upstreams of a service a node uses at most
+ * @param perHopRetries retries of each hop by itself, 0 to use the budget of the chain
+ * @param defaultTtlNanos the time to live of a request that brings none, in nanoseconds
+ * @param keyRetentionNanos how long an idempotency key is kept, in nanoseconds
+ * @param gate how calls queue
+ * @param limits the bounds of the concurrency limit
+ * @param dispatch how requests are retried
+ * @param serve how calls are served
+ * @param link how links are watched
+ */
+public record Policy(
+        String chooser,
+        String limit,
+        int subsetSize,
+        int perHopRetries,
+        long defaultTtlNanos,
+        long keyRetentionNanos,
+        GateSettings gate,
+        LimitSettings limits,
+        DispatchSettings dispatch,
+        ServeSettings serve,
+        LinkSettings link) {
+    private static final long SECOND = 1_000_000_000L;
+    private static final int DEFAULT_SUBSET = 12;
+    private static final long DEFAULT_TTL_SECONDS = 5;
+    private static final long DEFAULT_RETENTION_SECONDS = 120;
+    private static final LimitSettings DEFAULT_LIMITS = new LimitSettings(16, 2, 2_000);
+    private static final int BASELINE_RETRIES = 3;
+
+    /**
+     * Returns the policy of the project.
+     *
+     * @return the policy
+     */
+    public static Policy standard() {
+        return new Policy(
+                "two-choices",
+                "adaptive",
+                DEFAULT_SUBSET,
+                0,
+                DEFAULT_TTL_SECONDS * SECOND,
+                DEFAULT_RETENTION_SECONDS * SECOND,
+                GateSettings.standard(),
+                DEFAULT_LIMITS,
+                DispatchSettings.standard(),
+                ServeSettings.standard(),
+                LinkSettings.standard());
+    }
+
+    /**
+     * Returns the policy that measurements compare with: three retries per hop, an unbounded queue, turns, no shedding.
+     *
+     * @return the policy
+     */
+    public static Policy baseline() {
+        Policy s = standard();
+        return new Policy(
+                "round-robin",
+                "fixed",
+                Integer.MAX_VALUE,
+                BASELINE_RETRIES,
+                s.defaultTtlNanos,
+                s.keyRetentionNanos,
+                GateSettings.unbounded(),
+                s.limits,
+                DispatchSettings.baseline(),
+                s.serve,
+                s.link);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/error/ErrorCode.java
@@ -0,0 +1,65 @@
+package org.verbenadyke.kernel.error;
+
+/**
+ * Every kind of error, with its stable code. The text and the remedy stand in {@code messages.properties} under the
+ * code.
+ */
+public enum ErrorCode {
+    /** A settings file can't be read. */
+    SETTINGS_UNREADABLE("VD-1001"),
+    /** A section that must be there is missing. */
+    SETTINGS_MISSING_SECTION("VD-1002"),
+    /** A section that isn't known. */
+    SETTINGS_UNKNOWN_SECTION("VD-1003"),
+    /** A key that isn't known in its section. */
+    SETTINGS_UNKNOWN_KEY("VD-1004"),
+    /** A key that must be there is missing. */
+    SETTINGS_MISSING_KEY("VD-1005"),
+    /** A value that can't be used. */
+    SETTINGS_BAD_VALUE("VD-1006"),
+    /** A listening port is taken. */
+    PORT_IN_USE("VD-1101"),
+    /** The log service can't be reached. */
+    LOG_UNREACHABLE("VD-1201"),
+    /** The outcome of an append isn't known. */
+    LOG_OUTCOME_UNKNOWN("VD-1202"),
+    /** Records were dropped by the log's retention before they were read. */
+    LOG_TRUNCATED("VD-1203"),
+    /** A frame that can't be decoded. */
+    FRAME_MALFORMED("VD-1301"),
+    /** A frame larger than the limit. */
+    FRAME_TOO_LARGE("VD-1302"),
+    /** A peer speaks another version of the protocol. */
+    PROTOCOL_VERSION("VD-1303"),
+    /** An intent names something unknown. */
+    INTENT_UNKNOWN_TARGET("VD-1401"),
+    /** An intent is out of bounds. */
+    INTENT_OUT_OF_BOUNDS("VD-1402"),
+    /** An intent is risky and needs an explicit flag. */
+    INTENT_RISKY("VD-1403"),
+    /** A plan's base version is no longer in force. */
+    PLAN_STALE("VD-1404"),
+    /** A plan that isn't known or can't be read. */
+    PLAN_UNKNOWN("VD-1405"),
+    /** A node can't be reached by the command-line tool. */
+    NODE_UNREACHABLE("VD-1501"),
+    /** A plug-in that isn't registered. */
+    PLUGIN_UNKNOWN("VD-1601"),
+    /** An invariant was breached. */
+    INVARIANT_BREACHED("VD-1901");
+
+    private final String code;
+
+    ErrorCode(String code) {
+        this.code = code;
+    }
+
+    /**
+     * Returns the stable code.
+     *
+     * @return the code, such as {@code VD-1001}
+     */
+    public String code() {
+        return code;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/ledger/Breach.java
@@ -0,0 +1,10 @@
+package org.verbenadyke.kernel.ledger;
+
+/**
+ * A promise that was not kept.
+ *
+ * @param promise which one
+ * @param subject the request, call or version concerned
+ * @param history what was noted of it, oldest first
+ */
+public record Breach(Promise promise, String subject, String history) {}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
@@ -0,0 +1,83 @@
+package org.verbenadyke.kernel.log;
+
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The platform's append-only log, as narrow as the system needs it. Any call may fail or take long; none blocks.
+ */
+public interface LogService {
+    /**
+     * Appends a record.
+     *
+     * @param stream the stream
+     * @param record the record
+     * @param taker is told once what came of it
+     */
+    void append(String stream, byte[] record, Consumer<Appended> taker);
+
+    /**
+     * Reads records.
+     *
+     * @param stream the stream
+     * @param fromOffset the first offset wanted
+     * @param waitMillis how long to wait for a record when there is none yet, in milliseconds
+     * @param taker is told once what was read
+     */
+    void read(String stream, long fromOffset, long waitMillis, Consumer<Read> taker);
+
+    /**
+     * What came of an append.
+     */
+    sealed interface Appended {
+        /**
+         * The record is on the log.
+         *
+         * @param offset its offset
+         */
+        record At(long offset) implements Appended {}
+
+        /**
+         * The record may be on the log or not.
+         *
+         * @param why what went wrong
+         */
+        record Unknown(String why) implements Appended {}
+
+        /**
+         * The record is not on the log.
+         *
+         * @param why what went wrong
+         */
+        record Failed(String why) implements Appended {}
+    }
+
+    /**
+     * What came of a read.
+     */
+    sealed interface Read {
+        /**
+         * Records were read, perhaps none.
+         *
+         * @param firstOffset the oldest offset that the log still keeps
+         * @param nextOffset where to read on
+         * @param records the records in order
+         */
+        record Records(long firstOffset, long nextOffset, List<LogRecord> records) implements Read {}
+
+        /**
+         * Nothing could be read.
+         *
+         * @param why what went wrong
+         */
+        record Failed(String why) implements Read {}
+    }
+
+    /**
+     * A record on the log.
+     *
+     * @param offset its offset
+     * @param bytes its content
+     */
+    record LogRecord(long offset, byte[] bytes) {}
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberRecord.java
@@ -0,0 +1,84 @@
+package org.verbenadyke.kernel.membership;
+
+import java.util.Optional;
+
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Place;
+import org.verbenadyke.kernel.routing.Rendezvous;
+import org.verbenadyke.kernel.routing.Upstream;
+
+/**
+ * What is known of one node and the upstream beside it.
+ *
+ * @param nodeId the node's name
+ * @param incarnation drawn at the node's start; a later start has a higher one
+ * @param version raised by the node with each change of its own
+ * @param state how it fares
+ * @param endpoint where it listens for other nodes
+ * @param place where it stands
+ * @param service the service of the upstream beside it, empty if there is none
+ * @param epoch raised by the node when it was given up and came back, so that its upstream gets a new id
+ */
+public record MemberRecord(
+        String nodeId,
+        long incarnation,
+        long version,
+        MemberState state,
+        Endpoint endpoint,
+        Place place,
+        String service,
+        int epoch) {
+    /**
+     * Tells whether this record replaces another of the same node.
+     *
+     * @param other the other record
+     * @return whether this one is newer
+     */
+    public boolean supersedes(MemberRecord other) {
+        if (incarnation != other.incarnation) {
+            return incarnation > other.incarnation;
+        }
+        if (version != other.version) {
+            return version > other.version;
+        }
+        return state.compareTo(other.state) > 0;
+    }
+
+    /**
+     * Returns the record with another state.
+     *
+     * @param newState the state
+     * @return the record, of the same version
+     */
+    public MemberRecord in(MemberState newState) {
+        return new MemberRecord(nodeId, incarnation, version, newState, endpoint, place, service, epoch);
+    }
+
+    /**
+     * Returns the id of the upstream beside the node.
+     *
+     * @return the id
+     */
+    public String upstreamId() {
+        return nodeId + "@" + Long.toHexString(incarnation) + "." + epoch;
+    }
+
+    /**
+     * Returns the upstream beside the node.
+     *
+     * @return the upstream, if there is one
+     */
+    public Optional<Upstream> upstream() {
+        return service.isEmpty() ? Optional.empty() : Optional.of(new Upstream(upstreamId(), service, endpoint, place));
+    }
+
+    /**
+     * Returns a hash of what tells two records of a node apart.
+     *
+     * @return 64 bits
+     */
+    public long fingerprint() {
+        long h = Rendezvous.hash(nodeId, state.name());
+        return Rendezvous.hash(Long.toHexString(h ^ incarnation), Long.toString(version));
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
@@ -0,0 +1,162 @@
+package org.verbenadyke.kernel.membership;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.verbenadyke.kernel.routing.Rendezvous;
+import org.verbenadyke.kernel.routing.Upstream;
+
+/**
+ * The members that a node knows, with those that left or were given up kept for a while so that they aren't revived.
+ * Merging is idempotent and independent of order. Safe for many threads.
+ */
+public final class MemberTable {
+    /** How many buckets a digest has. */
+    public static final int BUCKETS = 64;
+
+    private final Map<String, Entry> table = new ConcurrentHashMap<>();
+
+    private MemberTable() {}
+
+    /**
+     * Creates a table.
+     *
+     * @return an empty table
+     */
+    public static MemberTable empty() {
+        return new MemberTable();
+    }
+
+    /**
+     * Merges a record.
+     *
+     * @param record the record
+     * @param nowNanos the time
+     * @return whether it was news
+     */
+    public boolean merge(MemberRecord record, long nowNanos) {
+        Entry merged = table.compute(record.nodeId(), (id, known) -> {
+            boolean old = known != null && !record.supersedes(known.record());
+            return old ? known : Entry.after(known, record, nowNanos);
+        });
+        return merged.record() == record;
+    }
+
+    /**
+     * Forgets members that left or were given up long ago.
+     *
+     * @param nowNanos the time
+     * @param keptNanos how long they are kept, in nanoseconds
+     */
+    public void expire(long nowNanos, long keptNanos) {
+        table.values().removeIf(e -> !e.record().state().present() && nowNanos - e.since() > keptNanos);
+    }
+
+    /**
+     * Finds a member.
+     *
+     * @param nodeId the node's name
+     * @return its record
+     */
+    public Optional<MemberRecord> find(String nodeId) {
+        return Optional.ofNullable(table.get(nodeId)).map(Entry::record);
+    }
+
+    /**
+     * Lists the members.
+     *
+     * @return every record, those of members that are gone too
+     */
+    public List<MemberRecord> records() {
+        return table.values().stream().map(Entry::record).toList();
+    }
+
+    /**
+     * Lists the members with the time of their last change of presence.
+     *
+     * @return every entry
+     */
+    public Collection<Entry> entries() {
+        return table.values();
+    }
+
+    /**
+     * Lists the upstreams that may get new work.
+     *
+     * @return the upstreams
+     */
+    public List<Upstream> accepting() {
+        return table.values().stream()
+                .map(Entry::record)
+                .filter(r -> r.state().accepting())
+                .flatMap(r -> r.upstream().stream())
+                .toList();
+    }
+
+    /**
+     * Lists the members that may be running.
+     *
+     * @return their records
+     */
+    public List<MemberRecord> present() {
+        return table.values().stream()
+                .map(Entry::record)
+                .filter(r -> r.state().present())
+                .toList();
+    }
+
+    /**
+     * Hashes the whole table.
+     *
+     * @return the same for equal tables, whatever the order of merging
+     */
+    public long digest() {
+        long h = 0;
+        for (Entry e : table.values()) {
+            h ^= e.record().fingerprint();
+        }
+        return h;
+    }
+
+    /**
+     * Hashes the table bucket by bucket.
+     *
+     * @return {@link #BUCKETS} hashes
+     */
+    public long[] bucketDigests() {
+        long[] digests = new long[BUCKETS];
+        for (Entry e : table.values()) {
+            digests[bucket(e.record().nodeId())] ^= e.record().fingerprint();
+        }
+        return digests;
+    }
+
+    /**
+     * Finds the bucket of a member.
+     *
+     * @param nodeId the node's name
+     * @return from 0 to {@link #BUCKETS} - 1
+     */
+    public static int bucket(String nodeId) {
+        return (int) Math.floorMod(Rendezvous.hash(nodeId, ""), (long) BUCKETS);
+    }
+
+    /**
+     * A member and when its presence changed last.
+     *
+     * @param record the record
+     * @param since when this node learned that the member came or went, in nanoseconds
+     */
+    public record Entry(MemberRecord record, long since) {
+        static Entry after(Entry known, MemberRecord record, long now) {
+            boolean same = known != null
+                    && known.record().incarnation() == record.incarnation()
+                    && known.record().epoch() == record.epoch()
+                    && known.record().state().present() == record.state().present();
+            return new Entry(record, same ? known.since() : now);
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -0,0 +1,171 @@
+package org.verbenadyke.kernel.message;
+
+import java.util.List;
+
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RequestId;
+
+/**
+ * The messages between two nodes on one connection.
+ */
+public sealed interface Message {
+    /** The version of the protocol. */
+    int VERSION = 1;
+
+    /**
+     * The first message of both sides.
+     *
+     * @param version the protocol version
+     * @param nodeId the sender's name
+     * @param incarnation the sender's incarnation
+     */
+    record Hello(int version, String nodeId, long incarnation) implements Message {}
+
+    /**
+     * Shows that the connection carries messages, and lends the sender's clock to the receiver.
+     *
+     * @param senderClock the sender's monotonic clock, in nanoseconds
+     */
+    record Heartbeat(long senderClock) implements Message {}
+
+    /**
+     * One attempt of a request.
+     *
+     * @param id the attempt
+     * @param request the request it belongs to
+     * @param target where it goes
+     * @param importance how much it matters
+     * @param depth how many calls lie above it
+     * @param ttlMicros how long the sender waits, in microseconds
+     * @param receiverClock the newest clock that the receiver lent on this connection, in its nanoseconds; 0 if none
+     * @param idempotent whether it may run more than once
+     * @param key the idempotency key, empty if none
+     * @param content what the upstream gets
+     */
+    record Call(
+            CallId id,
+            RequestId request,
+            Target target,
+            Importance importance,
+            int depth,
+            long ttlMicros,
+            long receiverClock,
+            boolean idempotent,
+            String key,
+            Content content)
+            implements Message {}
+
+    /**
+     * Where a call goes.
+     *
+     * @param service the service
+     * @param upstream the upstream's id
+     */
+    record Target(String service, String upstream) {}
+
+    /**
+     * What an upstream gets.
+     *
+     * @param method the HTTP method
+     * @param path the path and query
+     * @param headers the header fields
+     * @param body the whole body
+     */
+    record Content(String method, String path, List<HeaderField> headers, byte[] body) {}
+
+    /**
+     * What each answer tells of the node that gave it.
+     *
+     * @param inFlight calls handed to the upstream
+     * @param limit how many may be handed to it
+     * @param level the admission level of the call's path from here down
+     * @param draining whether the upstream is leaving
+     */
+    record Report(int inFlight, int limit, int level, boolean draining) {}
+
+    /**
+     * The head of an answer.
+     *
+     * @param id the attempt
+     * @param status the HTTP status
+     * @param headers the header fields
+     * @param settled whether a failure was already retried as far as it may be, deeper in the chain
+     * @param report the state of the answering node
+     */
+    record Head(CallId id, int status, List<HeaderField> headers, boolean settled, Report report) implements Message {}
+
+    /**
+     * A fragment of an answer's body.
+     *
+     * @param id the attempt
+     * @param offset the position of the fragment in the body
+     * @param bytes the fragment
+     */
+    record Data(CallId id, long offset, byte[] bytes) implements Message {}
+
+    /**
+     * The end of a whole answer.
+     *
+     * @param id the attempt
+     * @param length the length of the whole body
+     */
+    record End(CallId id, long length) implements Message {}
+
+    /**
+     * A refusal in place of an answer, or a broken answer after its head.
+     *
+     * @param id the attempt
+     * @param refusal the refusal
+     * @param report the state of the refusing node
+     */
+    record Refused(CallId id, Refusal refusal, Report report) implements Message {}
+
+    /**
+     * Allows more of an answer's body.
+     *
+     * @param id the attempt
+     * @param bytes how many bytes more
+     */
+    record Credit(CallId id, int bytes) implements Message {}
+
+    /**
+     * Ends an attempt that nobody waits for.
+     *
+     * @param id the attempt
+     */
+    record Cancel(CallId id) implements Message {}
+
+    /**
+     * Asks for one retry out of the request's budget, from the node below to the node above.
+     *
+     * @param id the attempt that the asking node serves
+     * @param ticket numbers the question
+     */
+    record Spend(CallId id, long ticket) implements Message {}
+
+    /**
+     * Answers {@link Spend}.
+     *
+     * @param id the attempt
+     * @param ticket the question
+     * @param granted whether the retry may be made
+     */
+    record Grant(CallId id, long ticket, boolean granted) implements Message {}
+
+    /**
+     * Asks over a new connection what became of an attempt. A receiver that never started it seals its id.
+     *
+     * @param id the attempt
+     */
+    record Inquire(CallId id) implements Message {}
+
+    /**
+     * Carries state of the membership or the configuration; see the membership package.
+     *
+     * @param payload the encoded news
+     */
+    record Gossip(byte[] payload) implements Message {}
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/once/Ownership.java
@@ -0,0 +1,38 @@
+package org.verbenadyke.kernel.once;
+
+import java.util.List;
+
+import org.verbenadyke.kernel.routing.Upstream;
+
+/**
+ * Whether this node may run a keyed request, as its view of the membership says.
+ */
+public sealed interface Ownership {
+    /**
+     * The key is this node's, once the live former owners have said what they know of it.
+     *
+     * @param askFirst the former owners that still run
+     */
+    record Owned(List<Upstream> askFirst) implements Ownership {}
+
+    /** The key is another node's. */
+    record Elsewhere() implements Ownership {}
+
+    /** A former owner is gone, and an earlier try may have run there. */
+    record Uncertain() implements Ownership {}
+
+    /**
+     * Decides ownership.
+     */
+    @FunctionalInterface
+    interface View {
+        /**
+         * Looks at one key.
+         *
+         * @param service the service
+         * @param key the key
+         * @return whose it is
+         */
+        Ownership of(String service, String key);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -0,0 +1,180 @@
+package org.verbenadyke.kernel.routing;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.verbenadyke.kernel.message.Message;
+
+/**
+ * An upstream together with what this node has seen of it. Survives the tables it stands in; safe for many threads.
+ */
+public final class Candidate {
+    private static final double SMOOTHING = 0.2;
+    private static final long LEVEL_FRESH_NANOS = 400_000_000L;
+    private static final long LEVEL_DECAY_NANOS = 600_000_000L;
+    private static final double ERROR_WEIGHT = 10;
+    private static final int EJECT_AFTER = 5;
+    private static final double EJECT_ERROR_RATE = 0.5;
+    private static final double ERROR_SMOOTHING = 0.1;
+    private static final long FIRST_EJECTION_NANOS = 500_000_000L;
+    private static final int EJECTION_DOUBLINGS = 4;
+
+    private final Upstream upstream;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final AtomicInteger failuresInRow = new AtomicInteger();
+    private final Map<String, Level> levels = new ConcurrentHashMap<>();
+    private volatile double latencyNanos;
+    private volatile double errorRate;
+    private volatile double reportedLoad;
+    private volatile boolean draining;
+    private volatile long ejectedUntil = Long.MIN_VALUE;
+    private volatile int ejections;
+
+    private Candidate(Upstream upstream) {
+        this.upstream = upstream;
+    }
+
+    /**
+     * Creates a candidate of which nothing was seen yet.
+     *
+     * @param upstream the upstream
+     * @return the candidate
+     */
+    public static Candidate of(Upstream upstream) {
+        return new Candidate(upstream);
+    }
+
+    /**
+     * Returns the upstream.
+     *
+     * @return the upstream
+     */
+    public Upstream upstream() {
+        return upstream;
+    }
+
+    /** Notes that a call is sent. */
+    public void sent() {
+        inFlight.incrementAndGet();
+    }
+
+    /** Notes that a sent call has ended, however. */
+    public void ended() {
+        inFlight.decrementAndGet();
+    }
+
+    /**
+     * Notes a success.
+     *
+     * @param latency from sending to the head of the answer, in nanoseconds
+     */
+    public void succeeded(long latency) {
+        double seen = latencyNanos;
+        latencyNanos = seen == 0 ? latency : seen + SMOOTHING * (latency - seen);
+        errorRate *= 1 - ERROR_SMOOTHING;
+        failuresInRow.set(0);
+        ejections = 0;
+    }
+
+    /**
+     * Notes a failure of the upstream or of its node.
+     *
+     * @param nowNanos the time
+     * @return whether the failure took the upstream out of the choice
+     */
+    public boolean failed(long nowNanos) {
+        errorRate += ERROR_SMOOTHING * (1 - errorRate);
+        int row = failuresInRow.incrementAndGet();
+        if (ejected(nowNanos) || row < EJECT_AFTER && errorRate < EJECT_ERROR_RATE) {
+            return false;
+        }
+        ejectedUntil = nowNanos + (FIRST_EJECTION_NANOS << Math.min(ejections, EJECTION_DOUBLINGS));
+        ejections++;
+        failuresInRow.set(EJECT_AFTER - 1);
+        errorRate = EJECT_ERROR_RATE / 2;
+        return true;
+    }
+
+    /** Notes that the upstream shed a call on its own: it is less attractive, but not broken. */
+    public void shed() {
+        errorRate += ERROR_SMOOTHING * (1 - errorRate);
+    }
+
+    /**
+     * Takes a node's report about itself and the path below it.
+     *
+     * @param pathClass the class of the call that brought it
+     * @param report the report
+     * @param nowNanos the time
+     */
+    public void reported(String pathClass, Message.Report report, long nowNanos) {
+        reportedLoad = report.limit() <= 0 ? 0 : (double) report.inFlight() / report.limit();
+        draining |= report.draining();
+        levels.put(pathClass, new Level(report.level(), nowNanos));
+    }
+
+    /**
+     * Returns the admission level reported for a class of calls; it fades when no news comes.
+     *
+     * @param pathClass the class
+     * @param nowNanos the time
+     * @return the rank below which a call would be refused
+     */
+    public int level(String pathClass, long nowNanos) {
+        return Optional.ofNullable(levels.get(pathClass))
+                .map(l -> l.faded(nowNanos))
+                .orElse(0);
+    }
+
+    /** Notes that the upstream is leaving. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Tells whether the upstream may get new work.
+     *
+     * @return false when it is leaving
+     */
+    public boolean accepting() {
+        return !draining;
+    }
+
+    /**
+     * Tells whether the upstream is out of the choice for a while.
+     *
+     * @param nowNanos the time
+     * @return whether it is ejected
+     */
+    public boolean ejected(long nowNanos) {
+        return ejectedUntil != Long.MIN_VALUE && nowNanos - ejectedUntil < 0;
+    }
+
+    /**
+     * Returns the load, for comparing candidates; smaller is better.
+     *
+     * @return the load, of no unit
+     */
+    public double score() {
+        double waiting = inFlight.get() + 1.0;
+        return waiting * (1 + reportedLoad) * (1 + ERROR_WEIGHT * errorRate) * Math.max(1, Math.sqrt(latencyNanos));
+    }
+
+    /**
+     * A reported level.
+     *
+     * @param rank the rank below which calls are refused
+     * @param at when it was reported, in nanoseconds
+     */
+    private record Level(int rank, long at) {
+        int faded(long now) {
+            long old = now - at - LEVEL_FRESH_NANOS;
+            if (old <= 0) {
+                return rank;
+            }
+            return old >= LEVEL_DECAY_NANOS ? 0 : (int) (rank * (1 - (double) old / LEVEL_DECAY_NANOS));
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/RouteQuery.java
@@ -0,0 +1,14 @@
+package org.verbenadyke.kernel.routing;
+
+import java.util.Set;
+
+/**
+ * A call to be routed.
+ *
+ * @param service the service it calls
+ * @param pathClass the class its admission level is kept for
+ * @param rank its admission rank
+ * @param key its idempotency key, empty if none; a keyed call goes to the key's owner
+ * @param avoid ids of upstreams tried before, left out while there are others
+ */
+public record RouteQuery(String service, String pathClass, int rank, String key, Set<String> avoid) {}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/TwoChoicesProvider.java
@@ -0,0 +1,35 @@
+package org.verbenadyke.kernel.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Registers the power of two choices as {@code two-choices}: of two candidates drawn at random, the less loaded.
+ */
+public final class TwoChoicesProvider implements ChooserProvider {
+    @Override
+    public String name() {
+        return "two-choices";
+    }
+
+    @Override
+    public Chooser create() {
+        return TwoChoicesProvider::choose;
+    }
+
+    private static Optional<Candidate> choose(List<Candidate> fit, RandomGenerator random) {
+        if (fit.isEmpty()) {
+            return Optional.empty();
+        }
+        int n = fit.size();
+        if (n == 1) {
+            return Optional.of(fit.get(0));
+        }
+        int i = random.nextInt(n);
+        int j = (i + 1 + random.nextInt(n - 1)) % n;
+        Candidate a = fit.get(i);
+        Candidate b = fit.get(j);
+        return Optional.of(a.score() <= b.score() ? a : b);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -0,0 +1,239 @@
+package org.verbenadyke.kernel.serve;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.dispatch.RetryAfter;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.once.SeenCalls;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * Serves the calls of other nodes for the upstream beside this one. Safe for many threads.
+ */
+public final class CallServer {
+    private final Parts parts;
+    private final ServeSettings settings;
+    private final SeenCalls seen = SeenCalls.empty();
+    private final Map<CallId, IncomingCall> calls = new ConcurrentHashMap<>();
+    private final Map<String, CallContext> contexts = new ConcurrentHashMap<>();
+    private final AtomicLong tokens = new AtomicLong();
+    private volatile LocalUpstream upstream;
+
+    private CallServer(Parts parts, ServeSettings settings) {
+        this.parts = parts;
+        this.settings = settings;
+    }
+
+    /**
+     * Creates a server without an upstream.
+     *
+     * @param parts what it works with
+     * @param settings how calls are served
+     * @return the server
+     */
+    public static CallServer create(Parts parts, ServeSettings settings) {
+        return new CallServer(parts, settings);
+    }
+
+    /**
+     * Attaches the upstream that announced itself.
+     *
+     * @param local the upstream
+     */
+    public void attach(LocalUpstream local) {
+        this.upstream = local;
+    }
+
+    /**
+     * Returns the upstream beside this node.
+     *
+     * @return the upstream, if one announced itself
+     */
+    public Optional<LocalUpstream> upstream() {
+        return Optional.ofNullable(upstream);
+    }
+
+    /**
+     * Finds what a token stands for.
+     *
+     * @param token the token that an upstream copied to its call
+     * @return the context, empty when the call it names has ended
+     */
+    public Optional<CallContext> context(String token) {
+        return Optional.ofNullable(contexts.get(token));
+    }
+
+    /**
+     * Takes a message of a node above.
+     *
+     * @param link the link it came by
+     * @param message a call, credit, cancellation, grant or inquiry
+     */
+    public void received(Link link, Message message) {
+        switch (message) {
+            case Message.Call m -> call(link, m);
+            case Message.Credit m -> find(m.id()).ifPresent(c -> c.credit(m.bytes()));
+            case Message.Cancel m -> find(m.id()).ifPresent(IncomingCall::cancelled);
+            case Message.Grant m -> find(m.id()).ifPresent(c -> c.granted(m.ticket(), m.granted()));
+            case Message.Inquire m -> inquire(link, m.id());
+            default -> parts.counters.count(Event.MESSAGE_UNMATCHED);
+        }
+    }
+
+    /**
+     * Takes notice that a link has ended.
+     *
+     * @param link the link
+     */
+    public void linkLost(Link link) {
+        for (IncomingCall call : calls.values()) {
+            if (call.link() == link) {
+                call.linkLost(link);
+            }
+        }
+    }
+
+    /**
+     * Returns the calls that are not finished.
+     *
+     * @return their number
+     */
+    public long unfinished() {
+        return calls.values().stream().filter(c -> !c.finished()).count();
+    }
+
+    /**
+     * Forgets what is past its time; called at least every fence period, by one thread at a time.
+     */
+    public void sweep() {
+        seen.rotate();
+        long now = parts.timers.nanos();
+        calls.values().removeIf(c -> c.forgettable(now));
+        upstream().ifPresent(u -> u.keys().expire(now));
+    }
+
+    /**
+     * Returns the least period between two sweeps, so that no id is forgotten before its copies are fenced.
+     *
+     * @return the period in nanoseconds
+     */
+    public long sweepNanos() {
+        return settings.maxTtlNanos() + settings.fenceGraceNanos();
+    }
+
+    Parts parts() {
+        return parts;
+    }
+
+    ServeSettings settings() {
+        return settings;
+    }
+
+    CallContext openContext(Message.Call call, long deadline, Link link) {
+        String token = Long.toHexString(parts.random.get().nextLong()) + "-" + tokens.incrementAndGet();
+        CallContext context = CallContext.of(token, call, deadline, link);
+        contexts.put(token, context);
+        return context;
+    }
+
+    void closeContext(CallContext context) {
+        contexts.remove(context.token());
+        context.budget().close();
+    }
+
+    void forget(IncomingCall call) {
+        calls.remove(call.id(), call);
+    }
+
+    void refuse(Link link, CallId id, Refusal refusal, int level) {
+        parts.ledger.refusedCall(id, refusal.state());
+        parts.counters.refused(refusal.state(), refusal.reason());
+        link.send(new Message.Refused(id, refusal, report(level)));
+    }
+
+    Refusal notRun(RefusalReason reason) {
+        long after = RetryAfter.spread(settings.retryAfterMillis(), parts.random.get());
+        return Refusal.notRun(reason, after);
+    }
+
+    Message.Report report(int levelBelow) {
+        LocalUpstream local = upstream;
+        if (local == null) {
+            return new Message.Report(0, 0, levelBelow, false);
+        }
+        Gate gate = local.gate();
+        return new Message.Report(
+                gate.inFlight() + gate.queued(), gate.limit(), Math.max(gate.level(), levelBelow), local.draining());
+    }
+
+    private Optional<IncomingCall> find(CallId id) {
+        Optional<IncomingCall> call = Optional.ofNullable(calls.get(id));
+        if (call.isEmpty()) {
+            parts.counters.count(Event.MESSAGE_UNMATCHED);
+        }
+        return call;
+    }
+
+    private void call(Link link, Message.Call call) {
+        parts.counters.count(Event.CALL_IN);
+        if (!seen.claim(call.id())) {
+            parts.counters.count(Event.CALL_REPEATED);
+            return;
+        }
+        LocalUpstream local = upstream;
+        if (local == null || !local.id().equals(call.target().upstream())) {
+            refuse(link, call.id(), notRun(RefusalReason.UPSTREAM_UNREACHABLE), 0);
+            return;
+        }
+        if (local.draining()) {
+            refuse(link, call.id(), notRun(RefusalReason.DRAINING), 0);
+            return;
+        }
+        IncomingCall incoming = new IncomingCall(this, local, call, link);
+        if (incoming.stale()) {
+            refuse(link, call.id(), notRun(RefusalReason.FENCED), 0);
+            return;
+        }
+        calls.put(call.id(), incoming);
+        incoming.start();
+    }
+
+    private void inquire(Link link, CallId id) {
+        IncomingCall call = calls.get(id);
+        if (call != null) {
+            call.rebind(link);
+            return;
+        }
+        if (seen.claim(id)) {
+            refuse(link, id, notRun(RefusalReason.SEALED), 0);
+            return;
+        }
+        refuse(link, id, new Refusal(RunState.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, 0), 0);
+    }
+
+    /**
+     * What a server works with.
+     *
+     * @param timers the time
+     * @param random where each thread's randomness comes from
+     * @param counters where refusals are counted
+     * @param ledger checks the promises
+     * @param keys decides and asks about the owners of keys
+     */
+    public record Parts(
+            TimerService timers, Supplier<RandomGenerator> random, Counters counters, Ledger ledger, KeyClaims keys) {}
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -0,0 +1,400 @@
+package org.verbenadyke.kernel.serve;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.verbenadyke.kernel.admission.ConcurrencyLimit;
+import org.verbenadyke.kernel.admission.Waiting;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.concurrent.Serial;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.once.KeptAnswer;
+import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.time.Subscription;
+
+/**
+ * One call received from a node above. Everything happens inside a serial runner; only the link is read from elsewhere.
+ */
+final class IncomingCall implements Waiting, UpstreamPort.Listener {
+    private static final long NANOS_PER_MICRO = 1_000L;
+    private static final int UNAVAILABLE = 503;
+    private static final int ONCE_EXTRA_TTLS = 2;
+
+    private final CallServer server;
+    private final LocalUpstream local;
+    private final Message.Call call;
+    private final Serial serial = Serial.create();
+    private final long receivedNanos;
+    private final long deadlineNanos;
+    private final AnswerWriter answer;
+    private volatile Link link;
+    private volatile Phase phase = Phase.WAITING;
+    private volatile long finishedNanos;
+    private CallContext context;
+    private UpstreamPort.Exchange exchange;
+    private long handedNanos;
+    private long headNanos;
+    private int status;
+    private boolean keyClaimed;
+    private boolean deadlinePassed;
+    private Refusal lastRefusal;
+    private Subscription timer;
+
+    IncomingCall(CallServer server, LocalUpstream local, Message.Call call, Link link) {
+        this.server = server;
+        this.local = local;
+        this.call = call;
+        this.link = link;
+        this.receivedNanos = server.parts().timers().nanos();
+        long ttl =
+                Math.min(call.ttlMicros() * NANOS_PER_MICRO, server.settings().maxTtlNanos());
+        this.deadlineNanos = receivedNanos + ttl;
+        this.answer = new AnswerWriter(call.id(), server.settings(), !call.idempotent());
+    }
+
+    CallId id() {
+        return call.id();
+    }
+
+    Link link() {
+        return link;
+    }
+
+    boolean finished() {
+        return phase == Phase.FINISHED;
+    }
+
+    boolean forgettable(long now) {
+        return finished() && now - finishedNanos > server.sweepNanos();
+    }
+
+    /** Tells whether the call may have waited unseen for longer than its time to live. */
+    boolean stale() {
+        return Freshness.stale(
+                call, server.parts().timers().nanos(), server.settings().fenceGraceNanos());
+    }
+
+    void start() {
+        serial.run(() -> {
+            timer = server.parts().timers().after(deadlineNanos - receivedNanos, () -> serial.run(this::onDeadline));
+            if (call.idempotent() || call.key().isEmpty()) {
+                local.gate().offer(this, receivedNanos);
+                return;
+            }
+            server.parts().keys().claim(local, call.key(), Fingerprint.of(call), c -> serial.run(() -> claimed(c)));
+        });
+    }
+
+    void credit(int bytes) {
+        serial.run(() -> {
+            if (answer.credit(bytes) && exchange != null && !finished()) {
+                exchange.request();
+            }
+        });
+    }
+
+    void granted(long ticket, boolean granted) {
+        CallContext c = context;
+        if (c != null) {
+            c.budget().granted(ticket, granted);
+        }
+    }
+
+    void cancelled() {
+        serial.run(() -> {
+            if (phase == Phase.WAITING) {
+                refuseNotRun(RefusalReason.CANCELLED);
+            } else if (phase == Phase.HANDED && call.idempotent()) {
+                server.parts().counters().refused(RunState.MAY_HAVE_RUN, RefusalReason.CANCELLED);
+                exchange.cancel();
+                finish(ConcurrencyLimit.Outcome.IGNORED);
+            }
+        });
+    }
+
+    void linkLost(Link lost) {
+        serial.run(() -> {
+            if (link != lost) {
+                return;
+            }
+            if (phase == Phase.WAITING) {
+                refuseNotRun(RefusalReason.SEALED);
+            } else if (phase == Phase.HANDED && call.idempotent()) {
+                exchange.cancel();
+                finish(ConcurrencyLimit.Outcome.IGNORED);
+            }
+        });
+    }
+
+    /** Gives the answer, or what is known of it, over a new link. */
+    void rebind(Link newLink) {
+        serial.run(() -> {
+            link = newLink;
+            server.parts().counters().count(Event.ANSWER_REPLAYED);
+            if (lastRefusal != null) {
+                newLink.send(new Message.Refused(call.id(), lastRefusal, report()));
+            } else if (!answer.replay(newLink, this::report) && finished()) {
+                newLink.send(new Message.Refused(
+                        call.id(), new Refusal(RunState.RAN, RefusalReason.CONNECTION_LOST, 0), report()));
+            }
+        });
+    }
+
+    @Override
+    public Importance importance() {
+        return call.importance();
+    }
+
+    @Override
+    public int rank() {
+        return call.importance().rank(call.request());
+    }
+
+    @Override
+    public int depth() {
+        return call.depth();
+    }
+
+    @Override
+    public long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    @Override
+    public void admitted() {
+        serial.run(this::handOver);
+    }
+
+    @Override
+    public void shed(RefusalReason reason) {
+        serial.run(() -> {
+            if (phase == Phase.WAITING) {
+                refuseNotRun(reason);
+            }
+        });
+    }
+
+    @Override
+    public void unreachable() {
+        serial.run(() -> fail(server.notRun(RefusalReason.UPSTREAM_UNREACHABLE)));
+    }
+
+    @Override
+    public void head(int newStatus, List<HeaderField> headers) {
+        serial.run(() -> {
+            if (phase != Phase.HANDED) {
+                return;
+            }
+            status = newStatus;
+            headNanos = server.parts().timers().nanos();
+            armIdleTimer();
+            Message.Head head = new Message.Head(call.id(), newStatus, headers, context.hasFailedChild(), report());
+            answer.head(head, link);
+            requestMore();
+        });
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+        serial.run(() -> {
+            if (phase != Phase.HANDED) {
+                return;
+            }
+            armIdleTimer();
+            answer.data(bytes, link);
+            requestMore();
+        });
+    }
+
+    @Override
+    public void end() {
+        serial.run(() -> {
+            if (phase != Phase.HANDED) {
+                return;
+            }
+            answer.end(link);
+            finish(status == UNAVAILABLE ? ConcurrencyLimit.Outcome.SHED : ConcurrencyLimit.Outcome.ANSWERED);
+        });
+    }
+
+    @Override
+    public void broken() {
+        serial.run(() -> fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN)));
+    }
+
+    private void fail(Refusal refusal) {
+        if (phase == Phase.HANDED) {
+            refuse(refusal);
+            finish(ConcurrencyLimit.Outcome.IGNORED);
+        }
+    }
+
+    private void claimed(KeyClaims.Outcome outcome) {
+        if (phase != Phase.WAITING) {
+            if (outcome instanceof KeyClaims.Outcome.Owned(KeyTable.Claim.Granted g)) {
+                local.keys().withdraw(call.key(), new KeptAnswer.Lost(server.notRun(RefusalReason.CANCELLED)));
+            }
+            return;
+        }
+        switch (outcome) {
+            case KeyClaims.Outcome.Owned owned -> decided(owned.claim());
+            case KeyClaims.Outcome.Elsewhere e -> refuseNotRun(RefusalReason.KEY_NOT_OWNER);
+            case KeyClaims.Outcome.Uncertain u -> refuseNow(Refusal.mayHaveRun(RefusalReason.KEY_OWNER_CHANGED));
+        }
+    }
+
+    private void decided(KeyTable.Claim claim) {
+        switch (claim) {
+            case KeyTable.Claim.Granted g -> {
+                keyClaimed = true;
+                local.gate().offer(this, server.parts().timers().nanos());
+            }
+            case KeyTable.Claim.Taken t -> t.outcome().accept(kept -> serial.run(() -> adopt(kept)));
+            case KeyTable.Claim.Reused r -> refuseNotRun(RefusalReason.KEY_REUSED);
+            case KeyTable.Claim.Sealed s -> refuseNotRun(RefusalReason.KEY_NOT_OWNER);
+        }
+    }
+
+    /** Gives the outcome of an earlier try under the same key. */
+    private void adopt(KeptAnswer kept) {
+        if (phase != Phase.WAITING) {
+            return;
+        }
+        switch (kept) {
+            case KeptAnswer.Whole whole -> {
+                server.parts().counters().count(Event.ANSWER_REPLAYED);
+                answer.whole(whole, link, report());
+                phase = Phase.FINISHED;
+                conclude();
+            }
+            case KeptAnswer.Lost lost -> refuseNow(lost.refusal());
+        }
+    }
+
+    private void handOver() {
+        if (phase != Phase.WAITING) {
+            local.gate().release(server.parts().timers().nanos(), 0, ConcurrencyLimit.Outcome.IGNORED);
+            return;
+        }
+        handedNanos = server.parts().timers().nanos();
+        boolean late = handedNanos >= deadlineNanos;
+        if (late || stale()) {
+            refuseNotRun(late ? RefusalReason.DEADLINE : RefusalReason.FENCED);
+            local.gate().release(handedNanos, 0, ConcurrencyLimit.Outcome.IGNORED);
+            return;
+        }
+        phase = Phase.HANDED;
+        server.parts().counters().count(Event.HANDED_OVER);
+        server.parts().ledger().handedOver(call.id(), call.key(), call.idempotent());
+        context = server.openContext(call, deadlineNanos, link);
+        exchange = local.port()
+                .start(new UpstreamPort.HandOver(call.content(), context.token(), deadlineNanos - handedNanos), this);
+    }
+
+    private void requestMore() {
+        if (answer.wantsMore()) {
+            exchange.request();
+        }
+    }
+
+    private void armIdleTimer() {
+        timer.cancel();
+        long idle = server.settings().idleNanos();
+        timer = server.parts().timers().after(idle, () -> serial.run(this::onIdle));
+    }
+
+    private void onIdle() {
+        if (phase != Phase.HANDED) {
+            return;
+        }
+        if (!answer.wantsMore()) {
+            armIdleTimer();
+            return;
+        }
+        exchange.cancel();
+        fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN));
+    }
+
+    private void onDeadline() {
+        if (phase == Phase.WAITING) {
+            refuseNotRun(RefusalReason.DEADLINE);
+            return;
+        }
+        if (phase != Phase.HANDED || deadlinePassed && !call.idempotent() && !expiredForGood()) {
+            return;
+        }
+        if (!deadlinePassed) {
+            deadlinePassed = true;
+            tellAbove(Refusal.mayHaveRun(RefusalReason.DEADLINE));
+        }
+        if (call.idempotent() || expiredForGood()) {
+            exchange.cancel();
+            lastRefusal = Refusal.mayHaveRun(RefusalReason.DEADLINE);
+            finish(ConcurrencyLimit.Outcome.IGNORED);
+            return;
+        }
+        long rest = server.settings().maxTtlNanos() * ONCE_EXTRA_TTLS;
+        timer = server.parts().timers().after(rest, () -> serial.run(this::onDeadline));
+    }
+
+    private boolean expiredForGood() {
+        return server.parts().timers().nanos() - deadlineNanos
+                >= server.settings().maxTtlNanos() * ONCE_EXTRA_TTLS;
+    }
+
+    private void refuseNotRun(RefusalReason reason) {
+        refuseNow(server.notRun(reason));
+    }
+
+    /** Refuses a call that holds no slot. */
+    private void refuseNow(Refusal refusal) {
+        phase = Phase.FINISHED;
+        local.gate().withdraw(this);
+        refuse(refusal);
+        if (keyClaimed) {
+            local.keys().withdraw(call.key(), new KeptAnswer.Lost(refusal));
+        }
+        conclude();
+    }
+
+    private void refuse(Refusal refusal) {
+        lastRefusal = refusal;
+        tellAbove(refusal);
+    }
+
+    private void tellAbove(Refusal refusal) {
+        server.refuse(link, call.id(), refusal, context == null ? 0 : context.levelBelow());
+    }
+
+    private void finish(ConcurrencyLimit.Outcome outcome) {
+        phase = Phase.FINISHED;
+        long now = server.parts().timers().nanos();
+        long latency = headNanos == 0 ? now - handedNanos : headNanos - handedNanos;
+        if (keyClaimed) {
+            Optional<Refusal> refusal = Optional.ofNullable(lastRefusal);
+            KeySettlement.settle(local.keys(), server.parts().ledger(), call.key(), refusal, answer.kept(), now);
+        }
+        server.closeContext(context);
+        conclude();
+        local.gate().release(now, latency, outcome);
+    }
+
+    private void conclude() {
+        finishedNanos = server.parts().timers().nanos();
+        timer.cancel();
+        if (call.idempotent()) {
+            server.forget(this);
+        }
+    }
+
+    private Message.Report report() {
+        return server.report(context == null ? 0 : context.levelBelow());
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/KeySettlement.java
@@ -0,0 +1,37 @@
+package org.verbenadyke.kernel.serve;
+
+import java.util.Optional;
+
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.once.KeptAnswer;
+import org.verbenadyke.kernel.once.KeyTable;
+
+/**
+ * Settles a key after its try was handed over: the key is free again only when the upstream provably did not run the
+ * try, or said so by answering that it is unavailable.
+ */
+final class KeySettlement {
+    private static final int UNAVAILABLE = 503;
+
+    private KeySettlement() {}
+
+    static void settle(
+            KeyTable keys, Ledger ledger, String key, Optional<Refusal> refusal, KeptAnswer answer, long now) {
+        boolean notRun = refusal.map(r -> r.state() == RunState.NOT_RUN)
+                .orElseGet(() ->
+                        answer.whole().filter(w -> w.status() == UNAVAILABLE).isPresent());
+        if (notRun) {
+            ledger.keyFreed(key);
+            keys.withdraw(key, refusal.<KeptAnswer>map(KeptAnswer.Lost::new).orElse(answer));
+            return;
+        }
+        if (refusal.isPresent()) {
+            keys.settle(key, new KeptAnswer.Lost(Refusal.mayHaveRun(RefusalReason.KEY_OUTCOME_UNKNOWN)), now);
+            return;
+        }
+        keys.settle(key, answer, now);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -0,0 +1,110 @@
+package org.verbenadyke.kernel.serve;
+
+import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * The upstream beside this node, as it announced itself.
+ */
+public final class LocalUpstream {
+    private final String id;
+    private final String service;
+    private final UpstreamPort port;
+    private final Gate gate;
+    private final KeyTable keys;
+    private final TimerService timers;
+    private volatile boolean draining;
+
+    private LocalUpstream(String id, String service, UpstreamPort port, Gate gate, KeyTable keys, TimerService timers) {
+        this.id = id;
+        this.service = service;
+        this.port = port;
+        this.gate = gate;
+        this.keys = keys;
+        this.timers = timers;
+    }
+
+    /**
+     * Creates an upstream that takes work.
+     *
+     * @param id its id
+     * @param service the service it serves
+     * @param port the way to it
+     * @param gate decides what it gets
+     * @param keys the keys it owns
+     * @param timers the time
+     * @return the upstream
+     */
+    public static LocalUpstream of(
+            String id, String service, UpstreamPort port, Gate gate, KeyTable keys, TimerService timers) {
+        return new LocalUpstream(id, service, port, gate, keys, timers);
+    }
+
+    /**
+     * Returns the id.
+     *
+     * @return the id
+     */
+    public String id() {
+        return id;
+    }
+
+    /**
+     * Returns the service.
+     *
+     * @return the service
+     */
+    public String service() {
+        return service;
+    }
+
+    /**
+     * Returns the way to the upstream.
+     *
+     * @return the port
+     */
+    public UpstreamPort port() {
+        return port;
+    }
+
+    /**
+     * Returns the gate before the upstream.
+     *
+     * @return the gate
+     */
+    public Gate gate() {
+        return gate;
+    }
+
+    /**
+     * Returns the keys the upstream owns.
+     *
+     * @return the table
+     */
+    public KeyTable keys() {
+        return keys;
+    }
+
+    /**
+     * Tells whether the upstream is leaving.
+     *
+     * @return whether new calls are refused
+     */
+    public boolean draining() {
+        return draining;
+    }
+
+    /**
+     * Starts or ends leaving.
+     *
+     * @param leaving whether new calls are to be refused
+     */
+    public void drain(boolean leaving) {
+        draining = leaving;
+    }
+
+    long now() {
+        return timers.nanos();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/control/StatusReport.java
@@ -0,0 +1,95 @@
+package org.verbenadyke.node.control;
+
+import java.util.Locale;
+
+import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RetryReason;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.engine.Engine;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.node.Membership;
+import org.verbenadyke.node.settings.NodeSettings;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * Reports a node's state as JSON.
+ */
+final class StatusReport {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final NodeSettings settings;
+    private final Engine engine;
+    private final Counters counters;
+    private final Membership membership;
+
+    private StatusReport(NodeSettings settings, Engine engine, Counters counters, Membership membership) {
+        this.settings = settings;
+        this.engine = engine;
+        this.counters = counters;
+        this.membership = membership;
+    }
+
+    static StatusReport of(NodeSettings settings, Engine engine, Counters counters, Membership membership) {
+        return new StatusReport(settings, engine, counters, membership);
+    }
+
+    String json() {
+        ObjectNode node = JSON.createObjectNode();
+        node.put("node", settings.id());
+        node.put("region", settings.place().region());
+        node.put("dataCentre", settings.place().dataCentre());
+        node.put("configurationVersion", engine.configuration().version());
+        engine.server().upstream().ifPresent(u -> {
+            ObjectNode upstream = node.putObject("upstream");
+            Gate gate = u.gate();
+            upstream.put("id", u.id());
+            upstream.put("service", u.service());
+            upstream.put("draining", u.draining());
+            upstream.put("inFlight", gate.inFlight());
+            upstream.put("queued", gate.queued());
+            upstream.put("limit", gate.limit());
+            upstream.put("level", gate.level());
+            upstream.put("keys", u.keys().size());
+        });
+        node.put("links", engine.links().size());
+        node.put("requestsUnderWay", engine.dispatcher().underWay());
+        members(node.putArray("members"));
+        counters(node.putObject("counters"));
+        return node.toString();
+    }
+
+    private void members(ArrayNode array) {
+        for (MemberRecord r : membership.table().records()) {
+            ObjectNode m = array.addObject();
+            m.put("node", r.nodeId());
+            m.put("state", r.state().name().toLowerCase(Locale.ROOT));
+            m.put("service", r.service());
+            m.put("address", r.endpoint().toString());
+            m.put("dataCentre", r.place().dataCentre());
+        }
+    }
+
+    private void counters(ObjectNode node) {
+        ObjectNode events = node.putObject("events");
+        for (Event e : Event.values()) {
+            events.put(e.label(), counters.events(e));
+        }
+        ObjectNode retries = node.putObject("retries");
+        for (RetryReason r : RetryReason.values()) {
+            retries.put(r.label(), counters.retries(r));
+        }
+        ObjectNode refusals = node.putObject("refusals");
+        for (RunState s : RunState.values()) {
+            ObjectNode byReason = refusals.putObject(s.label());
+            for (RefusalReason r : RefusalReason.values()) {
+                byReason.put(r.label(), counters.refusals(s, r));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -0,0 +1,175 @@
+package org.verbenadyke.node.http;
+
+import java.net.ConnectException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.serve.UpstreamPort;
+
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.client.api.NoAvailableHostException;
+import io.servicetalk.concurrent.Cancellable;
+import io.servicetalk.concurrent.PublisherSource;
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.SourceAdapters;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.StreamingHttpClient;
+import io.servicetalk.http.api.StreamingHttpRequest;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.transport.api.IoExecutor;
+
+/**
+ * The HTTP way to the upstream beside the node. The client's own retries are off: a call is handed over once.
+ */
+public final class HttpUpstream implements UpstreamPort, AutoCloseable {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final StreamingHttpClient client;
+
+    private HttpUpstream(StreamingHttpClient client) {
+        this.client = client;
+    }
+
+    /**
+     * Creates the way to an upstream.
+     *
+     * @param address where the upstream listens
+     * @param executor the threads that serve connections
+     * @return the port
+     */
+    public static HttpUpstream to(Endpoint address, IoExecutor executor) {
+        StreamingHttpClient client = HttpClients.forSingleAddress(address.host(), address.port())
+                .ioExecutor(executor)
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
+                .buildStreaming();
+        return new HttpUpstream(client);
+    }
+
+    @Override
+    public Exchange start(HandOver handOver, Listener listener) {
+        HttpExchange exchange = new HttpExchange(listener);
+        SourceAdapters.toSource(client.request(request(handOver))).subscribe(exchange);
+        return exchange;
+    }
+
+    @Override
+    public void close() {
+        client.closeAsync().subscribe();
+    }
+
+    private StreamingHttpRequest request(HandOver handOver) {
+        HttpRequestMethod method = HttpRequestMethod.of(handOver.content().method(), HttpRequestMethod.Properties.NONE);
+        StreamingHttpRequest request =
+                client.newRequest(method, handOver.content().path());
+        handOver.content().headers().forEach(h -> request.addHeader(h.name(), h.value()));
+        request.setHeader(HeaderNames.CONTEXT, handOver.contextToken());
+        request.setHeader(HeaderNames.DEADLINE, Long.toString(handOver.remainingNanos() / NANOS_PER_MILLI));
+        byte[] body = handOver.content().body();
+        if (body.length > 0) {
+            request.setHeader("content-length", Integer.toString(body.length));
+            request.payloadBody(
+                    Publisher.from(client.executionContext().bufferAllocator().wrap(body)));
+        }
+        return request;
+    }
+
+    private static List<HeaderField> fields(StreamingHttpResponse response) {
+        List<HeaderField> fields = new ArrayList<>();
+        for (Map.Entry<CharSequence, CharSequence> h : response.headers()) {
+            String name = h.getKey().toString().toLowerCase(Locale.ROOT);
+            if (HeaderNames.passedOn(name)) {
+                fields.add(new HeaderField(name, h.getValue().toString()));
+            }
+        }
+        return fields;
+    }
+
+    /**
+     * One call handed over.
+     */
+    private static final class HttpExchange
+            implements Exchange, SingleSource.Subscriber<StreamingHttpResponse>, PublisherSource.Subscriber<Buffer> {
+        private static final Cancellable CANCELLED = () -> {};
+
+        private final Listener listener;
+        private final AtomicReference<Cancellable> current = new AtomicReference<>();
+        private volatile PublisherSource.Subscription body;
+
+        private HttpExchange(Listener listener) {
+            this.listener = listener;
+        }
+
+        @Override
+        public void request() {
+            PublisherSource.Subscription b = body;
+            if (b != null) {
+                b.request(1);
+            }
+        }
+
+        @Override
+        public void cancel() {
+            Cancellable c = current.getAndSet(CANCELLED);
+            if (c != null) {
+                c.cancel();
+            }
+        }
+
+        @Override
+        public void onSubscribe(Cancellable cancellable) {
+            hold(cancellable);
+        }
+
+        @Override
+        public void onSuccess(StreamingHttpResponse response) {
+            List<HeaderField> fields = fields(response);
+            int status = response.status().code();
+            SourceAdapters.toSource(response.payloadBody()).subscribe(this);
+            listener.head(status, fields);
+        }
+
+        @Override
+        public void onSubscribe(PublisherSource.Subscription subscription) {
+            body = subscription;
+            hold(subscription);
+        }
+
+        @Override
+        public void onNext(Buffer buffer) {
+            byte[] bytes = new byte[buffer.readableBytes()];
+            buffer.readBytes(bytes);
+            listener.data(bytes);
+        }
+
+        @Override
+        public void onError(Throwable failure) {
+            if (failure instanceof ConnectException || failure instanceof NoAvailableHostException) {
+                listener.unreachable();
+                return;
+            }
+            listener.broken();
+        }
+
+        @Override
+        public void onComplete() {
+            listener.end();
+        }
+
+        private void hold(Cancellable cancellable) {
+            Cancellable before = current.getAndUpdate(c -> c == CANCELLED ? CANCELLED : cancellable);
+            if (before == CANCELLED) {
+                cancellable.cancel();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/log/HttpLog.java
@@ -0,0 +1,118 @@
+package org.verbenadyke.node.log;
+
+import java.net.ConnectException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.function.Consumer;
+
+import org.verbenadyke.kernel.log.LogService;
+import org.verbenadyke.kernel.routing.Endpoint;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import io.servicetalk.client.api.NoAvailableHostException;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpExecutionStrategies;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.transport.api.IoExecutor;
+
+/**
+ * The log service over HTTP: {@code POST /streams/NAME} appends, {@code GET /streams/NAME?from=OFFSET&wait=MILLIS}
+ * reads.
+ */
+public final class HttpLog implements LogService, AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final Duration APPEND_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration READ_SLACK = Duration.ofSeconds(2);
+    private static final int OK = 200;
+
+    private final HttpClient client;
+
+    private HttpLog(HttpClient client) {
+        this.client = client;
+    }
+
+    /**
+     * Creates a client; it connects when used.
+     *
+     * @param address where the service listens
+     * @param executor the threads that serve connections
+     * @return the client
+     */
+    public static HttpLog at(Endpoint address, IoExecutor executor) {
+        return new HttpLog(HttpClients.forSingleAddress(address.host(), address.port())
+                .ioExecutor(executor)
+                .executionStrategy(HttpExecutionStrategies.offloadNone())
+                .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
+                .build());
+    }
+
+    @Override
+    public void append(String stream, byte[] record, Consumer<Appended> taker) {
+        Single<HttpResponse> answer = client.request(client.post("/streams/" + stream)
+                .payloadBody(client.executionContext().bufferAllocator().wrap(record)));
+        answer.timeout(APPEND_TIMEOUT)
+                .map(HttpLog::appended)
+                .onErrorReturn(HttpLog::appendFailure)
+                .subscribe(taker::accept);
+    }
+
+    @Override
+    public void read(String stream, long fromOffset, long waitMillis, Consumer<Read> taker) {
+        String target = "/streams/" + stream + "?from=" + fromOffset + "&wait=" + waitMillis;
+        client.request(client.get(target))
+                .timeout(READ_SLACK.plusMillis(waitMillis))
+                .map(HttpLog::records)
+                .onErrorReturn(e -> new Read.Failed(String.valueOf(e.getMessage())))
+                .subscribe(taker::accept);
+    }
+
+    @Override
+    public void close() {
+        client.closeAsync().subscribe();
+    }
+
+    private static Appended appended(HttpResponse response) {
+        if (response.status().code() != OK) {
+            return new Appended.Failed("status " + response.status().code());
+        }
+        return new Appended.At(json(response).path("offset").asLong());
+    }
+
+    private static Appended appendFailure(Throwable failure) {
+        if (failure instanceof ConnectException || failure instanceof NoAvailableHostException) {
+            return new Appended.Failed(String.valueOf(failure.getMessage()));
+        }
+        return new Appended.Unknown(String.valueOf(failure.getMessage()));
+    }
+
+    private static Read records(HttpResponse response) {
+        if (response.status().code() != OK) {
+            return new Read.Failed("status " + response.status().code());
+        }
+        JsonNode node = json(response);
+        List<LogRecord> records = new ArrayList<>();
+        for (JsonNode r : node.path("records")) {
+            records.add(new LogRecord(
+                    r.path("offset").asLong(),
+                    Base64.getDecoder().decode(r.path("data").asText())));
+        }
+        return new Read.Records(node.path("first").asLong(), node.path("next").asLong(), records);
+    }
+
+    private static JsonNode json(HttpResponse response) {
+        try {
+            return JSON.readTree(response.payloadBody().toString(StandardCharsets.UTF_8));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/transport/NettyTransport.java
@@ -0,0 +1,102 @@
+package org.verbenadyke.node.transport;
+
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.link.Transport;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.wire.FrameCodec;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.BuilderUtils;
+import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutors;
+
+/**
+ * The connections between nodes: TCP, on the threads that also serve HTTP.
+ */
+public final class NettyTransport implements Transport {
+    private static final int CONNECT_MILLIS = 1_000;
+
+    private final EventLoopGroup loops;
+    private final Counters counters;
+
+    private NettyTransport(EventLoopGroup loops, Counters counters) {
+        this.loops = loops;
+        this.counters = counters;
+    }
+
+    /**
+     * Creates a transport.
+     *
+     * @param executor the threads that serve connections
+     * @param counters where rejected frames are counted
+     * @return the transport
+     */
+    public static NettyTransport on(IoExecutor executor, Counters counters) {
+        EventLoopGroup loops = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(executor)
+                .eventLoopGroup();
+        return new NettyTransport(loops, counters);
+    }
+
+    /**
+     * Listens for other nodes.
+     *
+     * @param endpoint the address
+     * @param handlers makes the handler of each connection
+     * @return closes the listening socket
+     */
+    public AutoCloseable listen(Endpoint endpoint, Supplier<Handler> handlers) {
+        InetSocketAddress address = new InetSocketAddress(endpoint.host(), endpoint.port());
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(loops)
+                .channel(BuilderUtils.serverChannel(loops, InetSocketAddress.class))
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer(handlers));
+        Channel server = bootstrap.bind(address).awaitUninterruptibly().channel();
+        if (!server.isOpen()) {
+            throw VerbenadykeException.of(ErrorCode.PORT_IN_USE, endpoint, "peers");
+        }
+        return () -> server.close().awaitUninterruptibly();
+    }
+
+    @Override
+    public void connect(Endpoint endpoint, Handler handler) {
+        new Bootstrap()
+                .group(loops)
+                .channel(BuilderUtils.socketChannel(loops, InetSocketAddress.class))
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(initializer(() -> handler))
+                .connect(endpoint.host(), endpoint.port())
+                .addListener(future -> {
+                    if (!future.isSuccess()) {
+                        handler.ended();
+                    }
+                });
+    }
+
+    private ChannelInitializer<Channel> initializer(Supplier<Handler> handlers) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline()
+                        .addLast(new LengthFieldBasedFrameDecoder(
+                                FrameCodec.FRAME_MOST, 0, FrameCodec.LENGTH_BYTES, 0, FrameCodec.LENGTH_BYTES))
+                        .addLast(new FrameDecoder())
+                        .addLast(new FrameEncoder())
+                        .addLast(new PeerHandler(handlers.get(), counters));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/verbenadyke/standins/run/Fleet.java
@@ -0,0 +1,246 @@
+package org.verbenadyke.standins.run;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import org.verbenadyke.kernel.routing.Endpoint;
+
+/**
+ * The processes of one workload on loopback: the log stand-in, and for each server a stand-in upstream and the node
+ * beside it. Only processes started here are ever ended.
+ */
+public final class Fleet implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final int PORTS_PER_SERVER = 5;
+    private static final long STOP_SECONDS = 40;
+
+    private final Workload workload;
+    private final FleetOptions options;
+    private final Path folder;
+    private final List<Server> servers = new ArrayList<>();
+    private Endpoint log;
+    private Process logProcess;
+
+    private Fleet(Workload workload, FleetOptions options, Path folder) {
+        this.workload = workload;
+        this.options = options;
+        this.folder = folder;
+    }
+
+    /**
+     * Starts all processes.
+     *
+     * @param workload what runs
+     * @param options how
+     * @return the running fleet; its upstreams announce themselves in a moment
+     * @throws IOException when a process can't be started
+     */
+    public static Fleet start(Workload workload, FleetOptions options) throws IOException {
+        Fleet fleet = new Fleet(workload, options, Files.createTempDirectory("verbenadyke"));
+        try {
+            fleet.startAll();
+            return fleet;
+        } catch (IOException | RuntimeException e) {
+            fleet.close();
+            throw e;
+        }
+    }
+
+    /**
+     * Returns the servers.
+     *
+     * @return in the order of the workload
+     */
+    public List<Server> servers() {
+        return List.copyOf(servers);
+    }
+
+    /**
+     * Returns the servers of a service.
+     *
+     * @param service the service
+     * @return its servers
+     */
+    public List<Server> servers(String service) {
+        return servers.stream().filter(s -> s.service().equals(service)).toList();
+    }
+
+    /**
+     * Returns where the log listens.
+     *
+     * @return the address
+     */
+    public Endpoint log() {
+        return log;
+    }
+
+    @Override
+    public void close() {
+        List<Process> all = new ArrayList<>();
+        servers.forEach(s -> s.upstream().ifPresent(all::add));
+        stop(all);
+        List<Process> nodes = new ArrayList<>();
+        servers.forEach(s -> s.node().ifPresent(nodes::add));
+        stop(nodes);
+        Optional.ofNullable(logProcess).ifPresent(p -> stop(List.of(p)));
+    }
+
+    /**
+     * Starts a server's processes again, with nothing kept.
+     *
+     * @param server the server
+     * @throws IOException when a process can't be started
+     */
+    public void restart(Server server) throws IOException {
+        server.start(launch(server.id() + "-node", nodeCommand(server)), upstreamProcess(server));
+    }
+
+    private void startAll() throws IOException {
+        int count = workload.services().values().stream()
+                .mapToInt(Workload.Service::servers)
+                .sum();
+        List<Integer> ports = freePorts(1 + count * PORTS_PER_SERVER);
+        log = new Endpoint(HOST, ports.removeLast());
+        logProcess = launch("log", java("org.verbenadyke.standins.log.LogMain", log.toString()));
+        int n = 0;
+        for (Workload.Service service : workload.services().values()) {
+            for (int i = 1; i <= service.servers(); i++) {
+                List<Endpoint> ends = ports.subList(n * PORTS_PER_SERVER, (n + 1) * PORTS_PER_SERVER).stream()
+                        .map(p -> new Endpoint(HOST, p))
+                        .toList();
+                String dataCentre =
+                        workload.dataCentres().get(n % workload.dataCentres().size());
+                servers.add(Server.of(service.name() + "-" + i, service.name(), dataCentre, ends));
+                n++;
+            }
+        }
+        for (Server server : servers) {
+            writeSettings(server);
+            restart(server);
+        }
+    }
+
+    private void writeSettings(Server s) throws IOException {
+        Workload.Service service = workload.services().get(s.service());
+        StringBuilder node = new StringBuilder();
+        node.append("[node]\nid = " + s.id() + "\nregion = " + workload.region() + "\n");
+        node.append("data-centre = " + s.dataCentre() + "\n");
+        node.append("[listen]\npeers = " + s.peers() + "\nentry = " + s.entry() + "\n");
+        node.append("local = " + s.local() + "\ncontrol = " + s.control() + "\n");
+        node.append("[log]\naddress = " + log + "\n");
+        node.append("[policy]\npreset = " + options.preset() + "\n");
+        Files.writeString(nodeFile(s), node);
+        StringBuilder up = new StringBuilder();
+        up.append("[upstream]\nservice = " + s.service() + "\nlisten = " + s.address() + "\n");
+        up.append("node = " + s.local() + "\neffects = " + log + "\n");
+        up.append("slots = " + service.slots() + "\nqueue = " + service.slots() + "\n");
+        up.append("service-ms = " + service.serviceMillis() + "\ncold-ms = " + service.coldMillis() + "\n");
+        up.append("fail-percent = " + service.failPercent() + "\n[calls]\n");
+        service.calls().forEach((op, calls) -> up.append(op + " = " + String.join(" ", calls) + "\n"));
+        Files.writeString(upstreamFile(s), up);
+    }
+
+    private Path nodeFile(Server s) {
+        return folder.resolve(s.id() + ".node.ini");
+    }
+
+    private Path upstreamFile(Server s) {
+        return folder.resolve(s.id() + ".upstream.ini");
+    }
+
+    private List<String> nodeCommand(Server s) {
+        return List.of(
+                options.home().resolve("bin/verbenadyked").toString(),
+                nodeFile(s).toString());
+    }
+
+    private Process upstreamProcess(Server s) throws IOException {
+        String main = "org.verbenadyke.standins.upstream.UpstreamMain";
+        return launch(s.id() + "-upstream", java(main, upstreamFile(s).toString()));
+    }
+
+    private List<String> java(String main, String argument) {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        return List.of(
+                java,
+                "-Xmx48m",
+                "-Xss512k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:-UsePerfData",
+                "--sun-misc-unsafe-memory-access=allow",
+                "--enable-native-access=ALL-UNNAMED",
+                "-cp",
+                System.getProperty("java.class.path"),
+                main,
+                argument);
+    }
+
+    private Process launch(String name, List<String> command) throws IOException {
+        return new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve(name + ".log").toFile()))
+                .start();
+    }
+
+    private static void stop(List<Process> processes) {
+        processes.forEach(Process::destroy);
+        for (Process p : processes) {
+            try {
+                if (!p.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
+                    p.destroyForcibly();
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                p.destroyForcibly();
+            }
+        }
+    }
+
+    private static List<Integer> freePorts(int count) {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST));
+                sockets.add(socket);
+                ports.add(socket.getLocalPort());
+            }
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return ports;
+    }
+
+    /**
+     * Returns where the processes write what they say.
+     *
+     * @return the folder
+     */
+    public Path folder() {
+        return folder;
+    }
+
+    /**
+     * Returns the environment that names this fleet to a caller.
+     *
+     * @return each server's id with the address for callers
+     */
+    public Map<String, Endpoint> entries() {
+        return servers.stream().collect(Collectors.toMap(Server::id, Server::entry));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/verbenadyke/standins/run/FleetOptions.java
@@ -0,0 +1,11 @@
+package org.verbenadyke.standins.run;
+
+import java.nio.file.Path;
+
+/**
+ * How a fleet runs.
+ *
+ * @param home the folder of the project, with its launchers
+ * @param preset the policy of the nodes, standard or baseline
+ */
+public record FleetOptions(Path home, String preset) {}
--- /dev/null
+++ b/standins/src/main/java/org/verbenadyke/standins/run/QuickstartMain.java
@@ -0,0 +1,74 @@
+package org.verbenadyke.standins.run;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.standins.caller.Caller;
+
+import picocli.CommandLine;
+
+/**
+ * Starts a workload with its nodes as processes, sends requests with some failures thrown in, checks every answer, and
+ * stops everything gracefully.
+ */
+@CommandLine.Command(name = "quickstart", mixinStandardHelpOptions = true, version = "quickstart 0.1.0")
+public final class QuickstartMain implements Callable<Integer> {
+    private static final int MILLIS = 1_000;
+
+    @CommandLine.Option(names = "--home", required = true, description = "The folder of the project.")
+    private Path home;
+
+    @CommandLine.Option(names = "--workload", defaultValue = "heatwell", description = "heatwell or marrowgate.")
+    private String workload;
+
+    @CommandLine.Option(names = "--hold", defaultValue = "0", description = "Keep everything up for so many seconds.")
+    private int holdSeconds;
+
+    @CommandLine.Option(names = "--preset", defaultValue = "standard", description = "The nodes' policy.")
+    private String preset;
+
+    private QuickstartMain() {}
+
+    /**
+     * Runs the quickstart.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new QuickstartMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws Exception {
+        Workload w = Workload.read(home.resolve("workloads").resolve(workload + ".ini"));
+        try (Fleet fleet = Fleet.start(w, new FleetOptions(home, preset))) {
+            System.out.println("started " + fleet.servers().size() + " servers of " + w.name() + ", a node beside each;"
+                    + " their logs are in " + fleet.folder());
+            Server victim = fleet.servers().getLast();
+            List<Endpoint> entries = fleet.servers().stream()
+                    .filter(s -> s != victim)
+                    .map(Server::entry)
+                    .toList();
+            QuickstartRun run;
+            try (Caller caller = Caller.of(w, entries)) {
+                run = QuickstartRun.of(w, fleet, caller);
+                run.awaitReady();
+                run.load(victim);
+            }
+            hold(fleet);
+            System.out.println(run.summary());
+            return run.clean() ? 0 : 1;
+        }
+    }
+
+    private void hold(Fleet fleet) throws InterruptedException {
+        if (holdSeconds == 0) {
+            return;
+        }
+        fleet.servers().forEach(s -> System.out.println("entry http://" + s.entry()));
+        fleet.servers().forEach(s -> System.out.println("control " + s.control()));
+        Thread.sleep((long) holdSeconds * MILLIS);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -0,0 +1,209 @@
+package org.verbenadyke.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.message.Message;
+
+/**
+ * Encodes the messages between nodes as MessagePack: the type's number, then its fields in order. On the wire each is
+ * preceded by its length in four bytes; see {@link #LENGTH_BYTES}.
+ */
+public final class FrameCodec {
+    /** The length field before each frame, in bytes. */
+    public static final int LENGTH_BYTES = 4;
+
+    /** The largest frame, in bytes. */
+    public static final int FRAME_MOST = 4 * 1024 * 1024;
+
+    private static final int HEADERS_MOST = 256;
+
+    private FrameCodec() {}
+
+    /**
+     * Encodes a message.
+     *
+     * @param message the message
+     * @return the frame without its length
+     */
+    public static byte[] encode(Message message) {
+        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+            p.packByte(FrameType.of(message).number());
+            pack(p, message);
+            return p.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * Decodes a frame.
+     *
+     * @param frame the frame without its length
+     * @return the message
+     * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
+     */
+    public static Message decode(byte[] frame) {
+        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(frame)) {
+            Message message = unpack(u, FrameType.numbered(u.unpackByte()));
+            if (u.hasNext()) {
+                throw malformed("bytes after the message");
+            }
+            return message;
+        } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
+            throw malformed(e.getClass().getSimpleName());
+        }
+    }
+
+    private static void pack(MessageBufferPacker p, Message message) throws IOException {
+        switch (message) {
+            case Message.Hello m -> {
+                p.packInt(m.version()).packString(m.nodeId()).packLong(m.incarnation());
+            }
+            case Message.Heartbeat m -> p.packLong(m.senderClock());
+            case Message.Call m -> packCall(p, m);
+            case Message.Head m -> {
+                packId(p, m.id()).packInt(m.status());
+                packHeaders(p, m.headers());
+                p.packBoolean(m.settled());
+                packReport(p, m.report());
+            }
+            case Message.Data m -> {
+                packId(p, m.id()).packLong(m.offset());
+                packBytes(p, m.bytes());
+            }
+            case Message.End m -> packId(p, m.id()).packLong(m.length());
+            case Message.Refused m -> {
+                packId(p, m.id());
+                packRefusal(p, m.refusal());
+                packReport(p, m.report());
+            }
+            case Message.Credit m -> packId(p, m.id()).packInt(m.bytes());
+            case Message.Cancel m -> packId(p, m.id());
+            case Message.Spend m -> packId(p, m.id()).packLong(m.ticket());
+            case Message.Grant m -> packId(p, m.id()).packLong(m.ticket()).packBoolean(m.granted());
+            case Message.Inquire m -> packId(p, m.id());
+            case Message.Gossip m -> packBytes(p, m.payload());
+        }
+    }
+
+    private static Message unpack(MessageUnpacker u, FrameType type) throws IOException {
+        return switch (type) {
+            case HELLO -> new Message.Hello(u.unpackInt(), u.unpackString(), u.unpackLong());
+            case HEARTBEAT -> new Message.Heartbeat(u.unpackLong());
+            case CALL -> unpackCall(u);
+            case HEAD ->
+                new Message.Head(unpackId(u), u.unpackInt(), unpackHeaders(u), u.unpackBoolean(), unpackReport(u));
+            case DATA -> new Message.Data(unpackId(u), u.unpackLong(), unpackBytes(u));
+            case END -> new Message.End(unpackId(u), u.unpackLong());
+            case REFUSED -> new Message.Refused(unpackId(u), unpackRefusal(u), unpackReport(u));
+            case CREDIT -> new Message.Credit(unpackId(u), u.unpackInt());
+            case CANCEL -> new Message.Cancel(unpackId(u));
+            case SPEND -> new Message.Spend(unpackId(u), u.unpackLong());
+            case GRANT -> new Message.Grant(unpackId(u), u.unpackLong(), u.unpackBoolean());
+            case INQUIRE -> new Message.Inquire(unpackId(u));
+            case GOSSIP -> new Message.Gossip(unpackBytes(u));
+        };
+    }
+
+    private static void packCall(MessageBufferPacker p, Message.Call m) throws IOException {
+        packId(p, m.id());
+        p.packLong(m.request().incarnation()).packLong(m.request().sequence());
+        p.packString(m.target().service()).packString(m.target().upstream());
+        p.packInt(m.importance().ordinal()).packInt(m.depth());
+        p.packLong(m.ttlMicros()).packLong(m.receiverClock());
+        p.packBoolean(m.idempotent()).packString(m.key());
+        p.packString(m.content().method()).packString(m.content().path());
+        packHeaders(p, m.content().headers());
+        packBytes(p, m.content().body());
+    }
+
+    private static Message.Call unpackCall(MessageUnpacker u) throws IOException {
+        return new Message.Call(
+                unpackId(u),
+                new RequestId(u.unpackLong(), u.unpackLong()),
+                new Message.Target(u.unpackString(), u.unpackString()),
+                Importance.values()[u.unpackInt()],
+                u.unpackInt(),
+                u.unpackLong(),
+                u.unpackLong(),
+                u.unpackBoolean(),
+                u.unpackString(),
+                new Message.Content(u.unpackString(), u.unpackString(), unpackHeaders(u), unpackBytes(u)));
+    }
+
+    private static MessageBufferPacker packId(MessageBufferPacker p, CallId id) throws IOException {
+        p.packLong(id.incarnation()).packLong(id.sequence());
+        return p;
+    }
+
+    private static CallId unpackId(MessageUnpacker u) throws IOException {
+        return new CallId(u.unpackLong(), u.unpackLong());
+    }
+
+    private static void packHeaders(MessageBufferPacker p, List<HeaderField> headers) throws IOException {
+        p.packArrayHeader(headers.size());
+        for (HeaderField h : headers) {
+            p.packString(h.name()).packString(h.value());
+        }
+    }
+
+    private static List<HeaderField> unpackHeaders(MessageUnpacker u) throws IOException {
+        int n = u.unpackArrayHeader();
+        if (n > HEADERS_MOST) {
+            throw malformed(n + " header fields");
+        }
+        List<HeaderField> headers = new ArrayList<>(n);
+        for (int i = 0; i < n; i++) {
+            headers.add(new HeaderField(u.unpackString(), u.unpackString()));
+        }
+        return headers;
+    }
+
+    private static void packRefusal(MessageBufferPacker p, Refusal r) throws IOException {
+        p.packInt(r.state().ordinal()).packInt(r.reason().ordinal()).packLong(r.retryAfterMillis());
+    }
+
+    private static Refusal unpackRefusal(MessageUnpacker u) throws IOException {
+        return new Refusal(RunState.values()[u.unpackInt()], RefusalReason.values()[u.unpackInt()], u.unpackLong());
+    }
+
+    private static void packReport(MessageBufferPacker p, Message.Report r) throws IOException {
+        p.packInt(r.inFlight()).packInt(r.limit()).packInt(r.level()).packBoolean(r.draining());
+    }
+
+    private static Message.Report unpackReport(MessageUnpacker u) throws IOException {
+        return new Message.Report(u.unpackInt(), u.unpackInt(), u.unpackInt(), u.unpackBoolean());
+    }
+
+    private static void packBytes(MessageBufferPacker p, byte[] bytes) throws IOException {
+        p.packBinaryHeader(bytes.length);
+        p.writePayload(bytes);
+    }
+
+    private static byte[] unpackBytes(MessageUnpacker u) throws IOException {
+        int n = u.unpackBinaryHeader();
+        if (n > FRAME_MOST) {
+            throw malformed(n + " bytes of payload");
+        }
+        return u.readPayload(n);
+    }
+
+    private static VerbenadykeException malformed(String what) {
+        return VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, what);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameType.java
@@ -0,0 +1,55 @@
+package org.verbenadyke.wire;
+
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.message.Message;
+
+/**
+ * The numbers of the message types on the wire. Numbers are never given to another type.
+ */
+enum FrameType {
+    HELLO,
+    HEARTBEAT,
+    CALL,
+    HEAD,
+    DATA,
+    END,
+    REFUSED,
+    CREDIT,
+    CANCEL,
+    SPEND,
+    GRANT,
+    INQUIRE,
+    GOSSIP;
+
+    private static final FrameType[] ALL = values();
+
+    byte number() {
+        return (byte) ordinal();
+    }
+
+    static FrameType numbered(byte number) {
+        if (number < 0 || number >= ALL.length) {
+            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "type " + number);
+        }
+        return ALL[number];
+    }
+
+    static FrameType of(Message message) {
+        return switch (message) {
+            case Message.Hello m -> HELLO;
+            case Message.Heartbeat m -> HEARTBEAT;
+            case Message.Call m -> CALL;
+            case Message.Head m -> HEAD;
+            case Message.Data m -> DATA;
+            case Message.End m -> END;
+            case Message.Refused m -> REFUSED;
+            case Message.Credit m -> CREDIT;
+            case Message.Cancel m -> CANCEL;
+            case Message.Spend m -> SPEND;
+            case Message.Grant m -> GRANT;
+            case Message.Inquire m -> INQUIRE;
+            case Message.Gossip m -> GOSSIP;
+        };
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
@@ -0,0 +1,71 @@
+package org.verbenadyke.wire;
+
+import java.io.IOException;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.log.RecordCodec;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Place;
+
+/**
+ * Encodes member records for the log and for gossip.
+ */
+public final class MemberCodec implements RecordCodec<MemberRecord> {
+    private MemberCodec() {}
+
+    /**
+     * Creates a codec.
+     *
+     * @return the codec
+     */
+    public static MemberCodec create() {
+        return new MemberCodec();
+    }
+
+    @Override
+    public byte[] encode(MemberRecord record) {
+        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+            pack(p, record);
+            return p.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public MemberRecord decode(byte[] bytes) {
+        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+            return unpack(u);
+        } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
+            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "member record");
+        }
+    }
+
+    static void pack(MessagePacker p, MemberRecord r) throws IOException {
+        p.packString(r.nodeId()).packLong(r.incarnation()).packLong(r.version());
+        p.packInt(r.state().ordinal());
+        p.packString(r.endpoint().host()).packInt(r.endpoint().port());
+        p.packString(r.place().region()).packString(r.place().dataCentre());
+        p.packString(r.service()).packInt(r.epoch());
+    }
+
+    static MemberRecord unpack(MessageUnpacker u) throws IOException {
+        return new MemberRecord(
+                u.unpackString(),
+                u.unpackLong(),
+                u.unpackLong(),
+                MemberState.values()[u.unpackInt()],
+                new Endpoint(u.unpackString(), u.unpackInt()),
+                new Place(u.unpackString(), u.unpackString()),
+                u.unpackString(),
+                u.unpackInt());
+    }
+}
