Keep the order of messages between threads on one connection

A node's own thread wrote to the connection at once while messages of other threads still waited in the event loop's task queue, so data overtook data and the offset check rejected it. Ruled out: lost links (link-lost stayed at the killed server's), upstream failures (no upstream-broken refusal was counted). Change: each connection has one queue that only its own thread empties; credits are gathered to 64 KiB before they are sent. Test: NettyChannelTest was seen failing with direct writes ([2, 1] instead of [1, 2]) and passes now.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -25,6 +25,7 @@
 final class Dispatch implements CallHandle {
     private static final int REROUTES_MOST = 3;
     private static final long PAUSE_NANOS = 50_000_000L;
+    private static final int CREDIT_LEAST = 64 * 1024;
     private static final int FAILED = 500;
     private static final int UNAVAILABLE = 503;
 
@@ -39,6 +40,7 @@
     private boolean committed;
     private boolean asking;
     private int reroutes;
+    private int owedCredit;
     private RunState fate = RunState.NOT_RUN;
     private Subscription deadline;
 
@@ -60,8 +62,10 @@
     @Override
     public void credit(int bytes) {
         serial.run(() -> {
-            if (!done && current != null && current.sent()) {
-                current.link().send(new Message.Credit(current.id(), bytes));
+            owedCredit += bytes;
+            if (!done && current != null && current.sent() && owedCredit >= CREDIT_LEAST) {
+                current.link().send(new Message.Credit(current.id(), owedCredit));
+                owedCredit = 0;
             }
         });
     }
--- a/node/src/main/java/org/verbenadyke/node/transport/PeerHandler.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/PeerHandler.java
@@ -2,7 +2,6 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.verbenadyke.kernel.link.Channel;
 import org.verbenadyke.kernel.link.Transport;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
@@ -10,6 +9,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 
 /**
  * Passes one connection's events to the decision logic. A malformed frame ends only its own connection.
@@ -27,7 +27,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-        handler.opened(new NettyChannel(context.channel()));
+        handler.opened(NettyChannel.of(context.channel()));
     }
 
     @Override
@@ -42,27 +42,10 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof io.netty.handler.codec.DecoderException) {
+        if (cause instanceof DecoderException) {
             counters.count(Event.FRAME_REJECTED);
         }
         LOG.warn("Connection from {} closed: {}.", context.channel().remoteAddress(), cause.getMessage());
         context.close();
     }
-
-    /**
-     * A connection as the decision logic sees it.
-     *
-     * @param channel the connection
-     */
-    private record NettyChannel(io.netty.channel.Channel channel) implements Channel {
-        @Override
-        public void write(Message message) {
-            channel.writeAndFlush(message, channel.voidPromise());
-        }
-
-        @Override
-        public void close() {
-            channel.close();
-        }
-    }
 }
