--- a/cli/src/main/java/org/verbenadyke/cli/ControlClient.java
+++ b/cli/src/main/java/org/verbenadyke/cli/ControlClient.java
@@ -2,16 +2,18 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.ExecutionException;
 
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.node.control.PlanJson;
 import org.verbenadyke.node.settings.IniReader;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 
 import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpRequest;
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.netty.HttpClients;
 
@@ -19,7 +21,6 @@
  * Talks to the control address of one node.
  */
 final class ControlClient {
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration PATIENCE = Duration.ofSeconds(10);
 
     private final Endpoint node;
@@ -29,19 +30,43 @@
     }
 
     static ControlClient at(String address) {
-        return new ControlClient(IniReader.parseEndpoint(address));
+        try {
+            return new ControlClient(IniReader.parseEndpoint(address));
+        } catch (IllegalArgumentException e) {
+            throw VerbenadykeException.of(ErrorCode.NODE_UNREACHABLE, address, "not IP:PORT");
+        }
     }
 
     JsonNode get(String path) {
-        try (HttpClient client =
-                HttpClients.forSingleAddress(node.host(), node.port()).build()) {
-            HttpResponse response = client.request(client.get(path))
+        return exchange(client -> client.get(path));
+    }
+
+    JsonNode post(String path, String body) {
+        return exchange(client -> client.post(path)
+                .payloadBody(client.executionContext().bufferAllocator().fromUtf8(body)));
+    }
+
+    private JsonNode exchange(RequestMaker maker) {
+        HttpClient client =
+                HttpClients.forSingleAddress(node.host(), node.port()).build();
+        try {
+            HttpResponse response = client.request(maker.make(client))
                     .timeout(PATIENCE)
                     .toFuture()
                     .get();
-            return JSON.readTree(response.payloadBody().toString(StandardCharsets.UTF_8));
-        } catch (Exception e) {
+            return PlanJson.parse(response.payloadBody().toString(StandardCharsets.UTF_8));
+        } catch (ExecutionException | InterruptedException e) {
             throw VerbenadykeException.of(ErrorCode.NODE_UNREACHABLE, node, e.getMessage());
+        } finally {
+            client.closeAsync().subscribe();
         }
     }
+
+    /**
+     * Makes the request to send.
+     */
+    @FunctionalInterface
+    private interface RequestMaker {
+        HttpRequest make(HttpClient client);
+    }
 }
--- a/cli/src/main/java/org/verbenadyke/cli/Main.java
+++ b/cli/src/main/java/org/verbenadyke/cli/Main.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.cli;
 
+import picocli.AutoComplete;
 import picocli.CommandLine;
 
 /**
@@ -8,12 +9,31 @@
 @CommandLine.Command(
         name = "verbenadyke",
         mixinStandardHelpOptions = true,
-        version = "verbenadyke 0.1.0",
-        description = "Looks at the nodes and steers them.",
-        subcommands = {StatusCommand.class},
+        version = Main.VERSION,
+        description = "Looks at the nodes and steers them. Nothing changes until a plan is confirmed.",
+        subcommands = {
+            StatusCommand.class,
+            PlanCommand.class,
+            ConfirmCommand.class,
+            UndoCommand.class,
+            HistoryCommand.class,
+            ShowCommand.class,
+            DiffCommand.class,
+            AutoComplete.GenerateCompletion.class
+        },
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:done", "1:failed", "2:the command line can't be used"})
+        exitCodeList = {
+            "0:done",
+            "1:failed; the message names the remedy",
+            "2:the command line or a file can't be used",
+            "3:another change was confirmed first; plan again",
+            "4:the outcome isn't known yet; run the same command again",
+            "5:the plan is risky and needs --allow-risk",
+            "6:the configuration isn't in force everywhere yet"
+        })
 public final class Main {
+    static final String VERSION = "verbenadyke 0.1.0";
+
     private Main() {}
 
     /**
@@ -29,7 +49,7 @@
         CommandLine line = new CommandLine(new Main());
         line.setExecutionExceptionHandler((e, l, r) -> {
             l.getErr().println(e.getMessage());
-            return 1;
+            return ExitCodes.FAILED;
         });
         return line;
     }
--- a/cli/src/main/java/org/verbenadyke/cli/StatusCommand.java
+++ b/cli/src/main/java/org/verbenadyke/cli/StatusCommand.java
@@ -1,37 +1,80 @@
 package org.verbenadyke.cli;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
 
+import org.verbenadyke.kernel.error.VerbenadykeException;
+
 import com.fasterxml.jackson.databind.JsonNode;
 
 import picocli.CommandLine;
 
 /**
- * Shows the state of a node.
+ * Shows the state of a node, or waits until a version is in force on all of them.
  */
 @CommandLine.Command(
         name = "status",
         mixinStandardHelpOptions = true,
-        version = "verbenadyke 0.1.0",
-        description = "Shows the state and the counters of a node.")
+        version = Main.VERSION,
+        description = "Shows the state and the counters of a node; with --wait, whether all nodes run one version.")
 final class StatusCommand implements Callable<Integer> {
-    @CommandLine.Option(names = "--node", required = true, description = "The control address of a node, IP:PORT.")
-    private String node;
+    private static final long PAUSE_MILLIS = 200;
+    private static final long MILLIS = 1_000;
+
+    @CommandLine.Mixin
+    private CommonOptions common;
 
-    @CommandLine.Option(names = "--output", defaultValue = "text", description = "text or json.")
-    private String output;
+    @CommandLine.Option(names = "--wait", description = "Wait until the configuration is in force on every node.")
+    private boolean await;
 
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
+    @CommandLine.Option(names = "--seconds", defaultValue = "10", description = "How long to wait at most.")
+    private int seconds;
 
     @Override
-    public Integer call() {
-        JsonNode status = ControlClient.at(node).get("/status");
-        if (output.equals("json")) {
-            spec.commandLine().getOut().println(status.toPrettyString());
-        } else {
-            TextTable.print(spec.commandLine().getOut(), status);
+    public Integer call() throws InterruptedException {
+        JsonNode status = common.client().get("/status");
+        if (!await) {
+            common.print(status);
+            return ExitCodes.DONE;
+        }
+        return awaitAll(status.path("configurationVersion").asLong());
+    }
+
+    private int awaitAll(long version) throws InterruptedException {
+        long end = System.currentTimeMillis() + seconds * MILLIS;
+        while (true) {
+            List<String> controls = controls();
+            long inForce = controls.stream().filter(c -> runs(c, version)).count();
+            boolean all = inForce == controls.size();
+            if (all || System.currentTimeMillis() > end) {
+                common.say("version " + version + " in force on " + inForce + " of " + controls.size() + " nodes");
+                return all ? ExitCodes.DONE : ExitCodes.NOT_YET;
+            }
+            Thread.sleep(PAUSE_MILLIS);
+        }
+    }
+
+    private List<String> controls() {
+        List<String> controls = new ArrayList<>();
+        for (JsonNode m : common.client().get("/status").path("members")) {
+            String state = m.path("state").asText();
+            if (!state.equals("left") && !state.equals("dead")) {
+                controls.add(m.path("control").asText());
+            }
+        }
+        return controls;
+    }
+
+    private static boolean runs(String control, long version) {
+        try {
+            return ControlClient.at(control)
+                            .get("/status")
+                            .path("configurationVersion")
+                            .asLong()
+                    >= version;
+        } catch (VerbenadykeException e) {
+            return false;
         }
-        return 0;
     }
 }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -0,0 +1,83 @@
+package org.verbenadyke.kernel.core;
+
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.verbenadyke.kernel.log.LogService;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.metrics.Event;
+
+/**
+ * The members' stream: each node writes its record at its start and again before the log may drop it, and reads the
+ * others' at its start, so that a node without seeds finds the rest.
+ */
+final class MemberLog {
+    static final String STREAM = "members";
+
+    private static final long RETRY_NANOS = 1_000_000_000L;
+    private static final long AGAIN_NANOS = 30_000_000_000L;
+
+    private final CoreParts parts;
+    private final Supplier<MemberRecord> self;
+    private final Consumer<MemberRecord> taker;
+    private long nextOffset;
+    private volatile boolean stopped;
+
+    MemberLog(CoreParts parts, Supplier<MemberRecord> self, Consumer<MemberRecord> taker) {
+        this.parts = parts;
+        this.self = self;
+        this.taker = taker;
+    }
+
+    void start(long rewriteNanos) {
+        write();
+        read();
+        long jitter = parts.random().get().nextLong(rewriteNanos);
+        parts.timers().after(jitter, () -> parts.timers().every(rewriteNanos, this::write));
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    void write() {
+        if (stopped) {
+            return;
+        }
+        parts.log().append(STREAM, parts.members().encode(self.get()), result -> {
+            boolean appended = result instanceof LogService.Appended.At;
+            parts.counters().count(appended ? Event.LOG_APPENDED : Event.LOG_FAILED);
+            if (!appended) {
+                later(AGAIN_NANOS, this::write);
+            }
+        });
+    }
+
+    private void read() {
+        if (stopped) {
+            return;
+        }
+        parts.log().read(STREAM, nextOffset, 0, result -> {
+            switch (result) {
+                case LogService.Read.Records r -> {
+                    r.records().forEach(x -> taker.accept(parts.members().decode(x.bytes())));
+                    nextOffset = r.nextOffset();
+                    if (r.records().isEmpty()) {
+                        later(AGAIN_NANOS, this::read);
+                    } else {
+                        read();
+                    }
+                }
+                case LogService.Read.Failed f -> {
+                    parts.counters().count(Event.LOG_FAILED);
+                    later(RETRY_NANOS, this::read);
+                }
+            }
+        });
+    }
+
+    /** Runs a step between half and one and a half of a delay from now, so that nodes don't act together. */
+    private void later(long nanos, Runnable step) {
+        parts.timers().after(nanos / 2 + parts.random().get().nextLong(nanos), step);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -0,0 +1,307 @@
+package org.verbenadyke.kernel.core;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.verbenadyke.kernel.config.ConfigKeeper;
+import org.verbenadyke.kernel.config.ConfigState;
+import org.verbenadyke.kernel.config.Configuration;
+import org.verbenadyke.kernel.engine.Engine;
+import org.verbenadyke.kernel.engine.EngineParts;
+import org.verbenadyke.kernel.membership.Gossip;
+import org.verbenadyke.kernel.membership.GossipMessage;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.membership.MemberTable;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.owner.KeyOwners;
+import org.verbenadyke.kernel.owner.OwnerView;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Rendezvous;
+import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.serve.LocalUpstream;
+import org.verbenadyke.kernel.serve.UpstreamPort;
+
+/**
+ * All decision logic of one node: the request path, the membership, the configuration and the owners of keys. Has no
+ * input or output and no threads of its own.
+ */
+public final class NodeCore {
+    private static final long TICK_NANOS = 100_000_000L;
+    private static final long PAUSE_NANOS = 2_000_000_000L;
+    private static final long REFRESH_NANOS = 5_000_000L;
+    private static final int TAILERS = 3;
+
+    private final CoreParts parts;
+    private final CoreSettings settings;
+    private final MemberTable table = MemberTable.empty();
+    private final KeyOwners owners;
+    private final Engine engine;
+    private final Gossip gossip;
+    private final ConfigKeeper config;
+    private final MemberLog memberLog;
+    private final AtomicBoolean refreshing = new AtomicBoolean();
+    private volatile boolean selfDraining;
+    private volatile long tickNanos;
+
+    private NodeCore(CoreParts parts, CoreSettings settings) {
+        this.parts = parts;
+        this.settings = settings;
+        this.tickNanos = parts.timers().nanos();
+        OwnerView view = OwnerView.of(table, parts.timers(), settings.owner(), this::leaving);
+        this.owners = KeyOwners.create(view, settings.owner(), parts.timers(), this::isolated);
+        this.engine = Engine.create(engineParts(), settings.policy());
+        owners.connectThrough(engine.links());
+        this.gossip = Gossip.start(
+                new Gossip.Parts(
+                        parts.timers(), parts.datagrams(), parts.random().get(), parts.counters(), table),
+                settings.gossip(),
+                parts.self(),
+                parts.seeds(),
+                new News());
+        this.config = ConfigKeeper.start(
+                new ConfigKeeper.Parts(
+                        parts.timers(),
+                        parts.log(),
+                        parts.configuration(),
+                        parts.random().get(),
+                        parts.counters(),
+                        this::tailing,
+                        this::inForce),
+                settings.config());
+        this.memberLog = new MemberLog(parts, gossip::self, gossip::merge);
+    }
+
+    /**
+     * Creates a node's logic and subscribes it to the timers.
+     *
+     * @param parts what it works with
+     * @param settings how it decides
+     * @return the logic
+     */
+    public static NodeCore start(CoreParts parts, CoreSettings settings) {
+        NodeCore core = new NodeCore(parts, settings);
+        core.memberLog.start(settings.rewriteNanos());
+        parts.timers().every(TICK_NANOS, core::tick);
+        return core;
+    }
+
+    /**
+     * Takes the announcement of the upstream beside the node.
+     *
+     * @param service the service it serves
+     * @param port the way to it
+     */
+    public void announce(String service, UpstreamPort port) {
+        selfDraining = false;
+        MemberRecord record = gossip.change(MemberState.ALIVE, service);
+        engine.attach(record.upstreamId(), service, port);
+        memberLog.write();
+        refresh();
+    }
+
+    /** Takes the upstream's news that it is leaving. */
+    public void drain() {
+        selfDraining = true;
+        engine.server().upstream().ifPresent(u -> u.drain(true));
+        gossip.change(MemberState.DRAINING, gossip.self().service());
+    }
+
+    /** Hands the keys on and says that the node stops as planned; called when nothing is in flight any more. */
+    public void leave() {
+        engine.server().upstream().ifPresent(u -> owners.handOn(u, heirs(u)));
+        gossip.change(MemberState.LEFT, gossip.self().service());
+        memberLog.write();
+        memberLog.stop();
+    }
+
+    /** Stops all gossip. */
+    public void stop() {
+        gossip.stop();
+        engine.links().closeAll();
+    }
+
+    /**
+     * Takes a datagram of another node.
+     *
+     * @param from where it listens
+     * @param message the datagram
+     */
+    public void received(Endpoint from, GossipMessage message) {
+        gossip.received(from, message);
+    }
+
+    /**
+     * Returns the request path.
+     *
+     * @return the engine
+     */
+    public Engine engine() {
+        return engine;
+    }
+
+    /**
+     * Returns the configuration's keeper.
+     *
+     * @return the keeper
+     */
+    public ConfigKeeper config() {
+        return config;
+    }
+
+    /**
+     * Returns the members.
+     *
+     * @return the table
+     */
+    public MemberTable members() {
+        return table;
+    }
+
+    /**
+     * Returns this node's record.
+     *
+     * @return the newest
+     */
+    public MemberRecord self() {
+        return gossip.self();
+    }
+
+    /**
+     * Returns how many calls the upstream beside this node still has.
+     *
+     * @return calls in flight and waiting
+     */
+    public int unfinishedUpstreamCalls() {
+        return engine.server()
+                .upstream()
+                .map(LocalUpstream::gate)
+                .map(g -> g.inFlight() + g.queued())
+                .orElse(0);
+    }
+
+    /**
+     * Tells whether this node is one of those that follow the log closely for their data centre.
+     *
+     * @return whether it is
+     */
+    public boolean tailing() {
+        MemberRecord me = gossip == null ? parts.self() : gossip.self();
+        long mine = Rendezvous.hash(me.nodeId(), ConfigKeeper.STREAM);
+        long above = table.present().stream()
+                .filter(r -> r.place().equals(me.place()) && !r.nodeId().equals(me.nodeId()))
+                .filter(r -> Rendezvous.hash(r.nodeId(), ConfigKeeper.STREAM) > mine)
+                .count();
+        return above < TAILERS;
+    }
+
+    private EngineParts engineParts() {
+        return new EngineParts(
+                parts.self().nodeId(),
+                parts.self().incarnation(),
+                parts.self().place(),
+                parts.timers(),
+                parts.transport(),
+                parts.random(),
+                parts.counters(),
+                parts.ledger(),
+                owners,
+                (link, m) -> owners.received(link, m, upstream()));
+    }
+
+    private Optional<LocalUpstream> upstream() {
+        return engine.server().upstream();
+    }
+
+    private boolean leaving(MemberRecord record) {
+        return leaving(record, engine.configuration());
+    }
+
+    private static boolean leaving(MemberRecord record, Configuration configuration) {
+        return configuration.leaving().contains(record.nodeId());
+    }
+
+    private boolean isolated() {
+        boolean alone = table.present().size() <= 1;
+        return !alone
+                && parts.timers().nanos() - gossip.heardNanos()
+                        > settings.owner().isolatedNanos();
+    }
+
+    private List<Upstream> heirs(LocalUpstream local) {
+        return table.accepting().stream()
+                .filter(u -> u.service().equals(local.service()) && !u.id().equals(local.id()))
+                .toList();
+    }
+
+    private void inForce(Configuration configuration) {
+        engine.configure(configuration);
+        if (gossip != null) {
+            gossip.pushConfig();
+        }
+        refresh();
+    }
+
+    /** Brings the router and the local upstream in line with members and configuration, soon. */
+    private void refresh() {
+        if (refreshing.compareAndSet(false, true)) {
+            parts.timers().after(REFRESH_NANOS, () -> {
+                refreshing.set(false);
+                refreshNow();
+            });
+        }
+    }
+
+    private void refreshNow() {
+        Configuration configuration = engine.configuration();
+        List<Upstream> accepting = table.present().stream()
+                .filter(r -> r.state().accepting() && !leaving(r, configuration))
+                .flatMap(r -> r.upstream().stream())
+                .toList();
+        engine.router().update(accepting);
+        boolean leavingByOperators = leaving(gossip.self(), configuration);
+        upstream().ifPresent(u -> u.drain(selfDraining || leavingByOperators));
+    }
+
+    private void tick() {
+        long now = parts.timers().nanos();
+        boolean paused = now - tickNanos > PAUSE_NANOS;
+        tickNanos = now;
+        if (paused) {
+            parts.counters().count(Event.PAUSE_DETECTED);
+            rename(gossip.renew());
+        }
+    }
+
+    /** Goes on under a new id: others may have given the old one's keys to another owner. */
+    private void rename(MemberRecord renewed) {
+        upstream().ifPresent(u -> engine.server().attach(u.renamed(renewed.upstreamId())));
+        refresh();
+    }
+
+    /**
+     * Takes the news that gossip brings.
+     */
+    private final class News implements Gossip.Listener {
+        @Override
+        public void membersChanged() {
+            refresh();
+        }
+
+        @Override
+        public void givenUp(MemberRecord renewed) {
+            rename(renewed);
+        }
+
+        @Override
+        public Optional<ConfigState> config() {
+            return config == null ? Optional.empty() : config.state();
+        }
+
+        @Override
+        public void configHeard(ConfigState state) {
+            config.hear(state);
+        }
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -278,7 +278,10 @@
                 case Message.Cancel m -> server.received(link, m);
                 case Message.Grant m -> server.received(link, m);
                 case Message.Inquire m -> server.received(link, m);
-                case Message.Gossip m -> parts.gossip().accept(link, m);
+                case Message.KeyAsk m -> parts.keyMessages().accept(link, m);
+                case Message.KeyTold m -> parts.keyMessages().accept(link, m);
+                case Message.KeyHandOn m -> parts.keyMessages().accept(link, m);
+                case Message.KeysHandedOn m -> parts.keyMessages().accept(link, m);
                 default -> dispatcher.received(link, message);
             }
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -25,7 +25,7 @@
  * @param counters the node's counters
  * @param ledger checks the promises
  * @param keyClaims decides about idempotency keys
- * @param gossip takes news from other nodes
+ * @param keyMessages takes messages about keys from other nodes
  */
 public record EngineParts(
         String nodeId,
@@ -37,4 +37,4 @@
         Counters counters,
         Ledger ledger,
         KeyClaims keyClaims,
-        BiConsumer<Link, Message.Gossip> gossip) {}
+        BiConsumer<Link, Message> keyMessages) {}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
@@ -0,0 +1,86 @@
+package org.verbenadyke.kernel.membership;
+
+import java.util.List;
+
+import org.verbenadyke.kernel.config.ConfigState;
+import org.verbenadyke.kernel.routing.Endpoint;
+
+/**
+ * The datagrams between nodes. Any of them may be lost, repeated or late.
+ */
+public sealed interface GossipMessage {
+    /**
+     * Spreads news and, when asked to, checks that the receiver answers.
+     *
+     * @param from the sender's name
+     * @param ticket numbers the message; 0 when no answer is wanted
+     * @param view what the sender knows, in short
+     * @param news records that changed lately
+     */
+    record Rumor(String from, long ticket, View view, List<MemberRecord> news) implements GossipMessage {}
+
+    /**
+     * Answers a {@link Rumor}.
+     *
+     * @param from the sender's name
+     * @param ticket the rumor's number
+     * @param view what the sender knows, in short
+     * @param news records that changed lately
+     */
+    record Ack(String from, long ticket, View view, List<MemberRecord> news) implements GossipMessage {}
+
+    /**
+     * Asks another node to check a third one.
+     *
+     * @param from the sender's name
+     * @param ticket numbers the check
+     * @param asker where the asking node listens
+     * @param target where the third node listens
+     */
+    record Probe(String from, long ticket, Endpoint asker, Endpoint target) implements GossipMessage {}
+
+    /**
+     * Passes on that the third node answered.
+     *
+     * @param ticket the check
+     */
+    record ProbeAck(long ticket) implements GossipMessage {}
+
+    /**
+     * Compares two tables that differ.
+     *
+     * @param from the sender's name
+     * @param answer whether the receiver is to send its own digests back
+     * @param digests one hash a bucket
+     */
+    record Buckets(String from, boolean answer, List<Long> digests) implements GossipMessage {}
+
+    /**
+     * Brings records of buckets that differ.
+     *
+     * @param records the records
+     */
+    record Records(List<MemberRecord> records) implements GossipMessage {}
+
+    /**
+     * Asks for the configuration.
+     *
+     * @param from the sender's name
+     */
+    record ConfigWanted(String from) implements GossipMessage {}
+
+    /**
+     * Brings the configuration.
+     *
+     * @param state the configuration and where on the log it stands
+     */
+    record ConfigNews(ConfigState state) implements GossipMessage {}
+
+    /**
+     * What a node knows, in short.
+     *
+     * @param digest a hash of its member table
+     * @param configVersion the version of its configuration
+     */
+    record View(long digest, long configVersion) {}
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberRecord.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberRecord.java
@@ -15,6 +15,7 @@
  * @param version raised by the node with each change of its own
  * @param state how it fares
  * @param endpoint where it listens for other nodes
+ * @param control where it listens for operators
  * @param place where it stands
  * @param service the service of the upstream beside it, empty if there is none
  * @param epoch raised by the node when it was given up and came back, so that its upstream gets a new id
@@ -25,6 +26,7 @@
         long version,
         MemberState state,
         Endpoint endpoint,
+        Endpoint control,
         Place place,
         String service,
         int epoch) {
@@ -51,7 +53,7 @@
      * @return the record, of the same version
      */
     public MemberRecord in(MemberState newState) {
-        return new MemberRecord(nodeId, incarnation, version, newState, endpoint, place, service, epoch);
+        return new MemberRecord(nodeId, incarnation, version, newState, endpoint, control, place, service, epoch);
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
@@ -19,6 +19,8 @@
 
     private final Map<String, Entry> table = new ConcurrentHashMap<>();
 
+    private final Map<String, Departure> departures = new ConcurrentHashMap<>();
+
     private MemberTable() {}
 
     /**
@@ -40,7 +42,11 @@
     public boolean merge(MemberRecord record, long nowNanos) {
         Entry merged = table.compute(record.nodeId(), (id, known) -> {
             boolean old = known != null && !record.supersedes(known.record());
-            return old ? known : Entry.after(known, record, nowNanos);
+            if (old) {
+                return known;
+            }
+            noteDeparture(known, record, nowNanos);
+            return Entry.after(known, record, nowNanos);
         });
         return merged.record() == record;
     }
@@ -53,6 +59,16 @@
      */
     public void expire(long nowNanos, long keptNanos) {
         table.values().removeIf(e -> !e.record().state().present() && nowNanos - e.since() > keptNanos);
+        departures.values().removeIf(d -> nowNanos - d.since() > keptNanos);
+    }
+
+    /**
+     * Lists the upstreams that are gone: given up, stopped, or back under another id.
+     *
+     * @return the departures
+     */
+    public Collection<Departure> departures() {
+        return departures.values();
     }
 
     /**
@@ -144,6 +160,33 @@
         return (int) Math.floorMod(Rendezvous.hash(nodeId, ""), (long) BUCKETS);
     }
 
+    private void noteDeparture(Entry known, MemberRecord record, long now) {
+        if (!record.state().present()) {
+            note(record, record.state() == MemberState.LEFT, now);
+        }
+        if (known != null
+                && known.record().state().present()
+                && !known.record().upstreamId().equals(record.upstreamId())) {
+            note(known.record(), false, now);
+        }
+    }
+
+    private void note(MemberRecord gone, boolean planned, long now) {
+        if (!gone.service().isEmpty()) {
+            departures.putIfAbsent(gone.upstreamId(), new Departure(gone.upstreamId(), gone.service(), planned, now));
+        }
+    }
+
+    /**
+     * An upstream that is gone.
+     *
+     * @param upstreamId its id
+     * @param service the service it served
+     * @param planned whether it stopped as planned
+     * @param since when this node learned of it, in nanoseconds
+     */
+    public record Departure(String upstreamId, String service, boolean planned, long since) {}
+
     /**
      * A member and when its presence changed last.
      *
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Self.java
@@ -0,0 +1,44 @@
+package org.verbenadyke.kernel.membership;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * The record that a node keeps of itself; nobody else raises its version.
+ */
+final class Self {
+    private final AtomicReference<MemberRecord> record;
+
+    Self(MemberRecord start) {
+        this.record = new AtomicReference<>(start);
+    }
+
+    MemberRecord record() {
+        return record.get();
+    }
+
+    MemberRecord change(MemberState state, String service) {
+        return record.updateAndGet(r -> next(r, r.version() + 1, state, service, r.epoch()));
+    }
+
+    MemberRecord renew() {
+        return record.updateAndGet(r -> next(r, r.version() + 1, r.state(), r.service(), r.epoch() + 1));
+    }
+
+    /** Answers what others say of this node, when it isn't what the node says itself. */
+    Optional<MemberRecord> refute(MemberRecord said) {
+        MemberRecord mine = record.get();
+        boolean aboutMe = said.incarnation() == mine.incarnation() && said.version() >= mine.version();
+        if (!aboutMe || said.equals(mine) || mine.state() == MemberState.LEFT) {
+            return Optional.empty();
+        }
+        int more = said.state().present() ? 0 : 1;
+        return Optional.of(record.updateAndGet(
+                r -> next(r, Math.max(r.version(), said.version()) + 1, r.state(), r.service(), r.epoch() + more)));
+    }
+
+    private static MemberRecord next(MemberRecord r, long version, MemberState state, String service, int epoch) {
+        return new MemberRecord(
+                r.nodeId(), r.incarnation(), version, state, r.endpoint(), r.control(), r.place(), service, epoch);
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -7,6 +7,7 @@
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.once.KeptAnswer;
 
 /**
  * The messages between two nodes on one connection.
@@ -163,9 +164,53 @@
     record Inquire(CallId id) implements Message {}
 
     /**
-     * Carries state of the membership or the configuration; see the membership package.
+     * Asks a former owner of a key what it knows of it. A former owner that knows nothing gives the key up for good.
      *
-     * @param payload the encoded news
+     * @param ticket numbers the question
+     * @param key the key
+     */
+    record KeyAsk(long ticket, String key) implements Message {}
+
+    /**
+     * Answers {@link KeyAsk}, once the key's outcome is known.
+     *
+     * @param ticket the question
+     * @param fact what the former owner knows
+     */
+    record KeyTold(long ticket, KeyFact fact) implements Message {}
+
+    /**
+     * Hands a settled key on, from a node that stops as planned.
+     *
+     * @param key the key
+     * @param fingerprint a hash of what its try asked for
+     * @param outcome its outcome
      */
-    record Gossip(byte[] payload) implements Message {}
+    record KeyHandOn(String key, long fingerprint, KeptAnswer outcome) implements Message {}
+
+    /**
+     * Says that an upstream has handed on all its keys.
+     *
+     * @param upstream the upstream's id
+     */
+    record KeysHandedOn(String upstream) implements Message {}
+
+    /**
+     * What a former owner knows of a key.
+     */
+    sealed interface KeyFact {
+        /** It never ran the key and won't any more. */
+        record Unknown() implements KeyFact {}
+
+        /** It can't tell, since it was itself not sure of the owners before it. */
+        record Unsure() implements KeyFact {}
+
+        /**
+         * It ran the key.
+         *
+         * @param fingerprint a hash of what the try asked for
+         * @param outcome the outcome
+         */
+        record Known(long fingerprint, KeptAnswer outcome) implements KeyFact {}
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/once/KeyTable.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/once/KeyTable.java
@@ -52,6 +52,16 @@
         return new Claim.Taken(seen::whenDone);
     }
 
+    /**
+     * Tells whether a key is known, be it claimed, settled or given away.
+     *
+     * @param key the key
+     * @return whether it is
+     */
+    public boolean contains(String key) {
+        return entries.containsKey(key);
+    }
+
     /**
      * Gives a claim back, since the try was provably not handed over. Waiting tries are told so.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/once/Ownership.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/once/Ownership.java
@@ -20,19 +20,4 @@
 
     /** A former owner is gone, and an earlier try may have run there. */
     record Uncertain() implements Ownership {}
-
-    /**
-     * Decides ownership.
-     */
-    @FunctionalInterface
-    interface View {
-        /**
-         * Looks at one key.
-         *
-         * @param service the service
-         * @param key the key
-         * @return whose it is
-         */
-        Ownership of(String service, String key);
-    }
 }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
@@ -0,0 +1,201 @@
+package org.verbenadyke.kernel.owner;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+import org.verbenadyke.kernel.link.Links;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.once.KeptAnswer;
+import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.once.Ownership;
+import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.serve.KeyClaims;
+import org.verbenadyke.kernel.serve.LocalUpstream;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * Claims keys after asking the former owners that still run. Safe for many threads.
+ */
+public final class KeyOwners implements KeyClaims {
+    private final OwnerView view;
+    private final OwnerSettings settings;
+    private final TimerService timers;
+    private final BooleanSupplier isolated;
+    private final AtomicLong tickets = new AtomicLong();
+    private final Map<Long, Consumer<Optional<Message.KeyFact>>> asked = new ConcurrentHashMap<>();
+    private volatile Links links = (endpoint, taker) -> taker.accept(Optional.empty());
+
+    private KeyOwners(OwnerView view, OwnerSettings settings, TimerService timers, BooleanSupplier isolated) {
+        this.view = view;
+        this.settings = settings;
+        this.timers = timers;
+        this.isolated = isolated;
+    }
+
+    /**
+     * Creates the claims of a node.
+     *
+     * @param view whose keys are whose
+     * @param settings how long doubts last
+     * @param timers the time
+     * @param isolated tells whether this node has heard of no other for too long
+     * @return the claims
+     */
+    public static KeyOwners create(
+            OwnerView view, OwnerSettings settings, TimerService timers, BooleanSupplier isolated) {
+        return new KeyOwners(view, settings, timers, isolated);
+    }
+
+    /**
+     * Sets where links to former owners come from.
+     *
+     * @param newLinks the links
+     */
+    public void connectThrough(Links newLinks) {
+        links = newLinks;
+    }
+
+    @Override
+    public void claim(LocalUpstream local, String key, long fingerprint, Consumer<Outcome> taker) {
+        if (local.keys().contains(key)) {
+            taker.accept(new Outcome.Owned(local.keys().claim(key, fingerprint, timers.nanos())));
+            return;
+        }
+        if (isolated.getAsBoolean()) {
+            taker.accept(new Outcome.Elsewhere());
+            return;
+        }
+        switch (view.of(local.service(), local.id(), local.sinceNanos(), key)) {
+            case Ownership.Elsewhere e -> taker.accept(new Outcome.Elsewhere());
+            case Ownership.Uncertain u -> taker.accept(new Outcome.Uncertain());
+            case Ownership.Owned o ->
+                askAll(
+                        o.askFirst(),
+                        key,
+                        certain -> {
+                            boolean claimable = certain || local.keys().contains(key);
+                            taker.accept(
+                                    claimable
+                                            ? new Outcome.Owned(local.keys().claim(key, fingerprint, timers.nanos()))
+                                            : new Outcome.Uncertain());
+                        },
+                        local);
+        }
+    }
+
+    /**
+     * Takes a message about keys from another node.
+     *
+     * @param link the link it came by
+     * @param message the message
+     * @param local the upstream beside this node, if there is one
+     */
+    public void received(Link link, Message message, Optional<LocalUpstream> local) {
+        switch (message) {
+            case Message.KeyAsk m -> answer(link, m, local);
+            case Message.KeyTold m ->
+                Optional.ofNullable(asked.remove(m.ticket())).ifPresent(c -> c.accept(Optional.of(m.fact())));
+            case Message.KeyHandOn m ->
+                local.ifPresent(l -> l.keys().adopt(m.key(), m.fingerprint(), m.outcome(), timers.nanos()));
+            case Message.KeysHandedOn m -> view.handedOn(m.upstream());
+            default -> throw new IllegalArgumentException(message.getClass().getSimpleName());
+        }
+    }
+
+    /**
+     * Hands all settled keys on, before a planned stop.
+     *
+     * @param local the upstream beside this node
+     * @param heirs the upstreams of the service that go on
+     */
+    public void handOn(LocalUpstream local, List<Upstream> heirs) {
+        List<KeyTable.Known> known = local.keys().known();
+        for (Upstream heir : heirs) {
+            links.acquire(
+                    heir.node(),
+                    link -> link.ifPresent(l -> {
+                        known.forEach(k -> k.outcome()
+                                .accept(kept -> l.send(new Message.KeyHandOn(k.key(), k.fingerprint(), kept))));
+                        l.send(new Message.KeysHandedOn(local.id()));
+                    }));
+        }
+    }
+
+    private void askAll(List<Upstream> former, String key, Consumer<Boolean> done, LocalUpstream local) {
+        if (former.isEmpty()) {
+            done.accept(true);
+            return;
+        }
+        AtomicInteger open = new AtomicInteger(former.size());
+        AtomicInteger doubts = new AtomicInteger();
+        for (Upstream upstream : former) {
+            ask(upstream, key, fact -> {
+                if (!settle(fact, key, local)) {
+                    doubts.incrementAndGet();
+                }
+                if (open.decrementAndGet() == 0) {
+                    done.accept(doubts.get() == 0);
+                }
+            });
+        }
+    }
+
+    /** Takes what a former owner said; false when it leaves a doubt. */
+    private boolean settle(Optional<Message.KeyFact> fact, String key, LocalUpstream local) {
+        if (fact.isEmpty()) {
+            return false;
+        }
+        return switch (fact.get()) {
+            case Message.KeyFact.Unknown u -> true;
+            case Message.KeyFact.Unsure u -> false;
+            case Message.KeyFact.Known k -> {
+                local.keys().adopt(key, k.fingerprint(), k.outcome(), timers.nanos());
+                yield true;
+            }
+        };
+    }
+
+    private void ask(Upstream upstream, String key, Consumer<Optional<Message.KeyFact>> taker) {
+        long ticket = tickets.incrementAndGet();
+        asked.put(ticket, taker);
+        timers.after(
+                settings.askNanos(),
+                () -> Optional.ofNullable(asked.remove(ticket)).ifPresent(c -> c.accept(Optional.empty())));
+        links.acquire(upstream.node(), link -> {
+            if (link.isPresent()) {
+                link.get().send(new Message.KeyAsk(ticket, key));
+                return;
+            }
+            Optional.ofNullable(asked.remove(ticket)).ifPresent(c -> c.accept(Optional.empty()));
+        });
+    }
+
+    private void answer(Link link, Message.KeyAsk ask, Optional<LocalUpstream> local) {
+        if (local.isEmpty()) {
+            link.send(new Message.KeyTold(ask.ticket(), new Message.KeyFact.Unsure()));
+            return;
+        }
+        LocalUpstream l = local.get();
+        boolean known = l.keys().contains(ask.key());
+        boolean unsure = !known && view.unsure(l.service(), l.id(), l.sinceNanos(), ask.key());
+        Optional<KeyTable.Known> surrendered = l.keys().surrender(ask.key(), timers.nanos());
+        if (surrendered.isEmpty()) {
+            Message.KeyFact fact = unsure ? new Message.KeyFact.Unsure() : new Message.KeyFact.Unknown();
+            link.send(new Message.KeyTold(ask.ticket(), fact));
+            return;
+        }
+        KeyTable.Known k = surrendered.get();
+        k.outcome().accept(kept -> link.send(new Message.KeyTold(ask.ticket(), told(k.fingerprint(), kept))));
+    }
+
+    private static Message.KeyFact told(long fingerprint, KeptAnswer kept) {
+        return new Message.KeyFact.Known(fingerprint, kept);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/OwnerView.java
@@ -0,0 +1,144 @@
+package org.verbenadyke.kernel.owner;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberTable;
+import org.verbenadyke.kernel.once.Ownership;
+import org.verbenadyke.kernel.routing.Rendezvous;
+import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * Decides whose a key is and who may have run it before, from the membership as this node sees it. The owner is the
+ * upstream that takes work and ranks highest for the key; every upstream that outranks it but takes no work any more
+ * was an owner before, and while this node is new, so was the next in rank.
+ */
+public final class OwnerView {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final MemberTable table;
+    private final TimerService timers;
+    private final OwnerSettings settings;
+    private final Predicate<MemberRecord> leaving;
+    private final Set<String> handedOn = ConcurrentHashMap.newKeySet();
+
+    private OwnerView(MemberTable table, TimerService timers, OwnerSettings settings, Predicate<MemberRecord> leaving) {
+        this.table = table;
+        this.timers = timers;
+        this.settings = settings;
+        this.leaving = leaving;
+    }
+
+    /**
+     * Creates a view.
+     *
+     * @param table the members
+     * @param timers the time
+     * @param settings how long doubts last
+     * @param leaving tells which members the operators made leave
+     * @return the view
+     */
+    public static OwnerView of(
+            MemberTable table, TimerService timers, OwnerSettings settings, Predicate<MemberRecord> leaving) {
+        return new OwnerView(table, timers, settings, leaving);
+    }
+
+    /**
+     * Notes that an upstream handed on all its keys before it stopped.
+     *
+     * @param upstreamId its id
+     */
+    public void handedOn(String upstreamId) {
+        handedOn.add(upstreamId);
+    }
+
+    /**
+     * Looks at one key.
+     *
+     * @param service the service
+     * @param me the id of the upstream beside this node
+     * @param mySinceNanos when that id came into being
+     * @param key the key
+     * @return whose it is
+     */
+    public Ownership of(String service, String me, long mySinceNanos, String key) {
+        List<MemberRecord> present = table.present().stream()
+                .filter(r -> r.service().equals(service))
+                .toList();
+        long mine = Rendezvous.hash(me, key);
+        List<Upstream> ask = new ArrayList<>();
+        Optional<MemberRecord> next = Optional.empty();
+        long nextRank = Long.MIN_VALUE;
+        for (MemberRecord r : present) {
+            if (r.upstreamId().equals(me)) {
+                continue;
+            }
+            long rank = Rendezvous.hash(r.upstreamId(), key);
+            boolean takesWork = r.state().accepting() && !leaving.test(r);
+            if (rank > mine && takesWork) {
+                return new Ownership.Elsewhere();
+            }
+            if (rank > mine) {
+                r.upstream().ifPresent(ask::add);
+            } else if (takesWork && rank >= nextRank) {
+                nextRank = rank;
+                next = Optional.of(r);
+            }
+        }
+        if (departedOwner(service, me, mine, key)) {
+            return new Ownership.Uncertain();
+        }
+        if (timers.nanos() - mySinceNanos < settings.keyRetentionNanos()) {
+            if (next.isEmpty() && !madeAfter(key, mySinceNanos)) {
+                return new Ownership.Uncertain();
+            }
+            next.flatMap(MemberRecord::upstream).ifPresent(ask::add);
+        }
+        ask.sort(Comparator.comparing(Upstream::id));
+        return new Ownership.Owned(ask);
+    }
+
+    /**
+     * Tells whether this node, asked as a former owner, can't vouch that nobody before it ran a key.
+     *
+     * @param service the service
+     * @param me the id of the upstream beside this node
+     * @param mySinceNanos when that id came into being
+     * @param key the key
+     * @return whether a doubt is left
+     */
+    public boolean unsure(String service, String me, long mySinceNanos, String key) {
+        boolean fresh = timers.nanos() - mySinceNanos < settings.keyRetentionNanos() && !madeAfter(key, mySinceNanos);
+        return fresh || departedOwner(service, me, Rendezvous.hash(me, key), key);
+    }
+
+    /** Tells whether an upstream that is gone may have run the key. */
+    private boolean departedOwner(String service, String me, long mine, String key) {
+        long now = timers.nanos();
+        for (MemberTable.Departure d : table.departures()) {
+            boolean relevant = d.service().equals(service)
+                    && !d.upstreamId().equals(me)
+                    && now - d.since() < settings.keyRetentionNanos()
+                    && Rendezvous.hash(d.upstreamId(), key) > mine
+                    && !(d.planned() && handedOn.contains(d.upstreamId()));
+            if (relevant && !madeAfter(key, d.since())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean madeAfter(String key, long nanos) {
+        long wallThen = timers.wallMillis() - (timers.nanos() - nanos) / NANOS_PER_MILLI;
+        return KeyTime.of(key)
+                .map(made -> made > wallThen + settings.skewMillis())
+                .orElse(false);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/plan/PlanProblems.java
@@ -0,0 +1,36 @@
+package org.verbenadyke.kernel.plan;
+
+import java.util.List;
+
+/**
+ * Thrown when intents can't be planned; carries every problem found.
+ */
+public final class PlanProblems extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    private final List<String> problems;
+
+    private PlanProblems(List<String> problems) {
+        super(String.join(System.lineSeparator(), problems));
+        this.problems = List.copyOf(problems);
+    }
+
+    /**
+     * Creates the exception.
+     *
+     * @param problems each with its code and remedy
+     * @return the exception, to be thrown
+     */
+    public static PlanProblems of(List<String> problems) {
+        return new PlanProblems(problems);
+    }
+
+    /**
+     * Returns the problems.
+     *
+     * @return one text each
+     */
+    public List<String> problems() {
+        return problems;
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -27,7 +27,7 @@
     private final Map<String, Level> levels = new ConcurrentHashMap<>();
     private volatile double latencyNanos;
     private volatile double errorRate;
-    private volatile double reportedLoad;
+    private volatile double reportedLoad = -1;
     private volatile boolean draining;
     private volatile long ejectedUntil = Long.MIN_VALUE;
     private volatile int ejections;
@@ -128,6 +128,15 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns the share of its concurrency limit that the upstream had in use when it was heard last.
+     *
+     * @return the share, from 0; empty before the first report
+     */
+    public Optional<Double> reportedLoad() {
+        return reportedLoad < 0 ? Optional.empty() : Optional.of(reportedLoad);
+    }
+
     /** Notes that the upstream is leaving. */
     public void drain() {
         draining = true;
@@ -159,7 +168,10 @@
      */
     public double score() {
         double waiting = inFlight.get() + 1.0;
-        return waiting * (1 + reportedLoad) * (1 + ERROR_WEIGHT * errorRate) * Math.max(1, Math.sqrt(latencyNanos));
+        return waiting
+                * (1 + Math.max(0, reportedLoad))
+                * (1 + ERROR_WEIGHT * errorRate)
+                * Math.max(1, Math.sqrt(latencyNanos));
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -14,6 +14,7 @@
     private final Gate gate;
     private final KeyTable keys;
     private final TimerService timers;
+    private final long sinceNanos;
     private volatile boolean draining;
 
     private LocalUpstream(String id, String service, UpstreamPort port, Gate gate, KeyTable keys, TimerService timers) {
@@ -23,6 +24,7 @@
         this.gate = gate;
         this.keys = keys;
         this.timers = timers;
+        this.sinceNanos = timers.nanos();
     }
 
     /**
@@ -41,6 +43,18 @@
         return new LocalUpstream(id, service, port, gate, keys, timers);
     }
 
+    /**
+     * Returns the same upstream under a new id.
+     *
+     * @param newId the id
+     * @return the upstream, with the same gate and keys
+     */
+    public LocalUpstream renamed(String newId) {
+        LocalUpstream renamed = new LocalUpstream(newId, service, port, gate, keys, timers);
+        renamed.draining = draining;
+        return renamed;
+    }
+
     /**
      * Returns the id.
      *
@@ -104,6 +118,15 @@
         draining = leaving;
     }
 
+    /**
+     * Returns when the upstream got its id.
+     *
+     * @return the time in nanoseconds
+     */
+    public long sinceNanos() {
+        return sinceNanos;
+    }
+
     long now() {
         return timers.nanos();
     }
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -3,28 +3,36 @@
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.verbenadyke.kernel.core.CoreParts;
+import org.verbenadyke.kernel.core.CoreSettings;
+import org.verbenadyke.kernel.core.NodeCore;
 import org.verbenadyke.kernel.engine.Engine;
-import org.verbenadyke.kernel.engine.EngineParts;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.ledger.Breach;
 import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.log.LogService;
+import org.verbenadyke.kernel.membership.GossipMessage;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.node.control.ControlService;
 import org.verbenadyke.node.control.LocalService;
 import org.verbenadyke.node.http.RequestService;
+import org.verbenadyke.node.log.AbsentLog;
 import org.verbenadyke.node.log.HttpLog;
 import org.verbenadyke.node.settings.NodeSettings;
 import org.verbenadyke.node.time.WheelTimerService;
 import org.verbenadyke.node.transport.NettyTransport;
+import org.verbenadyke.node.transport.UdpPort;
+import org.verbenadyke.wire.ConfigCodec;
+import org.verbenadyke.wire.MemberCodec;
 
 import io.servicetalk.http.api.HttpExecutionStrategies;
 import io.servicetalk.http.api.HttpServerContext;
@@ -42,6 +50,7 @@
     private static final long INCARNATION_MASK = (1L << INCARNATION_SHIFT) - 1;
     private static final Duration SERVER_CLOSE_MOST = Duration.ofSeconds(5);
     private static final long POLL_MILLIS = 20;
+    private static final long LEAVE_MILLIS = 300;
 
     private final NodeSettings settings;
     private final Counters counters = Counters.create();
@@ -49,8 +58,8 @@
     private final EventLoopAwareNettyIoExecutor io;
     private final NettyTransport transport;
     private final Ledger ledger;
-    private final Engine engine;
-    private final Membership membership;
+    private final UdpPort datagrams;
+    private volatile NodeCore core;
     private HttpServerContext entry;
     private HttpServerContext local;
     private HttpServerContext control;
@@ -62,20 +71,31 @@
         this.transport = NettyTransport.on(io, counters);
         this.ledger = settings.ledger() ? Ledger.watching(this::breached) : Ledger.off();
         long incarnation = timers.wallMillis() << INCARNATION_SHIFT | new SecureRandom().nextLong() & INCARNATION_MASK;
-        EngineParts parts = new EngineParts(
+        LogService log = settings.logs().<LogService>map(a -> HttpLog.at(a, io)).orElseGet(AbsentLog::create);
+        this.datagrams = UdpPort.listen(settings.peers(), io, counters, this::heard);
+        MemberRecord self = new MemberRecord(
                 settings.id(),
                 incarnation,
+                0,
+                MemberState.ALIVE,
+                settings.peers(),
+                settings.control(),
                 settings.place(),
+                "",
+                0);
+        CoreParts parts = new CoreParts(
+                self,
+                settings.seeds(),
                 timers,
                 transport,
+                datagrams,
+                log,
+                MemberCodec.create(),
+                ConfigCodec.create(),
                 ThreadLocalRandom::current,
                 counters,
-                ledger,
-                KeyClaims.alone(),
-                (link, news) -> counters.count(Event.MESSAGE_UNMATCHED));
-        this.engine = Engine.create(parts, settings.policy());
-        Optional<HttpLog> log = settings.logs().map(a -> HttpLog.at(a, io));
-        this.membership = Membership.create(settings, incarnation, engine, timers, counters, log);
+                ledger);
+        this.core = NodeCore.start(parts, CoreSettings.with(settings.policy()));
     }
 
     /**
@@ -88,7 +108,6 @@
     public static Node start(NodeSettings settings) {
         Node node = new Node(settings);
         node.listen();
-        node.membership.start();
         LOG.info("Node {} started in {}.", settings.id(), settings.place().dataCentre());
         return node;
     }
@@ -100,13 +119,15 @@
      */
     public void stop(Duration most) {
         LOG.info("Node {} is stopping.", settings.id());
-        engine.server().upstream().ifPresent(u -> u.drain(true));
-        membership.leave();
+        core.drain();
         awaitIdle(most);
+        core.leave();
+        pause(LEAVE_MILLIS);
         closeQuietly(entry);
         closeQuietly(local);
-        engine.links().closeAll();
+        core.stop();
         closeQuietly(peers);
+        closeQuietly(datagrams);
         closeQuietly(control);
         io.closeAsync().toFuture();
         timers.close();
@@ -114,12 +135,12 @@
     }
 
     /**
-     * Returns the request path.
+     * Returns the decision logic.
      *
-     * @return the engine
+     * @return the logic
      */
-    public Engine engine() {
-        return engine;
+    public NodeCore core() {
+        return core;
     }
 
     /**
@@ -132,11 +153,19 @@
     }
 
     private void listen() {
+        Engine engine = core.engine();
         peers = transport.listen(settings.peers(), engine::accept);
         entry = serve(settings.entry(), RequestService.forCallers(engine, counters));
         StreamingHttpService calls = RequestService.forUpstream(engine, counters);
-        local = serve(settings.local(), LocalService.of(calls, membership, io));
-        control = serve(settings.control(), ControlService.of(settings, engine, counters, membership));
+        local = serve(settings.local(), LocalService.of(calls, core, io));
+        control = serve(settings.control(), ControlService.of(settings, core, counters));
+    }
+
+    private void heard(Endpoint from, GossipMessage message) {
+        NodeCore c = core;
+        if (c != null) {
+            c.received(from, message);
+        }
     }
 
     private HttpServerContext serve(Endpoint endpoint, StreamingHttpService service) {
@@ -153,17 +182,21 @@
     private void awaitIdle(Duration most) {
         long end = timers.nanos() + most.toNanos();
         while (timers.nanos() < end && busy()) {
-            try {
-                Thread.sleep(POLL_MILLIS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
-            }
+            pause(POLL_MILLIS);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
     private boolean busy() {
-        return engine.server().unfinished() > 0 || engine.dispatcher().underWay() > 0;
+        return core.engine().server().unfinished() > 0
+                || core.engine().dispatcher().underWay() > 0;
     }
 
     private void breached(Breach breach) {
--- a/node/src/main/java/org/verbenadyke/node/control/ControlService.java
+++ b/node/src/main/java/org/verbenadyke/node/control/ControlService.java
@@ -1,14 +1,18 @@
 package org.verbenadyke.node.control;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Consumer;
 
-import org.verbenadyke.kernel.engine.Engine;
+import org.verbenadyke.kernel.core.NodeCore;
 import org.verbenadyke.kernel.metrics.Counters;
-import org.verbenadyke.node.Membership;
 import org.verbenadyke.node.settings.NodeSettings;
 
+import io.servicetalk.concurrent.SingleSource;
+import io.servicetalk.concurrent.api.Processors;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.concurrent.api.SourceAdapters;
 import io.servicetalk.http.api.HttpServiceContext;
 import io.servicetalk.http.api.StreamingHttpRequest;
 import io.servicetalk.http.api.StreamingHttpResponse;
@@ -16,36 +20,72 @@
 import io.servicetalk.http.api.StreamingHttpService;
 
 /**
- * Serves the operators: the node's status and its metrics.
+ * Serves the operators: status, metrics, plans and confirmations.
  */
 public final class ControlService implements StreamingHttpService {
+    private static final String JSON = "application/json";
+    private static final String TEXT = "text/plain; version=0.0.4";
+
     private final StatusReport status;
+    private final MetricsText metrics;
+    private final ConfigurationService configuration;
 
-    private ControlService(StatusReport status) {
+    private ControlService(StatusReport status, MetricsText metrics, ConfigurationService configuration) {
         this.status = status;
+        this.metrics = metrics;
+        this.configuration = configuration;
     }
 
     /**
      * Creates the service.
      *
      * @param settings the node's settings
-     * @param engine the request path
+     * @param core the decision logic
      * @param counters the node's counters
-     * @param membership the known members
      * @return the service
      */
-    public static ControlService of(NodeSettings settings, Engine engine, Counters counters, Membership membership) {
-        return new ControlService(StatusReport.of(settings, engine, counters, membership));
+    public static ControlService of(NodeSettings settings, NodeCore core, Counters counters) {
+        return new ControlService(
+                StatusReport.of(settings, core, counters),
+                MetricsText.of(core, counters),
+                ConfigurationService.of(core));
     }
 
     @Override
     public Single<StreamingHttpResponse> handle(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
-        return Single.succeeded(
-                switch (request.path()) {
-                    case "/status" -> text(context, responses, "application/json", status.json());
-                    default -> responses.notFound();
-                });
+        return switch (request.path()) {
+            case "/status" -> Single.succeeded(text(context, responses, JSON, status.json()));
+            case "/metrics" -> Single.succeeded(text(context, responses, TEXT, metrics.text()));
+            case "/history" -> Single.succeeded(text(context, responses, JSON, configuration.history()));
+            case "/show" ->
+                later(context, responses, taker -> configuration.show(number(request, "version", -1), taker));
+            case "/undo" ->
+                later(context, responses, taker -> configuration.undo(number(request, "version", 0), taker));
+            case "/plan" ->
+                body(request).flatMap(b -> Single.succeeded(text(context, responses, JSON, configuration.plan(b))));
+            case "/confirm" ->
+                body(request).flatMap(b -> later(context, responses, taker -> configuration.confirm(b, taker)));
+            default -> Single.succeeded(responses.notFound());
+        };
+    }
+
+    private static Single<String> body(StreamingHttpRequest request) {
+        return request.toRequest().map(r -> r.payloadBody().toString(StandardCharsets.UTF_8));
+    }
+
+    private static long number(StreamingHttpRequest request, String name, long otherwise) {
+        return Optional.ofNullable(request.queryParameter(name))
+                .filter(v -> v.matches("[0-9]{1,18}"))
+                .map(Long::parseLong)
+                .orElse(otherwise);
+    }
+
+    private static Single<StreamingHttpResponse> later(
+            HttpServiceContext context, StreamingHttpResponseFactory responses, Consumer<Consumer<String>> work) {
+        SingleSource.Processor<String, String> result = Processors.newSingleProcessor();
+        work.accept(result::onSuccess);
+        return SourceAdapters.fromSource(result).map(r -> text(context, responses, JSON, r));
     }
 
     private static StreamingHttpResponse text(
--- a/node/src/main/java/org/verbenadyke/node/control/LocalService.java
+++ b/node/src/main/java/org/verbenadyke/node/control/LocalService.java
@@ -2,8 +2,10 @@
 
 import java.nio.charset.StandardCharsets;
 
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.verbenadyke.kernel.core.NodeCore;
 import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.node.Membership;
 import org.verbenadyke.node.http.HttpUpstream;
 import org.verbenadyke.node.settings.IniReader;
 
@@ -29,15 +31,16 @@
     /** Where the upstream says that it is leaving: POST; the answer tells how many calls it still has. */
     public static final String DRAIN_PATH = "/.verbenadyke/upstream/drain";
 
+    private static final Logger LOG = LogManager.getLogger("upstream");
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final StreamingHttpService calls;
-    private final Membership membership;
+    private final NodeCore core;
     private final IoExecutor executor;
 
-    private LocalService(StreamingHttpService calls, Membership membership, IoExecutor executor) {
+    private LocalService(StreamingHttpService calls, NodeCore core, IoExecutor executor) {
         this.calls = calls;
-        this.membership = membership;
+        this.core = core;
         this.executor = executor;
     }
 
@@ -45,12 +48,12 @@
      * Creates the service.
      *
      * @param calls takes the upstream's calls to other services
-     * @param membership makes the upstream known
+     * @param core makes the upstream known
      * @param executor the threads that serve connections
      * @return the service
      */
-    public static LocalService of(StreamingHttpService calls, Membership membership, IoExecutor executor) {
-        return new LocalService(calls, membership, executor);
+    public static LocalService of(StreamingHttpService calls, NodeCore core, IoExecutor executor) {
+        return new LocalService(calls, core, executor);
     }
 
     @Override
@@ -71,15 +74,18 @@
                     String service = node.path("service").asText();
                     Endpoint address =
                             IniReader.parseEndpoint(node.path("address").asText());
-                    membership.announce(service, HttpUpstream.to(address, executor));
+                    core.announce(service, HttpUpstream.to(address, executor));
+                    LOG.info("The upstream announced itself for {}.", service);
                     return responses.noContent();
                 })
                 .onErrorReturn(IllegalArgumentException.class, e -> responses.badRequest());
     }
 
     private Single<StreamingHttpResponse> drain(StreamingHttpResponseFactory responses) {
-        membership.drain();
-        return Single.succeeded(responses.ok().setHeader("verbenadyke-unfinished", "" + membership.unfinished()));
+        core.drain();
+        LOG.info("The upstream is draining.");
+        return Single.succeeded(
+                responses.ok().setHeader("verbenadyke-unfinished", "" + core.unfinishedUpstreamCalls()));
     }
 
     private static JsonNode parse(String text) {
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/control/MetricsText.java
@@ -0,0 +1,78 @@
+package org.verbenadyke.node.control;
+
+import java.util.Map;
+import java.util.function.ToIntFunction;
+
+import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RetryReason;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.core.NodeCore;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.serve.LocalUpstream;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * Words the node's metrics in the usual text exposition, out of a Dropwizard registry.
+ */
+final class MetricsText {
+    private static final String PREFIX = "verbenadyke_";
+
+    private final MetricRegistry registry = new MetricRegistry();
+
+    private MetricsText() {}
+
+    static MetricsText of(NodeCore core, Counters counters) {
+        MetricsText text = new MetricsText();
+        for (Event e : Event.values()) {
+            text.gauge("events_total{event=\"" + e.label() + "\"}", () -> counters.events(e));
+        }
+        for (RetryReason r : RetryReason.values()) {
+            text.gauge("retries_total{reason=\"" + r.label() + "\"}", () -> counters.retries(r));
+        }
+        for (RunState s : RunState.values()) {
+            for (RefusalReason r : RefusalReason.values()) {
+                text.gauge(
+                        "refusals_total{run_state=\"" + s.label() + "\",reason=\"" + r.label() + "\"}",
+                        () -> counters.refusals(s, r));
+            }
+        }
+        text.gauge("upstream_in_flight", () -> ofGate(core, Gate::inFlight));
+        text.gauge("upstream_queued", () -> ofGate(core, Gate::queued));
+        text.gauge("upstream_limit", () -> ofGate(core, Gate::limit));
+        text.gauge("upstream_level", () -> ofGate(core, Gate::level));
+        text.gauge("configuration_version", () -> core.engine().configuration().version());
+        text.gauge("links", () -> core.engine().links().size());
+        text.gauge("members_present", () -> core.members().present().size());
+        return text;
+    }
+
+    @SuppressWarnings("rawtypes")
+    String text() {
+        StringBuilder out = new StringBuilder();
+        for (Map.Entry<String, Gauge> e : registry.getGauges().entrySet()) {
+            out.append(PREFIX)
+                    .append(e.getKey())
+                    .append(' ')
+                    .append(e.getValue().getValue())
+                    .append('\n');
+        }
+        return out.toString();
+    }
+
+    private <T> void gauge(String name, Gauge<T> value) {
+        registry.register(name, value);
+    }
+
+    private static int ofGate(NodeCore core, ToIntFunction<Gate> value) {
+        return core.engine()
+                .server()
+                .upstream()
+                .map(LocalUpstream::gate)
+                .map(value::applyAsInt)
+                .orElse(0);
+    }
+}
--- a/node/src/main/java/org/verbenadyke/node/control/StatusReport.java
+++ b/node/src/main/java/org/verbenadyke/node/control/StatusReport.java
@@ -6,11 +6,12 @@
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.config.ConfigState;
+import org.verbenadyke.kernel.core.NodeCore;
 import org.verbenadyke.kernel.engine.Engine;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
-import org.verbenadyke.node.Membership;
 import org.verbenadyke.node.settings.NodeSettings;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -22,29 +23,35 @@
  */
 final class StatusReport {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final NodeSettings settings;
-    private final Engine engine;
+    private final NodeCore core;
     private final Counters counters;
-    private final Membership membership;
 
-    private StatusReport(NodeSettings settings, Engine engine, Counters counters, Membership membership) {
+    private StatusReport(NodeSettings settings, NodeCore core, Counters counters) {
         this.settings = settings;
-        this.engine = engine;
+        this.core = core;
         this.counters = counters;
-        this.membership = membership;
     }
 
-    static StatusReport of(NodeSettings settings, Engine engine, Counters counters, Membership membership) {
-        return new StatusReport(settings, engine, counters, membership);
+    static StatusReport of(NodeSettings settings, NodeCore core, Counters counters) {
+        return new StatusReport(settings, core, counters);
     }
 
     String json() {
+        Engine engine = core.engine();
         ObjectNode node = JSON.createObjectNode();
         node.put("node", settings.id());
         node.put("region", settings.place().region());
         node.put("dataCentre", settings.place().dataCentre());
         node.put("configurationVersion", engine.configuration().version());
+        node.put(
+                "configurationOffset",
+                core.config().state().map(ConfigState::offset).orElse(-1L));
+        node.put("configurationSynced", core.config().synced());
+        node.put("logViewAgeMs", core.config().logAgeNanos() / NANOS_PER_MILLI);
+        node.put("followsLogClosely", core.tailing());
         engine.server().upstream().ifPresent(u -> {
             ObjectNode upstream = node.putObject("upstream");
             Gate gate = u.gate();
@@ -65,12 +72,13 @@
     }
 
     private void members(ArrayNode array) {
-        for (MemberRecord r : membership.table().records()) {
+        for (MemberRecord r : core.members().records()) {
             ObjectNode m = array.addObject();
             m.put("node", r.nodeId());
             m.put("state", r.state().name().toLowerCase(Locale.ROOT));
             m.put("service", r.service());
             m.put("address", r.endpoint().toString());
+            m.put("control", r.control().toString());
             m.put("dataCentre", r.place().dataCentre());
         }
     }
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/transport/UdpPort.java
@@ -0,0 +1,108 @@
+package org.verbenadyke.node.transport;
+
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.membership.DatagramPort;
+import org.verbenadyke.kernel.membership.GossipMessage;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.wire.GossipCodec;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.BuilderUtils;
+import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutors;
+
+/**
+ * The datagrams between nodes: UDP on the same port number as the connections.
+ */
+public final class UdpPort implements DatagramPort, AutoCloseable {
+    private static final int DATAGRAM_MOST = 65_507;
+
+    private final Channel channel;
+
+    private UdpPort(Channel channel) {
+        this.channel = channel;
+    }
+
+    /**
+     * Listens for datagrams.
+     *
+     * @param endpoint the address
+     * @param executor the threads that serve connections
+     * @param counters where rejected datagrams are counted
+     * @param taker takes each datagram with its sender's address
+     * @return the port
+     */
+    public static UdpPort listen(
+            Endpoint endpoint, IoExecutor executor, Counters counters, BiConsumer<Endpoint, GossipMessage> taker) {
+        EventLoopGroup loops = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(executor)
+                .eventLoopGroup();
+        Channel channel = new Bootstrap()
+                .group(loops)
+                .channel(BuilderUtils.datagramChannel(loops))
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(DATAGRAM_MOST))
+                .handler(new Receiver(counters, taker))
+                .bind(new InetSocketAddress(endpoint.host(), endpoint.port()))
+                .awaitUninterruptibly()
+                .channel();
+        if (!channel.isOpen()) {
+            throw VerbenadykeException.of(ErrorCode.PORT_IN_USE, endpoint, "datagrams");
+        }
+        return new UdpPort(channel);
+    }
+
+    @Override
+    public void send(Endpoint to, GossipMessage message) {
+        byte[] bytes = GossipCodec.encode(message);
+        if (bytes.length <= DATAGRAM_MOST) {
+            channel.writeAndFlush(
+                    new DatagramPacket(Unpooled.wrappedBuffer(bytes), new InetSocketAddress(to.host(), to.port())),
+                    channel.voidPromise());
+        }
+    }
+
+    @Override
+    public void close() {
+        channel.close().awaitUninterruptibly();
+    }
+
+    /**
+     * Decodes what arrives; what can't be decoded is dropped and counted.
+     */
+    private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final Counters counters;
+        private final BiConsumer<Endpoint, GossipMessage> taker;
+
+        private Receiver(Counters counters, BiConsumer<Endpoint, GossipMessage> taker) {
+            this.counters = counters;
+            this.taker = taker;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] bytes = new byte[packet.content().readableBytes()];
+            packet.content().readBytes(bytes);
+            InetSocketAddress sender = packet.sender();
+            taker.accept(
+                    new Endpoint(sender.getAddress().getHostAddress(), sender.getPort()), GossipCodec.decode(bytes));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            counters.count(Event.FRAME_REJECTED);
+        }
+    }
+}
--- a/standins/src/main/java/org/verbenadyke/standins/run/QuickstartRun.java
+++ b/standins/src/main/java/org/verbenadyke/standins/run/QuickstartRun.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -36,6 +37,7 @@
     private final AtomicInteger refused = new AtomicInteger();
     private final AtomicInteger lost = new AtomicInteger();
     private final Map<String, CallerOutcome> filings = new ConcurrentHashMap<>();
+    private final Map<String, Integer> reasons = new ConcurrentSkipListMap<>();
     private int doubled;
 
     private QuickstartRun(Workload workload, Fleet fleet, Caller caller) {
@@ -89,6 +91,7 @@
     }
 
     String summary() {
+        reasons.forEach((why, n) -> System.out.println("refused " + n + ": " + why));
         return "quickstart: " + REQUESTS + " sent, " + whole + " whole answers, " + refused + " refused, " + lost
                 + " lost, " + doubled + " doubled";
     }
@@ -119,8 +122,8 @@
         }
         switch (outcome) {
             case CallerOutcome.Whole w -> whole.incrementAndGet();
-            case CallerOutcome.Refused r -> refused.incrementAndGet();
-            case CallerOutcome.Failed f -> refused.incrementAndGet();
+            case CallerOutcome.Refused r -> refuse(r.runState() + ", " + r.reason());
+            case CallerOutcome.Failed f -> refuse("status " + f.status());
             case CallerOutcome.Lost l -> {
                 if (lost.incrementAndGet() <= LOST_SHOWN) {
                     System.out.println("lost " + id + ": " + l.why());
@@ -129,6 +132,11 @@
         }
     }
 
+    private void refuse(String why) {
+        refused.incrementAndGet();
+        reasons.merge(why, 1, Integer::sum);
+    }
+
     /** Compares what callers were told of each filing with how often it ran. */
     private void check(int unanswered) throws Exception {
         lost.addAndGet(unanswered);
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -7,6 +7,7 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.HeaderField;
@@ -69,7 +70,7 @@
         }
     }
 
-    private static void pack(MessageBufferPacker p, Message message) throws IOException {
+    static void pack(MessageBufferPacker p, Message message) throws IOException {
         switch (message) {
             case Message.Hello m -> {
                 p.packInt(m.version()).packString(m.nodeId()).packLong(m.incarnation());
@@ -97,7 +98,16 @@
             case Message.Spend m -> packId(p, m.id()).packLong(m.ticket());
             case Message.Grant m -> packId(p, m.id()).packLong(m.ticket()).packBoolean(m.granted());
             case Message.Inquire m -> packId(p, m.id());
-            case Message.Gossip m -> packBytes(p, m.payload());
+            case Message.KeyAsk m -> p.packLong(m.ticket()).packString(m.key());
+            case Message.KeyTold m -> {
+                p.packLong(m.ticket());
+                KeptAnswerCodec.packFact(p, m.fact());
+            }
+            case Message.KeyHandOn m -> {
+                p.packString(m.key()).packLong(m.fingerprint());
+                KeptAnswerCodec.pack(p, m.outcome());
+            }
+            case Message.KeysHandedOn m -> p.packString(m.upstream());
         }
     }
 
@@ -116,7 +126,10 @@
             case SPEND -> new Message.Spend(unpackId(u), u.unpackLong());
             case GRANT -> new Message.Grant(unpackId(u), u.unpackLong(), u.unpackBoolean());
             case INQUIRE -> new Message.Inquire(unpackId(u));
-            case GOSSIP -> new Message.Gossip(unpackBytes(u));
+            case KEY_ASK -> new Message.KeyAsk(u.unpackLong(), u.unpackString());
+            case KEY_TOLD -> new Message.KeyTold(u.unpackLong(), KeptAnswerCodec.unpackFact(u));
+            case KEY_HAND_ON -> new Message.KeyHandOn(u.unpackString(), u.unpackLong(), KeptAnswerCodec.unpack(u));
+            case KEYS_HANDED_ON -> new Message.KeysHandedOn(u.unpackString());
         };
     }
 
@@ -155,14 +168,14 @@
         return new CallId(u.unpackLong(), u.unpackLong());
     }
 
-    private static void packHeaders(MessageBufferPacker p, List<HeaderField> headers) throws IOException {
+    static void packHeaders(MessagePacker p, List<HeaderField> headers) throws IOException {
         p.packArrayHeader(headers.size());
         for (HeaderField h : headers) {
             p.packString(h.name()).packString(h.value());
         }
     }
 
-    private static List<HeaderField> unpackHeaders(MessageUnpacker u) throws IOException {
+    static List<HeaderField> unpackHeaders(MessageUnpacker u) throws IOException {
         int n = u.unpackArrayHeader();
         if (n > HEADERS_MOST) {
             throw malformed(n + " header fields");
@@ -174,11 +187,11 @@
         return headers;
     }
 
-    private static void packRefusal(MessageBufferPacker p, Refusal r) throws IOException {
+    static void packRefusal(MessagePacker p, Refusal r) throws IOException {
         p.packInt(r.state().ordinal()).packInt(r.reason().ordinal()).packLong(r.retryAfterMillis());
     }
 
-    private static Refusal unpackRefusal(MessageUnpacker u) throws IOException {
+    static Refusal unpackRefusal(MessageUnpacker u) throws IOException {
         return new Refusal(RunState.values()[u.unpackInt()], RefusalReason.values()[u.unpackInt()], u.unpackLong());
     }
 
@@ -190,12 +203,12 @@
         return new Message.Report(u.unpackInt(), u.unpackInt(), u.unpackInt(), u.unpackBoolean());
     }
 
-    private static void packBytes(MessageBufferPacker p, byte[] bytes) throws IOException {
+    static void packBytes(MessagePacker p, byte[] bytes) throws IOException {
         p.packBinaryHeader(bytes.length);
         p.writePayload(bytes);
     }
 
-    private static byte[] unpackBytes(MessageUnpacker u) throws IOException {
+    static byte[] unpackBytes(MessageUnpacker u) throws IOException {
         int n = u.unpackBinaryHeader();
         if (n > FRAME_MOST) {
             throw malformed(n + " bytes of payload");
@@ -203,7 +216,7 @@
         return u.readPayload(n);
     }
 
-    private static VerbenadykeException malformed(String what) {
+    static VerbenadykeException malformed(String what) {
         return VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, what);
     }
 }
--- a/wire/src/main/java/org/verbenadyke/wire/FrameType.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameType.java
@@ -20,7 +20,10 @@
     SPEND,
     GRANT,
     INQUIRE,
-    GOSSIP;
+    KEY_ASK,
+    KEY_TOLD,
+    KEY_HAND_ON,
+    KEYS_HANDED_ON;
 
     private static final FrameType[] ALL = values();
 
@@ -49,7 +52,10 @@
             case Message.Spend m -> SPEND;
             case Message.Grant m -> GRANT;
             case Message.Inquire m -> INQUIRE;
-            case Message.Gossip m -> GOSSIP;
+            case Message.KeyAsk m -> KEY_ASK;
+            case Message.KeyTold m -> KEY_TOLD;
+            case Message.KeyHandOn m -> KEY_HAND_ON;
+            case Message.KeysHandedOn m -> KEYS_HANDED_ON;
         };
     }
 }
--- /dev/null
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -0,0 +1,164 @@
+package org.verbenadyke.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.membership.GossipMessage;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberTable;
+import org.verbenadyke.kernel.routing.Endpoint;
+
+/**
+ * Encodes the datagrams between nodes: the type's number, then its fields in order.
+ */
+public final class GossipCodec {
+    private static final byte RUMOR = 0;
+    private static final byte ACK = 1;
+    private static final byte PROBE = 2;
+    private static final byte PROBE_ACK = 3;
+    private static final byte BUCKETS = 4;
+    private static final byte RECORDS = 5;
+    private static final byte CONFIG_WANTED = 6;
+    private static final byte CONFIG_NEWS = 7;
+    private static final int RECORDS_MOST = 1_000;
+
+    private GossipCodec() {}
+
+    /**
+     * Encodes a datagram.
+     *
+     * @param message the message
+     * @return its bytes
+     */
+    public static byte[] encode(GossipMessage message) {
+        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+            pack(p, message);
+            return p.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * Decodes a datagram.
+     *
+     * @param bytes its bytes
+     * @return the message
+     * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
+     */
+    public static GossipMessage decode(byte[] bytes) {
+        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+            return unpack(u);
+        } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
+            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "datagram");
+        }
+    }
+
+    private static void pack(MessagePacker p, GossipMessage message) throws IOException {
+        switch (message) {
+            case GossipMessage.Rumor m -> {
+                p.packByte(RUMOR).packString(m.from()).packLong(m.ticket());
+                packView(p, m.view());
+                packRecords(p, m.news());
+            }
+            case GossipMessage.Ack m -> {
+                p.packByte(ACK).packString(m.from()).packLong(m.ticket());
+                packView(p, m.view());
+                packRecords(p, m.news());
+            }
+            case GossipMessage.Probe m -> {
+                p.packByte(PROBE).packString(m.from()).packLong(m.ticket());
+                packEndpoint(p, m.asker());
+                packEndpoint(p, m.target());
+            }
+            case GossipMessage.ProbeAck m -> p.packByte(PROBE_ACK).packLong(m.ticket());
+            case GossipMessage.Buckets m -> {
+                p.packByte(BUCKETS).packString(m.from()).packBoolean(m.answer());
+                p.packArrayHeader(m.digests().size());
+                for (long digest : m.digests()) {
+                    p.packLong(digest);
+                }
+            }
+            case GossipMessage.Records m -> {
+                p.packByte(RECORDS);
+                packRecords(p, m.records());
+            }
+            case GossipMessage.ConfigWanted m -> p.packByte(CONFIG_WANTED).packString(m.from());
+            case GossipMessage.ConfigNews m -> {
+                p.packByte(CONFIG_NEWS);
+                ConfigCodec.packState(p, m.state());
+            }
+        }
+    }
+
+    private static GossipMessage unpack(MessageUnpacker u) throws IOException {
+        byte kind = u.unpackByte();
+        return switch (kind) {
+            case RUMOR -> new GossipMessage.Rumor(u.unpackString(), u.unpackLong(), unpackView(u), unpackRecords(u));
+            case ACK -> new GossipMessage.Ack(u.unpackString(), u.unpackLong(), unpackView(u), unpackRecords(u));
+            case PROBE ->
+                new GossipMessage.Probe(u.unpackString(), u.unpackLong(), unpackEndpoint(u), unpackEndpoint(u));
+            case PROBE_ACK -> new GossipMessage.ProbeAck(u.unpackLong());
+            case BUCKETS -> new GossipMessage.Buckets(u.unpackString(), u.unpackBoolean(), unpackDigests(u));
+            case RECORDS -> new GossipMessage.Records(unpackRecords(u));
+            case CONFIG_WANTED -> new GossipMessage.ConfigWanted(u.unpackString());
+            case CONFIG_NEWS -> new GossipMessage.ConfigNews(ConfigCodec.unpackState(u));
+            default -> throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "datagram of type " + kind);
+        };
+    }
+
+    private static void packView(MessagePacker p, GossipMessage.View view) throws IOException {
+        p.packLong(view.digest()).packLong(view.configVersion());
+    }
+
+    private static GossipMessage.View unpackView(MessageUnpacker u) throws IOException {
+        return new GossipMessage.View(u.unpackLong(), u.unpackLong());
+    }
+
+    private static void packEndpoint(MessagePacker p, Endpoint endpoint) throws IOException {
+        p.packString(endpoint.host()).packInt(endpoint.port());
+    }
+
+    private static Endpoint unpackEndpoint(MessageUnpacker u) throws IOException {
+        return new Endpoint(u.unpackString(), u.unpackInt());
+    }
+
+    private static List<Long> unpackDigests(MessageUnpacker u) throws IOException {
+        int n = u.unpackArrayHeader();
+        if (n != MemberTable.BUCKETS) {
+            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, n + " buckets");
+        }
+        List<Long> digests = new ArrayList<>(n);
+        for (int i = 0; i < n; i++) {
+            digests.add(u.unpackLong());
+        }
+        return digests;
+    }
+
+    private static void packRecords(MessagePacker p, List<MemberRecord> records) throws IOException {
+        p.packArrayHeader(records.size());
+        for (MemberRecord r : records) {
+            MemberCodec.pack(p, r);
+        }
+    }
+
+    private static List<MemberRecord> unpackRecords(MessageUnpacker u) throws IOException {
+        int n = u.unpackArrayHeader();
+        if (n > RECORDS_MOST) {
+            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, n + " records");
+        }
+        List<MemberRecord> records = new ArrayList<>(n);
+        for (int i = 0; i < n; i++) {
+            records.add(MemberCodec.unpack(u));
+        }
+        return records;
+    }
+}
--- a/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
@@ -53,6 +53,7 @@
         p.packString(r.nodeId()).packLong(r.incarnation()).packLong(r.version());
         p.packInt(r.state().ordinal());
         p.packString(r.endpoint().host()).packInt(r.endpoint().port());
+        p.packString(r.control().host()).packInt(r.control().port());
         p.packString(r.place().region()).packString(r.place().dataCentre());
         p.packString(r.service()).packInt(r.epoch());
     }
@@ -64,6 +65,7 @@
                 u.unpackLong(),
                 MemberState.values()[u.unpackInt()],
                 new Endpoint(u.unpackString(), u.unpackInt()),
+                new Endpoint(u.unpackString(), u.unpackInt()),
                 new Place(u.unpackString(), u.unpackString()),
                 u.unpackString(),
                 u.unpackInt());
