--- /dev/null
+++ b/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
@@ -0,0 +1,65 @@
+package org.verbenadyke.bench;
+
+import java.util.concurrent.Callable;
+
+import org.verbenadyke.bench.lab.Soak;
+import org.verbenadyke.bench.lab.SoakReport;
+import org.verbenadyke.bench.lab.SoakSettings;
+
+import picocli.CommandLine;
+
+/**
+ * Runs the randomised runs from the command line.
+ */
+@CommandLine.Command(
+        name = "soak",
+        mixinStandardHelpOptions = true,
+        version = "soak 0.1.0",
+        description = "Drives random demand and random faults and checks every promise.")
+public final class SoakMain implements Callable<Integer> {
+    private static final int SHOWN_MOST = 20;
+
+    @CommandLine.Option(names = "--seed", defaultValue = "1", description = "The first seed.")
+    private long seed;
+
+    @CommandLine.Option(names = "--runs", defaultValue = "1", description = "How many seeds to run, counting up.")
+    private int runs;
+
+    @CommandLine.Option(names = "--seconds", defaultValue = "120", description = "The length in virtual seconds.")
+    private int seconds;
+
+    @CommandLine.Option(names = "--rate", defaultValue = "120", description = "Requests a second.")
+    private int rate;
+
+    @CommandLine.Option(names = "--trace", description = "Print each fault.")
+    private boolean trace;
+
+    private SoakMain() {}
+
+    /**
+     * Runs the tool.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new SoakMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        int failed = 0;
+        for (int i = 0; i < runs; i++) {
+            SoakReport report = Soak.run(new SoakSettings(seed + i, seconds, rate));
+            System.out.println("answers " + report.answers());
+            System.out.println("faults " + report.faultKinds());
+            if (trace) {
+                report.trace().forEach(System.out::println);
+            }
+            report.violations().stream().limit(SHOWN_MOST).forEach(v -> System.out.println("violation: " + v));
+            System.out.println("digest " + Long.toHexString(report.digest()));
+            System.out.println(report.summary());
+            failed += report.violations().isEmpty() ? 0 : 1;
+        }
+        return failed == 0 ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Soak.java
@@ -0,0 +1,49 @@
+package org.verbenadyke.bench.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.verbenadyke.kernel.ledger.Breach;
+
+/**
+ * A long randomised run of the real decision logic on a virtual clock, with random demand and random faults.
+ */
+public final class Soak {
+    private static final long WARM_UP_NANOS = 4 * Lab.SECOND;
+    private static final long SETTLE_NANOS = 60 * Lab.SECOND;
+
+    private Soak() {}
+
+    /**
+     * Runs.
+     *
+     * @param settings the seed and the length
+     * @return what it showed
+     */
+    public static SoakReport run(SoakSettings settings) {
+        Lab lab = SoakWorld.create(settings.seed());
+        lab.advance(WARM_UP_NANOS);
+        List<String> violations = new ArrayList<>();
+        SoakOperators operators = new SoakOperators(lab);
+        SoakCallers callers = new SoakCallers(lab);
+        SoakFaults faults = new SoakFaults(lab, operators, violations);
+        long until = lab.world().nanos() + settings.seconds() * Lab.SECOND;
+        callers.demand(settings.requestsPerSecond(), until);
+        faults.provoke(until);
+        lab.advance(settings.seconds() * Lab.SECOND + SETTLE_NANOS);
+        for (Breach b : lab.breaches()) {
+            violations.add(b.promise() + " " + b.subject() + ": " + b.history());
+        }
+        violations.addAll(callers.violations());
+        violations.addAll(operators.violations());
+        return new SoakReport(
+                settings.seed(),
+                callers.sent(),
+                faults.faults(),
+                callers.answers(),
+                faults.counts(),
+                faults.trace(),
+                violations,
+                callers.digest());
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakOperators.java
@@ -0,0 +1,106 @@
+package org.verbenadyke.bench.lab;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.config.ConfigEntry;
+import org.verbenadyke.kernel.config.Configuration;
+import org.verbenadyke.kernel.config.Confirmed;
+import org.verbenadyke.kernel.config.ImportanceRule;
+
+/**
+ * The operators of a randomised run: they confirm changes at the same moment through different nodes, ask again when
+ * they are told that the outcome isn't known, and note what they were told.
+ */
+final class SoakOperators {
+    private static final long AGAIN_NANOS = 500 * Lab.MILLI;
+    private static final int TRIES_MOST = 6;
+
+    private final Lab lab;
+    private final Map<String, Confirmed> told = new HashMap<>();
+    private final Map<String, ConfigEntry.Change> changes = new HashMap<>();
+    private final List<String> violations = new ArrayList<>();
+
+    SoakOperators(Lab lab) {
+        this.lab = lab;
+    }
+
+    void race() {
+        List<LabServer> working =
+                lab.servers().stream().filter(LabServer::working).toList();
+        if (working.size() < 2) {
+            return;
+        }
+        for (int i = 0; i < 2; i++) {
+            LabServer through = working.get(lab.random().nextInt(working.size()));
+            confirm(through, change(through.node().core().engine().configuration()), 0);
+        }
+    }
+
+    private ConfigEntry.Change change(Configuration base) {
+        String id = new UUID(lab.random().nextLong(), lab.random().nextLong()).toString();
+        Importance importance = Importance.values()[lab.random().nextInt(Importance.values().length)];
+        ConfigEntry.Change change = new ConfigEntry.Change(
+                id,
+                base.version(),
+                lab.random().nextInt(SoakWorld.RETRIES_MOST + 1),
+                List.of(
+                        new ImportanceRule("permit-desk", "POST", "/", Importance.CRITICAL),
+                        new ImportanceRule("well-index", "*", "/", importance)),
+                Set.of(),
+                "operator",
+                lab.world().wallMillis());
+        changes.put(id, change);
+        return change;
+    }
+
+    private void confirm(LabServer through, ConfigEntry.Change change, int tries) {
+        LabNode node = through.node();
+        node.process().run(() -> node.core().config().confirm(change, outcome -> heard(change, outcome, tries)));
+    }
+
+    private void heard(ConfigEntry.Change change, Confirmed outcome, int tries) {
+        Confirmed before = told.put(change.id(), outcome);
+        boolean settled = before instanceof Confirmed.InForce || before instanceof Confirmed.Lost;
+        if (settled && before.getClass() != outcome.getClass()) {
+            violations.add("change " + change.id() + " told " + before + " and then " + outcome);
+        }
+        boolean open = outcome instanceof Confirmed.Unknown || outcome instanceof Confirmed.NotAppended;
+        if (open && tries < TRIES_MOST) {
+            lab.world().after(AGAIN_NANOS, () -> {
+                List<LabServer> working =
+                        lab.servers().stream().filter(LabServer::working).toList();
+                if (!working.isEmpty()) {
+                    confirm(working.get(lab.random().nextInt(working.size())), change, tries + 1);
+                }
+            });
+        }
+    }
+
+    /** Checks that exactly one change won on each base and that all nodes run the same version. */
+    List<String> violations() {
+        Map<Long, String> winners = new HashMap<>();
+        told.forEach((id, outcome) -> {
+            if (outcome instanceof Confirmed.InForce f) {
+                String other = winners.put(f.version(), id);
+                if (other != null) {
+                    violations.add("two changes made version " + f.version() + ": " + other + " and " + id);
+                }
+            }
+        });
+        Configuration first = null;
+        for (LabServer s : lab.servers()) {
+            Configuration c = s.node().core().engine().configuration();
+            if (first != null && !first.equals(c)) {
+                violations.add(s.id() + " runs " + c + ", another " + first);
+            }
+            first = c;
+        }
+        return violations;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorld.java
@@ -0,0 +1,67 @@
+package org.verbenadyke.bench.lab;
+
+import java.util.List;
+
+import org.verbenadyke.kernel.config.ConfigSettings;
+import org.verbenadyke.kernel.core.CoreSettings;
+import org.verbenadyke.kernel.engine.Policy;
+import org.verbenadyke.kernel.membership.GossipSettings;
+import org.verbenadyke.kernel.owner.OwnerSettings;
+import org.verbenadyke.kernel.routing.Place;
+
+/**
+ * The services and requests that the randomised runs use.
+ */
+final class SoakWorld {
+    /** The most retries that operators allow in a run. */
+    static final int RETRIES_MOST = 4;
+
+    static final List<LabRequest> REQUESTS = List.of(
+            new LabRequest("lookup", "well-index/lookup", false, 0.45, false),
+            new LabRequest("filing", "permit-desk/filing", true, 0.25, true),
+            new LabRequest("survey", "survey-view/survey", false, 0.15, false),
+            new LabRequest("download", "log-archive/download", false, 0.15, false));
+
+    private static final List<Place> PLACES = List.of(
+            new Place("bc-north", "bc-1"),
+            new Place("bc-north", "bc-2"),
+            new Place("bc-north", "bc-3"),
+            new Place("bc-south", "bs-1"));
+    private static final int DOWNLOAD = 400_000;
+
+    private SoakWorld() {}
+
+    static Lab create(long seed) {
+        Lab lab = Lab.create(seed, settings(), false);
+        lab.add(ServiceSpec.of("well-index", 4, 8, 6, Operation.of("lookup", "survey-view/survey")), PLACES);
+        lab.add(
+                ServiceSpec.of(
+                        "permit-desk",
+                        4,
+                        8,
+                        8,
+                        Operation.once("filing", "well-index/lookup"),
+                        new Operation("permit", false, List.of("well-index/lookup", "survey-view/survey"), true, 0)),
+                PLACES);
+        lab.add(
+                ServiceSpec.of(
+                        "log-archive",
+                        3,
+                        8,
+                        8,
+                        new Operation("download", false, List.of("permit-desk/permit"), false, DOWNLOAD)),
+                PLACES);
+        lab.add(ServiceSpec.of("survey-view", 4, 5, 8, Operation.of("survey")), PLACES);
+        lab.startAll();
+        return lab;
+    }
+
+    private static CoreSettings settings() {
+        Policy policy = Policy.standard();
+        long retention = policy.keyRetentionNanos();
+        ConfigSettings config =
+                new ConfigSettings(1_000, 5 * Lab.SECOND, Lab.SECOND / 2, 4 * Lab.SECOND, 8 * Lab.SECOND);
+        return new CoreSettings(
+                policy, GossipSettings.standard(), config, OwnerSettings.keeping(retention), 30 * Lab.SECOND);
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/ledger/Ledger.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/ledger/Ledger.java
@@ -133,6 +133,17 @@
         }
     }
 
+    /**
+     * Notes that a call noted as handed over never reached the upstream, since no connection could be had.
+     *
+     * @param call the call
+     */
+    public void neverReached(CallId call) {
+        if (on) {
+            track(call).note(x -> x.handed--, "upstream not reached");
+        }
+    }
+
     /**
      * Notes that the upstream said it did not run a keyed call, so that the key is free again.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/link/LinkPool.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/link/LinkPool.java
@@ -4,8 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.concurrent.Serial;
@@ -29,7 +30,8 @@
     private final Counters counters;
     private final Listener listener;
     private final Map<Endpoint, Slot> slots = new ConcurrentHashMap<>();
-    private final Set<LinkSession> sessions = ConcurrentHashMap.newKeySet();
+    private final Map<Long, LinkSession> sessions = new ConcurrentSkipListMap<>();
+    private final AtomicLong sessionNumbers = new AtomicLong();
     private volatile long tickNanos;
 
     private LinkPool(
@@ -78,7 +80,7 @@
      */
     public Transport.Handler accept() {
         LinkSession session = LinkSession.create(self, timers, settings, new Accepted(), false);
-        sessions.add(session);
+        register(session);
         return session;
     }
 
@@ -95,7 +97,7 @@
 
     /** Closes every link. */
     public void closeAll() {
-        sessions.forEach(LinkSession::close);
+        sessions.values().forEach(LinkSession::close);
     }
 
     /**
@@ -107,15 +109,20 @@
         return sessions.size();
     }
 
+    private void register(LinkSession session) {
+        session.number(sessionNumbers.incrementAndGet());
+        sessions.put(session.number(), session);
+    }
+
     private void tick() {
         long now = timers.nanos();
         boolean paused = now - tickNanos > settings.tickNanos() * PAUSE_TICKS;
         tickNanos = now;
-        sessions.forEach(s -> s.tick(now, paused));
+        sessions.values().forEach(s -> s.tick(now, paused));
     }
 
     private void ended(LinkSession link, boolean silent) {
-        sessions.remove(link);
+        sessions.remove(link.number());
         counters.count(silent ? Event.LINK_SILENT : Event.LINK_LOST);
         listener.linkLost(link);
     }
@@ -182,7 +189,7 @@
             takers.add(taker);
             if (opening == null) {
                 opening = LinkSession.create(self, timers, settings, this, true);
-                sessions.add(opening);
+                register(opening);
                 transport.connect(endpoint, opening);
             }
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
@@ -25,9 +25,11 @@
     private volatile Message.Hello peer;
     private volatile long peerClock;
     private volatile long heardNanos;
+    private volatile long clockNanos;
     private final AtomicInteger awaited = new AtomicInteger();
     private volatile long unansweredSince;
     private volatile boolean ready;
+    private volatile long number;
 
     private LinkSession(
             Message.Hello self, TimerService timers, LinkSettings settings, LinkOwner owner, boolean opener) {
@@ -45,6 +47,14 @@
         return new LinkSession(self, timers, settings, owner, opener);
     }
 
+    long number() {
+        return number;
+    }
+
+    void number(long newNumber) {
+        number = newNumber;
+    }
+
     Message.Hello peer() {
         return peer;
     }
@@ -114,6 +124,7 @@
 
     private void beat(Message.Heartbeat beat) {
         peerClock = beat.senderClock();
+        clockNanos = timers.nanos();
         if (!opener) {
             send(new Message.Heartbeat(timers.nanos()));
         }
@@ -159,8 +170,9 @@
             end(true);
             return;
         }
-        long patience = awaited.get() > 0 ? settings.quietNanos() : settings.idleNanos();
-        if (unansweredSince == 0 && quiet > patience) {
+        boolean anxious = awaited.get() > 0 && quiet > settings.quietNanos();
+        boolean clockOld = now - clockNanos > settings.idleNanos();
+        if (unansweredSince == 0 && (anxious || clockOld)) {
             unansweredSince = now;
             send(new Message.Heartbeat(now));
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/FailureDetector.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/FailureDetector.java
@@ -101,7 +101,17 @@
         if (known.state() == MemberState.ALIVE) {
             host.learn(suspected);
         }
-        timers.after(settings.suspectNanos(), () -> serial.run(() -> giveUp(suspected)));
+        if (sameRegion(suspected)) {
+            timers.after(settings.suspectNanos(), () -> serial.run(() -> giveUp(suspected)));
+        }
+    }
+
+    /**
+     * Tells whether this node may give another up. Only nodes of its own region may: seen from another region, a failed
+     * node looks like a cut, and behind a cut it goes on and owns its keys.
+     */
+    private boolean sameRegion(MemberRecord other) {
+        return other.place().region().equals(host.self().place().region());
     }
 
     private void giveUp(MemberRecord suspected) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -167,9 +167,10 @@
      * Asks a former owner of a key what it knows of it. A former owner that knows nothing gives the key up for good.
      *
      * @param ticket numbers the question
+     * @param asker the id of the upstream that owns the key now
      * @param key the key
      */
-    record KeyAsk(long ticket, String key) implements Message {}
+    record KeyAsk(long ticket, String asker, String key) implements Message {}
 
     /**
      * Answers {@link KeyAsk}, once the key's outcome is known.
--- a/kernel/src/main/java/org/verbenadyke/kernel/once/KeyTable.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/once/KeyTable.java
@@ -84,7 +84,7 @@
     }
 
     /**
-     * Takes over a key that another node settled.
+     * Takes over a key that another node settled. It replaces the seal of a key that this node had given to that node.
      *
      * @param key the key
      * @param fingerprint a hash of what its try asked for
@@ -94,7 +94,7 @@
     public void adopt(String key, long fingerprint, KeptAnswer outcome, long nowNanos) {
         Entry entry = new Entry(fingerprint, nowNanos);
         entry.finish(outcome, nowNanos);
-        entries.putIfAbsent(key, entry);
+        entries.merge(key, entry, (known, adopted) -> known.sealed ? adopted : known);
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
@@ -72,7 +72,7 @@
             taker.accept(new Outcome.Elsewhere());
             return;
         }
-        switch (view.of(local.service(), local.id(), local.sinceNanos(), key)) {
+        switch (view.of(local, key)) {
             case Ownership.Elsewhere e -> taker.accept(new Outcome.Elsewhere());
             case Ownership.Uncertain u -> taker.accept(new Outcome.Uncertain());
             case Ownership.Owned o ->
@@ -136,7 +136,7 @@
         AtomicInteger open = new AtomicInteger(former.size());
         AtomicInteger doubts = new AtomicInteger();
         for (Upstream upstream : former) {
-            ask(upstream, key, fact -> {
+            ask(upstream, local.id(), key, fact -> {
                 if (!settle(fact, key, local)) {
                     doubts.incrementAndGet();
                 }
@@ -162,7 +162,7 @@
         };
     }
 
-    private void ask(Upstream upstream, String key, Consumer<Optional<Message.KeyFact>> taker) {
+    private void ask(Upstream upstream, String asker, String key, Consumer<Optional<Message.KeyFact>> taker) {
         long ticket = tickets.incrementAndGet();
         asked.put(ticket, taker);
         timers.after(
@@ -170,7 +170,7 @@
                 () -> Optional.ofNullable(asked.remove(ticket)).ifPresent(c -> c.accept(Optional.empty())));
         links.acquire(upstream.node(), link -> {
             if (link.isPresent()) {
-                link.get().send(new Message.KeyAsk(ticket, key));
+                link.get().send(new Message.KeyAsk(ticket, asker, key));
                 return;
             }
             Optional.ofNullable(asked.remove(ticket)).ifPresent(c -> c.accept(Optional.empty()));
@@ -183,10 +183,9 @@
             return;
         }
         LocalUpstream l = local.get();
-        boolean known = l.keys().contains(ask.key());
-        boolean unsure = !known && view.unsure(l.service(), l.id(), l.sinceNanos(), ask.key());
         Optional<KeyTable.Known> surrendered = l.keys().surrender(ask.key(), timers.nanos());
         if (surrendered.isEmpty()) {
+            boolean unsure = view.unsure(l, ask.asker(), ask.key());
             Message.KeyFact fact = unsure ? new Message.KeyFact.Unsure() : new Message.KeyFact.Unknown();
             link.send(new Message.KeyTold(ask.ticket(), fact));
             return;
--- a/kernel/src/main/java/org/verbenadyke/kernel/owner/OwnerView.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/OwnerView.java
@@ -13,12 +13,14 @@
 import org.verbenadyke.kernel.once.Ownership;
 import org.verbenadyke.kernel.routing.Rendezvous;
 import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.time.TimerService;
 
 /**
  * Decides whose a key is and who may have run it before, from the membership as this node sees it. The owner is the
- * upstream that takes work and ranks highest for the key; every upstream that outranks it but takes no work any more
- * was an owner before, and while this node is new, so was the next in rank.
+ * upstream that takes work and ranks highest for the key. Every upstream that takes no work any more may have been an
+ * owner before, whatever its rank, since others may have been out at the time; while this node is new, the next in rank
+ * may have been, too.
  */
 public final class OwnerView {
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -62,13 +64,14 @@
     /**
      * Looks at one key.
      *
-     * @param service the service
-     * @param me the id of the upstream beside this node
-     * @param mySinceNanos when that id came into being
+     * @param local the upstream beside this node
      * @param key the key
      * @return whose it is
      */
-    public Ownership of(String service, String me, long mySinceNanos, String key) {
+    public Ownership of(LocalUpstream local, String key) {
+        String service = local.service();
+        String me = local.id();
+        long mySinceNanos = local.sinceNanos();
         List<MemberRecord> present = table.present().stream()
                 .filter(r -> r.service().equals(service))
                 .toList();
@@ -85,14 +88,14 @@
             if (rank > mine && takesWork) {
                 return new Ownership.Elsewhere();
             }
-            if (rank > mine) {
+            if (!takesWork) {
                 r.upstream().ifPresent(ask::add);
-            } else if (takesWork && rank >= nextRank) {
+            } else if (rank >= nextRank) {
                 nextRank = rank;
                 next = Optional.of(r);
             }
         }
-        if (departedOwner(service, me, mine, key)) {
+        if (departedOwner(service, me, key)) {
             return new Ownership.Uncertain();
         }
         if (timers.nanos() - mySinceNanos < settings.keyRetentionNanos()) {
@@ -106,27 +109,36 @@
     }
 
     /**
-     * Tells whether this node, asked as a former owner, can't vouch that nobody before it ran a key.
+     * Tells whether this node, asked as a former owner, can't vouch that nobody else ran a key before.
      *
-     * @param service the service
-     * @param me the id of the upstream beside this node
-     * @param mySinceNanos when that id came into being
+     * @param local the upstream beside this node
+     * @param asker the id of the upstream that owns the key now
      * @param key the key
      * @return whether a doubt is left
      */
-    public boolean unsure(String service, String me, long mySinceNanos, String key) {
-        boolean fresh = timers.nanos() - mySinceNanos < settings.keyRetentionNanos() && !madeAfter(key, mySinceNanos);
-        return fresh || departedOwner(service, me, Rendezvous.hash(me, key), key);
+    public boolean unsure(LocalUpstream local, String asker, String key) {
+        boolean fresh = timers.nanos() - local.sinceNanos() < settings.keyRetentionNanos()
+                && !madeAfter(key, local.sinceNanos());
+        return fresh || otherOwner(local, asker, key) || departedOwner(local.service(), local.id(), key);
+    }
+
+    /** Tells whether, as this node sees it, the key was neither its own nor the asker's. */
+    private boolean otherOwner(LocalUpstream local, String asker, String key) {
+        long mine = Rendezvous.hash(local.id(), key);
+        return table.present().stream()
+                .filter(r -> r.service().equals(local.service()))
+                .filter(r -> !r.upstreamId().equals(asker) && !r.upstreamId().equals(local.id()))
+                .filter(r -> r.state().accepting() && !leaving.test(r))
+                .anyMatch(r -> Rendezvous.hash(r.upstreamId(), key) > mine);
     }
 
     /** Tells whether an upstream that is gone may have run the key. */
-    private boolean departedOwner(String service, String me, long mine, String key) {
+    private boolean departedOwner(String service, String me, String key) {
         long now = timers.nanos();
         for (MemberTable.Departure d : table.departures()) {
             boolean relevant = d.service().equals(service)
                     && !d.upstreamId().equals(me)
                     && now - d.since() < settings.keyRetentionNanos()
-                    && Rendezvous.hash(d.upstreamId(), key) > mine
                     && !(d.planned() && handedOn.contains(d.upstreamId()));
             if (relevant && !madeAfter(key, d.since())) {
                 return true;
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -192,7 +194,7 @@
     }
 
     private Routes routes(List<Upstream> upstreams, Routes before) {
-        Map<String, Candidate> all = new HashMap<>();
+        Map<String, Candidate> all = new TreeMap<>();
         for (Upstream u : upstreams) {
             Candidate known = before.all.get(u.id());
             all.put(u.id(), known != null && known.upstream().equals(u) ? known : Candidate.of(u));
@@ -200,7 +202,7 @@
         List<Candidate> subset = Rendezvous.subset(upstreams, self, this::weight, subsetSize).stream()
                 .map(u -> all.get(u.id()))
                 .toList();
-        return new Routes(Map.copyOf(all), subset);
+        return new Routes(Collections.unmodifiableMap(all), subset);
     }
 
     private double weight(Upstream upstream) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -180,6 +180,14 @@
                 gate.inFlight() + gate.queued(), gate.limit(), Math.max(gate.level(), levelBelow), local.draining());
     }
 
+    void noteHandOver(Message.Call call, LocalUpstream local, long receivedNanos) {
+        parts.counters.count(Event.HANDED_OVER);
+        parts.ledger.handedOver(call.id(), call.key(), call.idempotent());
+        if (local.drainedBefore(receivedNanos)) {
+            parts.ledger.handedWhileDraining(call.id());
+        }
+    }
+
     private Optional<IncomingCall> find(CallId id) {
         Optional<IncomingCall> call = Optional.ofNullable(calls.get(id));
         if (call.isEmpty()) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -16,13 +16,12 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.KeptAnswer;
-import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.time.Subscription;
 
 /**
  * One call received from a node above. Everything happens inside a serial runner; only the link is read from elsewhere.
  */
-final class IncomingCall implements Waiting, UpstreamPort.Listener {
+final class IncomingCall implements Waiting, UpstreamPort.Listener, KeyedTry.Host {
     private static final long NANOS_PER_MICRO = 1_000L;
     private static final int UNAVAILABLE = 503;
     private static final int ONCE_EXTRA_TTLS = 2;
@@ -88,7 +87,7 @@
                 local.gate().offer(this, receivedNanos);
                 return;
             }
-            server.parts().keys().claim(local, call.key(), Fingerprint.of(call), c -> serial.run(() -> claimed(c)));
+            KeyedTry.begin(server, local, call, serial, this);
         });
     }
 
@@ -183,7 +182,10 @@
 
     @Override
     public void unreachable() {
-        serial.run(() -> fail(server.notRun(RefusalReason.UPSTREAM_UNREACHABLE)));
+        serial.run(() -> {
+            server.parts().ledger().neverReached(call.id());
+            fail(server.notRun(RefusalReason.UPSTREAM_UNREACHABLE));
+        });
     }
 
     @Override
@@ -236,46 +238,28 @@
         }
     }
 
-    private void claimed(KeyClaims.Outcome outcome) {
-        if (phase != Phase.WAITING) {
-            if (outcome instanceof KeyClaims.Outcome.Owned(KeyTable.Claim.Granted g)) {
-                local.keys().withdraw(call.key(), new KeptAnswer.Lost(server.notRun(RefusalReason.CANCELLED)));
-            }
-            return;
-        }
-        switch (outcome) {
-            case KeyClaims.Outcome.Owned owned -> decided(owned.claim());
-            case KeyClaims.Outcome.Elsewhere e -> refuseNotRun(RefusalReason.KEY_NOT_OWNER);
-            case KeyClaims.Outcome.Uncertain u -> refuseNow(Refusal.mayHaveRun(RefusalReason.KEY_OWNER_CHANGED));
-        }
+    @Override
+    public boolean waiting() {
+        return phase == Phase.WAITING;
     }
 
-    private void decided(KeyTable.Claim claim) {
-        switch (claim) {
-            case KeyTable.Claim.Granted g -> {
-                keyClaimed = true;
-                local.gate().offer(this, server.parts().timers().nanos());
-            }
-            case KeyTable.Claim.Taken t -> t.outcome().accept(kept -> serial.run(() -> adopt(kept)));
-            case KeyTable.Claim.Reused r -> refuseNotRun(RefusalReason.KEY_REUSED);
-            case KeyTable.Claim.Sealed s -> refuseNotRun(RefusalReason.KEY_NOT_OWNER);
-        }
+    @Override
+    public void ownsKey() {
+        keyClaimed = true;
+        local.gate().offer(this, server.parts().timers().nanos());
     }
 
-    /** Gives the outcome of an earlier try under the same key. */
-    private void adopt(KeptAnswer kept) {
-        if (phase != Phase.WAITING) {
-            return;
-        }
-        switch (kept) {
-            case KeptAnswer.Whole whole -> {
-                server.parts().counters().count(Event.ANSWER_REPLAYED);
-                answer.whole(whole, link, report());
-                phase = Phase.FINISHED;
-                conclude();
-            }
-            case KeptAnswer.Lost lost -> refuseNow(lost.refusal());
-        }
+    @Override
+    public void adopt(KeptAnswer.Whole whole) {
+        server.parts().counters().count(Event.ANSWER_REPLAYED);
+        answer.whole(whole, link, report());
+        phase = Phase.FINISHED;
+        conclude();
+    }
+
+    @Override
+    public void refuseKeyed(Refusal refusal) {
+        refuseNow(refusal);
     }
 
     private void handOver() {
@@ -291,8 +275,7 @@
             return;
         }
         phase = Phase.HANDED;
-        server.parts().counters().count(Event.HANDED_OVER);
-        server.parts().ledger().handedOver(call.id(), call.key(), call.idempotent());
+        server.noteHandOver(call, local, receivedNanos);
         context = server.openContext(call, deadlineNanos, link);
         exchange = local.port()
                 .start(new UpstreamPort.HandOver(call.content(), context.token(), deadlineNanos - handedNanos), this);
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -14,8 +14,9 @@
     private final Gate gate;
     private final KeyTable keys;
     private final TimerService timers;
-    private final long sinceNanos;
+    private volatile long sinceNanos;
     private volatile boolean draining;
+    private volatile long drainedNanos;
 
     private LocalUpstream(String id, String service, UpstreamPort port, Gate gate, KeyTable keys, TimerService timers) {
         this.id = id;
@@ -109,17 +110,33 @@
         return draining;
     }
 
+    /**
+     * Tells whether the upstream had begun to leave at a time, and still does.
+     *
+     * @param nanos the time
+     * @return whether what arrived then must not be handed over
+     */
+    public boolean drainedBefore(long nanos) {
+        return draining && drainedNanos < nanos;
+    }
+
     /**
      * Starts or ends leaving.
      *
      * @param leaving whether new calls are to be refused
      */
     public void drain(boolean leaving) {
+        if (leaving && !draining) {
+            drainedNanos = timers.nanos();
+        }
+        if (!leaving && draining) {
+            sinceNanos = timers.nanos();
+        }
         draining = leaving;
     }
 
     /**
-     * Returns when the upstream got its id.
+     * Returns when the upstream got its id or began to take work again.
      *
      * @return the time in nanoseconds
      */
--- a/kernel/src/main/java/org/verbenadyke/kernel/time/VirtualTimerService.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/time/VirtualTimerService.java
@@ -44,7 +44,7 @@
     public Subscription after(long delayNanos, Runnable task) {
         Entry entry = new Entry(now + Math.max(0, delayNanos), order++, task);
         queue.add(entry);
-        return () -> queue.remove(entry);
+        return entry::cancel;
     }
 
     /**
@@ -57,7 +57,7 @@
         while (!queue.isEmpty() && queue.peek().due() <= end) {
             Entry entry = queue.poll();
             now = Math.max(now, entry.due());
-            entry.task().run();
+            entry.run();
         }
         now = end;
     }
@@ -72,11 +72,35 @@
     }
 
     /**
-     * One waiting task.
-     *
-     * @param due when it falls due, in nanoseconds
-     * @param order breaks ties in order of subscription
-     * @param task what to run
+     * One waiting task; a cancelled one stays in the queue until its time and does nothing then.
      */
-    private record Entry(long due, long order, Runnable task) {}
+    private static final class Entry {
+        private final long due;
+        private final long order;
+        private Runnable task;
+
+        private Entry(long due, long order, Runnable task) {
+            this.due = due;
+            this.order = order;
+            this.task = task;
+        }
+
+        long due() {
+            return due;
+        }
+
+        long order() {
+            return order;
+        }
+
+        void cancel() {
+            task = null;
+        }
+
+        void run() {
+            if (task != null) {
+                task.run();
+            }
+        }
+    }
 }
