Measure surges against a baseline on the virtual clock

Change: bin/bench surge drives both workloads at twice the slowed chain's capacity with callers that send again at once; the baseline has three retries per hop after half a second each, unbounded queues and no shedding.

--- /dev/null
+++ b/bench/src/main/java/org/verbenadyke/bench/BenchMain.java
@@ -0,0 +1,86 @@
+package org.verbenadyke.bench;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+
+import org.verbenadyke.bench.lab.Scenarios;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import picocli.CommandLine;
+
+/**
+ * Runs the measurements. The last line of each is a JSON object.
+ */
+@CommandLine.Command(
+        name = "bench",
+        mixinStandardHelpOptions = true,
+        version = "bench 0.1.0",
+        description = "Measures one scenario, ours and the baseline in the same run.")
+public final class BenchMain implements Callable<Integer> {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int USAGE = 2;
+
+    @CommandLine.Parameters(paramLabel = "NAME", description = "The scenario, or list.")
+    private String name;
+
+    @CommandLine.Option(names = "--seed", defaultValue = "1", description = "Makes the run the same each time.")
+    private long seed;
+
+    @CommandLine.Option(names = "--workload", defaultValue = "heatwell", description = "heatwell or marrowgate.")
+    private String workload;
+
+    private BenchMain() {}
+
+    /**
+     * Runs the tool.
+     *
+     * @param args the command line
+     */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new BenchMain()).execute(args));
+    }
+
+    @Override
+    public Integer call() throws JsonProcessingException {
+        Map<String, Scenario> scenarios = scenarios();
+        if (name.equals("list")) {
+            scenarios.forEach((n, s) -> System.out.println(n + "  " + s.description()));
+            return 0;
+        }
+        Scenario scenario = scenarios.get(name);
+        if (scenario == null) {
+            System.err.println("No scenario named " + name + ". Known: " + scenarios.keySet() + ".");
+            return USAGE;
+        }
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("scenario", name);
+        figures.put("seed", seed);
+        figures.putAll(scenario.work().run(workload, seed));
+        figures.forEach((k, v) -> System.out.println(k + ": " + v));
+        System.out.println(JSON.writeValueAsString(figures));
+        return 0;
+    }
+
+    private static Map<String, Scenario> scenarios() {
+        Map<String, Scenario> all = new LinkedHashMap<>();
+        all.put("surge", new Scenario("twice the capacity while the deepest service is slow", Scenarios::surge));
+        return all;
+    }
+
+    /**
+     * One measurement.
+     *
+     * @param description what it measures
+     * @param work measures
+     */
+    private record Scenario(String description, Work work) {}
+
+    /** Measures a workload. */
+    @FunctionalInterface
+    private interface Work {
+        Map<String, Object> run(String workload, long seed);
+    }
+}
--- a/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
@@ -150,6 +150,7 @@
         private final List<CallHandle> below = new ArrayList<>();
         private boolean holds;
         private boolean ended;
+        private boolean abandoned;
         private byte[] body;
         private int sent;
 
@@ -236,6 +237,10 @@
             if (status == OK && operation.bytes() > 0) {
                 body = Arrays.copyOf(body, operation.bytes());
             }
+            if (abandoned) {
+                finish();
+                return;
+            }
             tell(() -> listener.head(status, List.of(new HeaderField("content-type", "text/plain"))));
         }
 
@@ -260,6 +265,10 @@
 
         @Override
         public void cancel() {
+            if (unbounded) {
+                process.after(RUSH_NANOS, this::abandon);
+                return;
+            }
             process.after(RUSH_NANOS, () -> {
                 if (!ended) {
                     queue.remove(this);
@@ -269,6 +278,14 @@
             });
         }
 
+        /** Works on for nobody, as an upstream does that isn't told. */
+        private void abandon() {
+            abandoned = true;
+            if (body != null && !ended) {
+                finish();
+            }
+        }
+
         private void finish() {
             ended = true;
             active.remove(this);
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -160,6 +160,16 @@
         if (link.get().closed()) {
             lost(attempt);
         }
+        long patience = dispatcher.settings().tryNanos();
+        if (patience > 0 && request.idempotent()) {
+            parts.timers().after(patience, () -> serial.run(() -> tryTimedOut(attempt)));
+        }
+    }
+
+    private void tryTimedOut(Attempt attempt) {
+        if (!done && !committed && !asking && attempt == current) {
+            askRetry(RetryReason.TIMED_OUT, () -> {});
+        }
     }
 
     private void head(Attempt attempt, Message.Head m) {
@@ -310,14 +320,8 @@
     }
 
     private void askRetry(RetryReason reason, Runnable otherwise) {
-        boolean bounded = dispatcher.settings().ratio() > 0;
-        if (bounded && !dispatcher.ratio(request).take()) {
-            parts.counters().retried(RetryReason.DENIED_RATIO);
-            otherwise.run();
-            return;
-        }
         asking = true;
-        request.budget().spend(granted -> serial.run(() -> decided(granted, reason, otherwise)));
+        RetryPermit.ask(dispatcher, request, granted -> serial.run(() -> decided(granted, reason, otherwise)));
     }
 
     private void decided(boolean granted, RetryReason reason, Runnable otherwise) {
@@ -325,18 +329,16 @@
         if (done) {
             return;
         }
-        if (!granted) {
-            dispatcher.ratio(request).putBack();
-            parts.counters().retried(RetryReason.DENIED_BUDGET);
-            otherwise.run();
-            if (!done && current.link().closed()) {
-                lost(current);
-            }
+        if (granted) {
+            parts.counters().retried(reason);
+            abandon(current);
+            next();
             return;
         }
-        parts.counters().retried(reason);
-        abandon(current);
-        next();
+        otherwise.run();
+        if (!done && current.link().closed()) {
+            lost(current);
+        }
     }
 
     private void abandon(Attempt attempt) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/DispatchSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/DispatchSettings.java
@@ -6,11 +6,13 @@
  * @param ratio retries per success between a pair of services; 0 or less turns the bound off
  * @param burst how many of them can be saved up
  * @param perHop whether each hop retries by itself, as the baseline does
+ * @param tryNanos after how long one try counts as lost, in nanoseconds; 0 to wait until the deadline
  * @param retryAfterMillis the least time after which a refused caller may come back, in milliseconds
  */
-public record DispatchSettings(double ratio, int burst, boolean perHop, long retryAfterMillis) {
+public record DispatchSettings(double ratio, int burst, boolean perHop, long tryNanos, long retryAfterMillis) {
     private static final double DEFAULT_RATIO = 0.1;
     private static final int DEFAULT_BURST = 20;
+    private static final long BASELINE_TRY_NANOS = 500_000_000L;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
     /**
@@ -19,7 +21,7 @@
      * @return the settings
      */
     public static DispatchSettings standard() {
-        return new DispatchSettings(DEFAULT_RATIO, DEFAULT_BURST, false, DEFAULT_RETRY_AFTER_MILLIS);
+        return new DispatchSettings(DEFAULT_RATIO, DEFAULT_BURST, false, 0, DEFAULT_RETRY_AFTER_MILLIS);
     }
 
     /**
@@ -28,6 +30,6 @@
      * @return the settings
      */
     public static DispatchSettings baseline() {
-        return new DispatchSettings(0, 0, true, DEFAULT_RETRY_AFTER_MILLIS);
+        return new DispatchSettings(0, 0, true, BASELINE_TRY_NANOS, DEFAULT_RETRY_AFTER_MILLIS);
     }
 }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryPermit.java
@@ -0,0 +1,31 @@
+package org.verbenadyke.kernel.dispatch;
+
+import java.util.function.Consumer;
+
+import org.verbenadyke.kernel.budget.RatioBudget;
+import org.verbenadyke.kernel.call.RetryReason;
+
+/**
+ * Asks whether a retry may be made: first the share of the pair of services, then the budget of the whole chain.
+ */
+final class RetryPermit {
+    private RetryPermit() {}
+
+    /** Asks; the decision is told once, perhaps on another thread. */
+    static void ask(Dispatcher dispatcher, Request request, Consumer<Boolean> decision) {
+        RatioBudget ratio = dispatcher.ratio(request);
+        boolean bounded = dispatcher.settings().ratio() > 0;
+        if (bounded && !ratio.take()) {
+            dispatcher.parts().counters().retried(RetryReason.DENIED_RATIO);
+            decision.accept(false);
+            return;
+        }
+        request.budget().spend(granted -> {
+            if (!granted) {
+                ratio.putBack();
+                dispatcher.parts().counters().retried(RetryReason.DENIED_BUDGET);
+            }
+            decision.accept(granted);
+        });
+    }
+}
--- a/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
@@ -130,7 +130,7 @@
                         * NANOS_PER_SECOND,
                 gate,
                 limits,
-                new DispatchSettings(percent / PERCENT, d.burst(), d.perHop(), after),
+                new DispatchSettings(percent / PERCENT, d.burst(), d.perHop(), d.tryNanos(), after),
                 base.serve(),
                 base.link());
     }
