--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -54,7 +54,7 @@
             return;
         }
         queue.add(call, nowNanos);
-        if (queue.size() > settings.queueMost(limit.current())) {
+        if (queue.size() > settings.queueMost(limit.current(), serviceTime.least())) {
             level.overloaded();
             queue.pollLast().ifPresent(e -> e.call().shed(RefusalReason.SHED_QUEUE));
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/GateSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/GateSettings.java
@@ -10,6 +10,7 @@
  * @param targetWaitNanos the wait in the queue from which on the upstream counts as overloaded, in nanoseconds
  */
 public record GateSettings(boolean sheds, double queueShare, int queueLeast, long targetWaitNanos) {
+    private static final int QUEUE_MOST = 10_000;
     private static final double DEFAULT_SHARE = 0.5;
     private static final int DEFAULT_LEAST = 8;
     private static final long DEFAULT_TARGET_NANOS = 10_000_000L;
@@ -32,7 +33,10 @@
         return new GateSettings(false, 0, Integer.MAX_VALUE, Long.MAX_VALUE);
     }
 
-    int queueMost(int limit) {
-        return (int) Math.max(queueLeast, Math.min(Integer.MAX_VALUE, limit * queueShare));
+    /** Bounds the queue: by a share of the limit, but never below what is served within the target wait. */
+    int queueMost(int limit, long serviceNanos) {
+        double byShare = limit * queueShare;
+        double byTime = serviceNanos <= 0 ? 0 : (double) limit * targetWaitNanos / serviceNanos;
+        return (int) Math.max(queueLeast, Math.min(QUEUE_MOST, Math.max(byShare, byTime)));
     }
 }
