--- a/bench/src/main/java/org/verbenadyke/bench/BenchMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/BenchMain.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 
+import org.verbenadyke.bench.decisions.Decisions;
 import org.verbenadyke.bench.lab.Scenarios;
 import org.verbenadyke.bench.real.Overhead;
 
@@ -33,6 +34,9 @@
     @CommandLine.Option(names = "--workload", defaultValue = "heatwell", description = "heatwell or marrowgate.")
     private String workload;
 
+    @CommandLine.Option(names = "--io-threads", defaultValue = "1", description = "Threads of a node for connections.")
+    private int ioThreads;
+
     private BenchMain() {}
 
     /**
@@ -65,7 +69,7 @@
         return 0;
     }
 
-    private static Map<String, Scenario> scenarios() {
+    private Map<String, Scenario> scenarios() {
         Map<String, Scenario> all = new LinkedHashMap<>();
         all.put("surge", new Scenario("twice the capacity while the deepest service is slow", Scenarios::surge));
         all.put("deep", new Scenario("chains 3, 5 and 19 deep whose services fail", Scenarios::deep));
@@ -74,7 +78,9 @@
         all.put("drain", new Scenario("how long a leaving upstream gets calls", Scenarios::drain));
         all.put("config", new Scenario("how long a change takes to be in force everywhere", Scenarios::config));
         all.put("outage", new Scenario("goodput through an outage of the log", Scenarios::outage));
-        all.put("overhead", new Scenario("what two nodes add to a call", (w, s) -> Overhead.run(home())));
+        all.put("overhead", new Scenario("what two nodes add to a call", (w, s) -> Overhead.run(home(), ioThreads)));
+        all.put("capacity", new Scenario("how control traffic grows with nodes and events", Scenarios::capacity));
+        all.put("decisions", new Scenario("nanoseconds and bytes of single decisions", (w, s) -> Decisions.run()));
         return all;
     }
 
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Scenarios.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Scenarios.java
@@ -130,6 +130,17 @@
         return Outages.outage(seed);
     }
 
+    /**
+     * Measures the control traffic of a node.
+     *
+     * @param workload not looked at
+     * @param seed makes the run the same each time
+     * @return the figures by name
+     */
+    public static Map<String, Object> capacity(String workload, long seed) {
+        return Capacity.run(seed);
+    }
+
     private static void put(Map<String, Object> figures, String who, SurgeReport r) {
         figures.put(who + ".goodputPerSecond", r.goodput());
         figures.put(who + ".goodputShareOfCapacity", r.goodputShare());
--- a/bench/src/main/java/org/verbenadyke/bench/real/Overhead.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/Overhead.java
@@ -25,8 +25,8 @@
  */
 public final class Overhead {
     private static final int[] RATES = {200, 500, 1_000, 2_000};
-    private static final int WARM_UP = 12_000;
-    private static final int WARM_UP_RATE = 1_500;
+    private static final int WARM_UP = 24_000;
+    private static final int WARM_UP_RATE = 2_000;
     private static final int SECONDS = 3;
     private static final int ROUNDS = 2;
     private static final double MICROS = 1_000.0;
@@ -40,10 +40,11 @@
      * Measures.
      *
      * @param home the folder of the project
+     * @param ioThreads how many threads of a node serve connections
      * @return the figures by name
      * @throws Exception when the processes can't be started
      */
-    public static Map<String, Object> run(Path home) throws Exception {
+    public static Map<String, Object> run(Path home, int ioThreads) throws Exception {
         Workload workload = new Workload(
                 "overhead",
                 "r",
@@ -55,7 +56,7 @@
                         new Workload.Service("edge", 1, 1_000, 0, 0, 0, Map.of())),
                 List.of());
         Map<String, Object> figures = new LinkedHashMap<>();
-        try (Fleet fleet = Fleet.start(workload, new FleetOptions(home, "standard"))) {
+        try (Fleet fleet = Fleet.start(workload, new FleetOptions(home, "standard", ioThreads))) {
             Server far = fleet.servers("survey-view").getFirst();
             Server near = fleet.servers("edge").getFirst();
             StreamingHttpClient direct = client(far.address());
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/PlugIns.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/PlugIns.java
@@ -1,9 +1,10 @@
 package org.verbenadyke.kernel.engine;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.ServiceLoader;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.verbenadyke.kernel.admission.ConcurrencyLimit;
 import org.verbenadyke.kernel.admission.LimitProvider;
@@ -40,14 +41,36 @@
         return find(LimitProvider.class, LimitProvider::name, name).create(settings);
     }
 
+    /**
+     * Lists the choosers.
+     *
+     * @return the names of the registered plug-ins
+     */
+    public static Set<String> choosers() {
+        return names(ChooserProvider.class, ChooserProvider::name);
+    }
+
+    /**
+     * Lists the concurrency limits.
+     *
+     * @return the names of the registered plug-ins
+     */
+    public static Set<String> limits() {
+        return names(LimitProvider.class, LimitProvider::name);
+    }
+
+    private static <T> Set<String> names(Class<T> type, Function<T, String> nameOf) {
+        return ServiceLoader.load(type).stream()
+                .map(p -> nameOf.apply(p.get()))
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
     private static <T> T find(Class<T> type, Function<T, String> nameOf, String name) {
-        List<String> known = new ArrayList<>();
-        for (T plugIn : ServiceLoader.load(type)) {
-            if (nameOf.apply(plugIn).equals(name)) {
-                return plugIn;
-            }
-            known.add(nameOf.apply(plugIn));
-        }
-        throw VerbenadykeException.of(ErrorCode.PLUGIN_UNKNOWN, name, type.getSimpleName(), known);
+        return ServiceLoader.load(type).stream()
+                .map(ServiceLoader.Provider::get)
+                .filter(p -> nameOf.apply(p).equals(name))
+                .findFirst()
+                .orElseThrow(() -> VerbenadykeException.of(
+                        ErrorCode.PLUGIN_UNKNOWN, name, type.getSimpleName(), names(type, nameOf)));
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
@@ -10,6 +10,7 @@
 import org.verbenadyke.kernel.admission.GateSettings;
 import org.verbenadyke.kernel.admission.LimitSettings;
 import org.verbenadyke.kernel.dispatch.DispatchSettings;
+import org.verbenadyke.kernel.engine.PlugIns;
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -48,7 +49,7 @@
     private static final int LIMIT_MOST = 1_000_000;
     private static final int SUBSET_MOST = 10_000;
     private static final int THREADS_MOST = 64;
-    private static final int DEFAULT_THREADS = 2;
+    private static final int DEFAULT_THREADS = 1;
     private static final long RETRY_AFTER_MOST_MILLIS = 600_000;
     private static final double PERCENT = 100.0;
     private static final Endpoint UNSET = new Endpoint("127.0.0.1", 1);
@@ -121,8 +122,8 @@
         long after = ini.number("policy", "retry-after-ms", 0, RETRY_AFTER_MOST_MILLIS, d.retryAfterMillis());
         GateSettings gate = base.gate();
         return new Policy(
-                choice(ini, "chooser", base.chooser(), Set.of("two-choices", "round-robin")),
-                choice(ini, "limit", base.limit(), Set.of("adaptive", "fixed")),
+                choice(ini, "chooser", base.chooser(), PlugIns.choosers()),
+                choice(ini, "limit", base.limit(), PlugIns.limits()),
                 (int) ini.number("policy", "subset-size", 1, SUBSET_MOST, Math.min(SUBSET_MOST, base.subsetSize())),
                 base.perHopRetries(),
                 millis(ini, "default-ttl-ms", TTL_MOST_MILLIS, base.defaultTtlNanos()),
--- a/standins/src/main/java/org/verbenadyke/standins/run/Fleet.java
+++ b/standins/src/main/java/org/verbenadyke/standins/run/Fleet.java
@@ -134,7 +134,7 @@
         Workload.Service service = workload.services().get(s.service());
         StringBuilder node = new StringBuilder();
         node.append("[node]\nid = " + s.id() + "\nregion = " + workload.region() + "\n");
-        node.append("data-centre = " + s.dataCentre() + "\n");
+        node.append("data-centre = " + s.dataCentre() + "\nio-threads = " + options.ioThreads() + "\n");
         node.append("[listen]\npeers = " + s.peers() + "\nentry = " + s.entry() + "\n");
         node.append("local = " + s.local() + "\ncontrol = " + s.control() + "\n");
         node.append("[log]\naddress = " + log + "\n");
--- a/standins/src/main/java/org/verbenadyke/standins/run/FleetOptions.java
+++ b/standins/src/main/java/org/verbenadyke/standins/run/FleetOptions.java
@@ -7,5 +7,6 @@
  *
  * @param home the folder of the project, with its launchers
  * @param preset the policy of the nodes, standard or baseline
+ * @param ioThreads how many threads of a node serve connections
  */
-public record FleetOptions(Path home, String preset) {}
+public record FleetOptions(Path home, String preset, int ioThreads) {}
--- a/standins/src/main/java/org/verbenadyke/standins/run/QuickstartMain.java
+++ b/standins/src/main/java/org/verbenadyke/standins/run/QuickstartMain.java
@@ -16,6 +16,7 @@
 @CommandLine.Command(name = "quickstart", mixinStandardHelpOptions = true, version = "quickstart 0.1.0")
 public final class QuickstartMain implements Callable<Integer> {
     private static final int MILLIS = 1_000;
+    private static final int IO_THREADS = 1;
 
     @CommandLine.Option(names = "--home", required = true, description = "The folder of the project.")
     private Path home;
@@ -43,7 +44,7 @@
     @Override
     public Integer call() throws Exception {
         Workload w = Workload.read(home.resolve("workloads").resolve(workload + ".ini"));
-        try (Fleet fleet = Fleet.start(w, new FleetOptions(home, preset))) {
+        try (Fleet fleet = Fleet.start(w, new FleetOptions(home, preset, IO_THREADS))) {
             System.out.println("started " + fleet.servers().size() + " servers of " + w.name() + ", a node beside each;"
                     + " their logs are in " + fleet.folder());
             Server victim = fleet.servers().getLast();
