--- a/bench/src/main/java/org/verbenadyke/bench/lab/Capacity.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Capacity.java
@@ -17,6 +17,7 @@
     private static final int[] SIZES = {18, 72, 216};
     private static final int DATA_CENTRES = 18;
     private static final long IDLE = 20 * Lab.SECOND;
+    private static final long WARM_UP = 90 * Lab.SECOND;
     private static final int EVENTS = 10;
 
     private Capacity() {}
@@ -37,23 +38,24 @@
         }
         lab.add(ServiceSpec.of("s", n, 50, 4, Operation.of("read")), places);
         lab.startAll();
-        lab.advance(10 * Lab.SECOND);
+        lab.advance(WARM_UP);
         Map<String, Object> figures = new LinkedHashMap<>();
         long before = lab.net().bytesInDatagrams();
         lab.advance(IDLE);
         long idle = lab.net().bytesInDatagrams() - before;
         figures.put("idleBytesPerNodeAndSecond", idle * Lab.SECOND / IDLE / n);
         before = lab.net().bytesInDatagrams();
+        long began = lab.world().nanos();
         long slowest = 0;
         for (int i = 0; i < EVENTS; i++) {
             LabServer changed = lab.servers().get(i);
             long version = changed.node().core().self().version();
             changed.node().core().drain();
             slowest = Math.max(slowest, spread(lab, changed, version));
-            lab.advance(Lab.SECOND);
+            lab.advance(5 * Lab.SECOND);
         }
         long busy = lab.net().bytesInDatagrams() - before;
-        long share = idle * (EVENTS + slowest / Lab.SECOND) * Lab.SECOND / IDLE;
+        long share = idle * (lab.world().nanos() - began) / IDLE;
         figures.put("bytesPerNodeAndEvent", Math.max(0, busy - share) / EVENTS / n);
         figures.put("slowestSpreadMs", slowest / Lab.MILLI);
         figures.put(
--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
@@ -44,7 +44,8 @@
         this.endpoint = endpoint;
         this.process = process;
         net.attach(endpoint, this);
-        MemberRecord self = new MemberRecord(id, incarnation, 0, MemberState.ALIVE, endpoint, endpoint, place, "", 0);
+        MemberRecord self = new MemberRecord(
+                id, incarnation, 0, MemberState.ALIVE, endpoint, endpoint, place, "", process.wallMillis(), 0);
         this.core = NodeCore.start(
                 new CoreParts(
                         self,
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -52,7 +52,7 @@
         this.counters = parts.counters();
         this.listener = listener;
         this.table = parts.table();
-        this.self = new Self(start);
+        this.self = new Self(start, timers);
         this.peers = new PeerChoice(start.nodeId(), start.place(), parts.random());
         this.detector = new FailureDetector(timers, settings, serial, table, peers, new Host());
         this.comparedNanos = timers.nanos() - COMPARE_NANOS;
@@ -182,7 +182,7 @@
 
     private void round() {
         serial.run(() -> {
-            table.expire(timers.nanos(), settings.keptNanos());
+            table.expire(timers.nanos(), timers.wallMillis(), settings.keptNanos());
             List<MemberRecord> present = table.present();
             List<MemberRecord> drawn = peers.draw(present, 1);
             drawn.forEach(detector::check);
@@ -274,7 +274,7 @@
     private void exchange(Endpoint from, GossipMessage.Buckets theirs) {
         long[] mine = table.bucketDigests();
         List<MemberRecord> differing = new ArrayList<>();
-        for (MemberRecord r : table.records()) {
+        for (MemberRecord r : table.compared()) {
             int bucket = MemberTable.bucket(r.nodeId());
             if (bucket < theirs.digests().size()
                     && mine[bucket] != theirs.digests().get(bucket)) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberRecord.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberRecord.java
@@ -18,6 +18,7 @@
  * @param control where it listens for operators
  * @param place where it stands
  * @param service the service of the upstream beside it, empty if there is none
+ * @param changedMillis when the record was made, in milliseconds since the epoch; tells how long a member is gone
  * @param epoch raised by the node when it was given up and came back, so that its upstream gets a new id
  */
 public record MemberRecord(
@@ -29,6 +30,7 @@
         Endpoint control,
         Place place,
         String service,
+        long changedMillis,
         int epoch) {
     /**
      * Tells whether this record replaces another of the same node.
@@ -50,10 +52,12 @@
      * Returns the record with another state.
      *
      * @param newState the state
+     * @param nowMillis the wall clock's time, in milliseconds since the epoch
      * @return the record, of the same version
      */
-    public MemberRecord in(MemberState newState) {
-        return new MemberRecord(nodeId, incarnation, version, newState, endpoint, control, place, service, epoch);
+    public MemberRecord in(MemberState newState, long nowMillis) {
+        return new MemberRecord(
+                nodeId, incarnation, version, newState, endpoint, control, place, service, nowMillis, epoch);
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 import org.verbenadyke.kernel.routing.Rendezvous;
 import org.verbenadyke.kernel.routing.Upstream;
@@ -17,8 +18,11 @@
     /** How many buckets a digest has. */
     public static final int BUCKETS = 64;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final Map<String, Entry> table = new ConcurrentHashMap<>();
 
+    private final AtomicLongArray digests = new AtomicLongArray(BUCKETS);
     private final Map<String, Departure> departures = new ConcurrentHashMap<>();
 
     private MemberTable() {}
@@ -46,19 +50,34 @@
                 return known;
             }
             noteDeparture(known, record, nowNanos);
-            return Entry.after(known, record, nowNanos);
+            Entry next = Entry.after(known, record, nowNanos);
+            count(known);
+            count(next);
+            return next;
         });
         return merged.record() == record;
     }
 
     /**
-     * Forgets members that left or were given up long ago.
+     * Forgets members that left or were given up long ago. Half that time after they went they are no longer compared
+     * with other nodes, on all nodes at the same wall time, so that none learns of them anew from one that forgets
+     * late.
      *
      * @param nowNanos the time
+     * @param nowMillis the wall clock's time, in milliseconds since the epoch
      * @param keptNanos how long they are kept, in nanoseconds
      */
-    public void expire(long nowNanos, long keptNanos) {
-        table.values().removeIf(e -> !e.record().state().present() && nowNanos - e.since() > keptNanos);
+    public void expire(long nowNanos, long nowMillis, long keptNanos) {
+        long compared = nowMillis - keptNanos / NANOS_PER_MILLI / 2;
+        for (Entry e : table.values()) {
+            if (e.counted() && !e.record().state().present() && e.record().changedMillis() < compared) {
+                Entry quiet = new Entry(e.record(), e.since(), e.fingerprint(), false);
+                if (table.replace(e.record().nodeId(), e, quiet)) {
+                    count(e);
+                }
+            }
+        }
+        table.values().removeIf(e -> !e.counted() && nowNanos - e.since() > keptNanos);
         departures.values().removeIf(d -> nowNanos - d.since() > keptNanos);
     }
 
@@ -131,8 +150,8 @@
      */
     public long digest() {
         long h = 0;
-        for (Entry e : table.values()) {
-            h ^= e.record().fingerprint();
+        for (int i = 0; i < BUCKETS; i++) {
+            h ^= digests.get(i);
         }
         return h;
     }
@@ -143,11 +162,20 @@
      * @return {@link #BUCKETS} hashes
      */
     public long[] bucketDigests() {
-        long[] digests = new long[BUCKETS];
-        for (Entry e : table.values()) {
-            digests[bucket(e.record().nodeId())] ^= e.record().fingerprint();
+        long[] copy = new long[BUCKETS];
+        for (int i = 0; i < BUCKETS; i++) {
+            copy[i] = digests.get(i);
         }
-        return digests;
+        return copy;
+    }
+
+    /**
+     * Lists what is compared with other nodes.
+     *
+     * @return the records that the digests cover
+     */
+    public List<MemberRecord> compared() {
+        return table.values().stream().filter(Entry::counted).map(Entry::record).toList();
     }
 
     /**
@@ -160,6 +188,13 @@
         return (int) Math.floorMod(Rendezvous.hash(nodeId, ""), (long) BUCKETS);
     }
 
+    /** Takes an entry into the digests, or out of them. */
+    private void count(Entry entry) {
+        if (entry != null && entry.counted()) {
+            digests.accumulateAndGet(bucket(entry.record().nodeId()), entry.fingerprint(), (a, b) -> a ^ b);
+        }
+    }
+
     private void noteDeparture(Entry known, MemberRecord record, long now) {
         if (!record.state().present()) {
             note(record, record.state() == MemberState.LEFT, now);
@@ -192,14 +227,16 @@
      *
      * @param record the record
      * @param since when this node learned that the member came or went, in nanoseconds
+     * @param fingerprint the record's hash
+     * @param counted whether the digests cover it
      */
-    public record Entry(MemberRecord record, long since) {
+    public record Entry(MemberRecord record, long since, long fingerprint, boolean counted) {
         static Entry after(Entry known, MemberRecord record, long now) {
             boolean same = known != null
                     && known.record().incarnation() == record.incarnation()
                     && known.record().epoch() == record.epoch()
                     && known.record().state().present() == record.state().present();
-            return new Entry(record, same ? known.since() : now);
+            return new Entry(record, same ? known.since() : now, record.fingerprint(), true);
         }
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Self.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Self.java
@@ -3,13 +3,17 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 
+import org.verbenadyke.kernel.time.TimerService;
+
 /**
  * The record that a node keeps of itself; nobody else raises its version.
  */
 final class Self {
+    private final TimerService timers;
     private final AtomicReference<MemberRecord> record;
 
-    Self(MemberRecord start) {
+    Self(MemberRecord start, TimerService timers) {
+        this.timers = timers;
         this.record = new AtomicReference<>(start);
     }
 
@@ -37,8 +41,17 @@
                 r -> next(r, Math.max(r.version(), said.version()) + 1, r.state(), r.service(), r.epoch() + more)));
     }
 
-    private static MemberRecord next(MemberRecord r, long version, MemberState state, String service, int epoch) {
+    private MemberRecord next(MemberRecord r, long version, MemberState state, String service, int epoch) {
         return new MemberRecord(
-                r.nodeId(), r.incarnation(), version, state, r.endpoint(), r.control(), r.place(), service, epoch);
+                r.nodeId(),
+                r.incarnation(),
+                version,
+                state,
+                r.endpoint(),
+                r.control(),
+                r.place(),
+                service,
+                timers.wallMillis(),
+                epoch);
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/membership/MemberTableTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/membership/MemberTableTest.java
@@ -60,6 +60,21 @@
         assertFalse(table.departures().iterator().next().planned());
     }
 
+    @Test
+    void forgetsTheGoneWithoutLearningThemAnew() {
+        long hour = 3_600_000_000_000L;
+        MemberTable early = MemberTable.empty();
+        MemberTable late = MemberTable.empty();
+        early.merge(record("a", 1, 0, MemberState.LEFT), 0);
+        late.merge(record("a", 1, 0, MemberState.LEFT), hour);
+        early.expire(hour + 1, hour / 1_000_000, hour);
+        late.expire(hour + 1, hour / 1_000_000, hour);
+        assertEquals(0, early.records().size());
+        assertEquals(1, late.records().size());
+        assertEquals(early.digest(), late.digest());
+        assertEquals(List.of(), late.compared());
+    }
+
     private static long digest(List<MemberRecord> news) {
         MemberTable table = MemberTable.empty();
         news.forEach(r -> table.merge(r, 0));
@@ -67,6 +82,6 @@
     }
 
     private static MemberRecord record(String node, long incarnation, long version, MemberState state) {
-        return new MemberRecord(node, incarnation, version, state, END, END, new Place("r", "d"), "s", 0);
+        return new MemberRecord(node, incarnation, version, state, END, END, new Place("r", "d"), "s", 0, 0);
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -82,6 +82,7 @@
                 settings.control(),
                 settings.place(),
                 "",
+                timers.wallMillis(),
                 0);
         CoreParts parts = new CoreParts(
                 self,
--- /dev/null
+++ b/wire/src/main/java/org/verbenadyke/wire/Buffers.java
@@ -0,0 +1,27 @@
+package org.verbenadyke.wire;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Makes packers and unpackers with small buffers: most frames are a few hundred bytes, and the library's own buffers of
+ * 8 KiB each would be most of what a call allocates.
+ */
+final class Buffers {
+    private static final int PACK_BYTES = 512;
+    private static final int STRING_BYTES = 64;
+    private static final MessagePack.PackerConfig PACKER = new MessagePack.PackerConfig().withBufferSize(PACK_BYTES);
+    private static final MessagePack.UnpackerConfig UNPACKER =
+            new MessagePack.UnpackerConfig().withBufferSize(PACK_BYTES).withStringDecoderBufferSize(STRING_BYTES);
+
+    private Buffers() {}
+
+    static MessageBufferPacker packer() {
+        return PACKER.newBufferPacker();
+    }
+
+    static MessageUnpacker unpacker(byte[] bytes) {
+        return UNPACKER.newUnpacker(bytes);
+    }
+}
--- a/wire/src/main/java/org/verbenadyke/wire/ConfigCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/ConfigCodec.java
@@ -7,7 +7,6 @@
 import java.util.TreeSet;
 
 import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -41,7 +40,7 @@
 
     @Override
     public byte[] encode(ConfigEntry entry) {
-        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker p = Buffers.packer()) {
             switch (entry) {
                 case ConfigEntry.Change c -> packChange(p, c);
                 case ConfigEntry.Snapshot s -> {
@@ -57,7 +56,7 @@
 
     @Override
     public ConfigEntry decode(byte[] bytes) {
-        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker u = Buffers.unpacker(bytes)) {
             byte kind = u.unpackByte();
             return switch (kind) {
                 case CHANGE -> unpackChange(u);
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -5,7 +5,6 @@
 import java.util.List;
 
 import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -42,7 +41,7 @@
      * @return the frame without its length
      */
     public static byte[] encode(Message message) {
-        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker p = Buffers.packer()) {
             p.packByte(FrameType.of(message).number());
             pack(p, message);
             return p.toByteArray();
@@ -59,7 +58,7 @@
      * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
      */
     public static Message decode(byte[] frame) {
-        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(frame)) {
+        try (MessageUnpacker u = Buffers.unpacker(frame)) {
             Message message = unpack(u, FrameType.numbered(u.unpackByte()));
             if (u.hasNext()) {
                 throw malformed("bytes after the message");
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -5,7 +5,6 @@
 import java.util.List;
 
 import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -39,7 +38,7 @@
      * @return its bytes
      */
     public static byte[] encode(GossipMessage message) {
-        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker p = Buffers.packer()) {
             pack(p, message);
             return p.toByteArray();
         } catch (IOException e) {
@@ -55,7 +54,7 @@
      * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
      */
     public static GossipMessage decode(byte[] bytes) {
-        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker u = Buffers.unpacker(bytes)) {
             return unpack(u);
         } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
             throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "datagram");
--- a/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 
 import org.msgpack.core.MessageBufferPacker;
-import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
@@ -32,7 +31,7 @@
 
     @Override
     public byte[] encode(MemberRecord record) {
-        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker p = Buffers.packer()) {
             pack(p, record);
             return p.toByteArray();
         } catch (IOException e) {
@@ -42,7 +41,7 @@
 
     @Override
     public MemberRecord decode(byte[] bytes) {
-        try (MessageUnpacker u = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker u = Buffers.unpacker(bytes)) {
             return unpack(u);
         } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
             throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "member record");
@@ -55,7 +54,7 @@
         p.packString(r.endpoint().host()).packInt(r.endpoint().port());
         p.packString(r.control().host()).packInt(r.control().port());
         p.packString(r.place().region()).packString(r.place().dataCentre());
-        p.packString(r.service()).packInt(r.epoch());
+        p.packString(r.service()).packLong(r.changedMillis()).packInt(r.epoch());
     }
 
     static MemberRecord unpack(MessageUnpacker u) throws IOException {
@@ -68,6 +67,7 @@
                 new Endpoint(u.unpackString(), u.unpackInt()),
                 new Place(u.unpackString(), u.unpackString()),
                 u.unpackString(),
+                u.unpackLong(),
                 u.unpackInt());
     }
 }
--- /dev/null
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -0,0 +1,95 @@
+package org.verbenadyke.wire;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.once.KeptAnswer;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Tests {@link FrameCodec}, with bytes changed at random too. */
+final class FrameCodecTest {
+    private static final CallId ID = new CallId(-3, 9);
+    private static final Message.Report REPORT = new Message.Report(1, 2, 3, true);
+    private static final List<HeaderField> HEADERS = List.of(new HeaderField("a", "b"), new HeaderField("ü", ""));
+    private static final int CHANGES = 20_000;
+
+    private final List<Message> messages = List.of(
+            new Message.Hello(1, "n", 5),
+            new Message.Heartbeat(Long.MIN_VALUE),
+            new Message.Call(
+                    ID,
+                    new RequestId(7, 8),
+                    new Message.Target("s", "u"),
+                    Importance.HIGH,
+                    19,
+                    5,
+                    6,
+                    true,
+                    "key",
+                    new Message.Content("GET", "/x?y", HEADERS, new byte[] {1, 2, 3})),
+            new Message.Head(ID, 200, HEADERS, true, REPORT),
+            new Message.Data(ID, 1L << 40, new byte[20_000]),
+            new Message.End(ID, 3),
+            new Message.Refused(ID, Refusal.notRun(RefusalReason.SEALED, 4), REPORT),
+            new Message.Credit(ID, 5),
+            new Message.Cancel(ID),
+            new Message.Spend(ID, 6),
+            new Message.Grant(ID, 6, false),
+            new Message.Inquire(ID),
+            new Message.KeyAsk(1, "me", true, "k"),
+            new Message.KeyTold(1, new Message.KeyFact.Unsure()),
+            new Message.KeyTold(1, new Message.KeyFact.Known(2, new KeptAnswer.Whole(201, HEADERS, new byte[] {4}))),
+            new Message.KeyHandOn("k", 2, new KeptAnswer.Lost(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN))),
+            new Message.KeysHandedOn("u"));
+
+    @Test
+    void everyMessageComesBackAsItWas() {
+        for (Message m : messages) {
+            byte[] frame = FrameCodec.encode(m);
+            assertArrayEquals(
+                    frame,
+                    FrameCodec.encode(FrameCodec.decode(frame)),
+                    m.getClass().getSimpleName());
+            assertEquals(m.getClass(), FrameCodec.decode(frame).getClass());
+        }
+    }
+
+    @Test
+    void rejectsAFrameWithBytesAfterTheMessage() {
+        byte[] frame = FrameCodec.encode(new Message.Cancel(ID));
+        byte[] longer = Arrays.copyOf(frame, frame.length + 1);
+        VerbenadykeException e = assertThrows(VerbenadykeException.class, () -> FrameCodec.decode(longer));
+        assertEquals(ErrorCode.FRAME_MALFORMED, e.code());
+    }
+
+    @Test
+    void aChangedFrameIsDecodedOrRejectedButNothingElse() {
+        SplittableRandom random = new SplittableRandom(11);
+        for (int i = 0; i < CHANGES; i++) {
+            byte[] frame = FrameCodec.encode(messages.get(random.nextInt(messages.size())));
+            int changes = 1 + random.nextInt(3);
+            for (int c = 0; c < changes; c++) {
+                frame[random.nextInt(Math.min(frame.length, 200))] = (byte) random.nextInt();
+            }
+            try {
+                FrameCodec.decode(frame);
+            } catch (VerbenadykeException e) {
+                assertEquals(ErrorCode.FRAME_MALFORMED, e.code());
+            }
+        }
+    }
+}
