--- a/bench/src/main/java/org/verbenadyke/bench/BenchMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/BenchMain.java
@@ -7,6 +7,7 @@
 
 import org.verbenadyke.bench.decisions.Decisions;
 import org.verbenadyke.bench.lab.Scenarios;
+import org.verbenadyke.bench.real.Downloads;
 import org.verbenadyke.bench.real.Overhead;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -79,6 +80,7 @@
         all.put("config", new Scenario("how long a change takes to be in force everywhere", Scenarios::config));
         all.put("outage", new Scenario("goodput through an outage of the log", Scenarios::outage));
         all.put("overhead", new Scenario("what two nodes add to a call", (w, s) -> Overhead.run(home(), ioThreads)));
+        all.put("download", new Scenario("lookups beside large answers", (w, s) -> Downloads.run(home())));
         all.put("capacity", new Scenario("how control traffic grows with nodes and events", Scenarios::capacity));
         all.put("decisions", new Scenario("nanoseconds and bytes of single decisions", (w, s) -> Decisions.run()));
         return all;
--- /dev/null
+++ b/bench/src/main/java/org/verbenadyke/bench/real/ProcessSoak.java
@@ -0,0 +1,276 @@
+package org.verbenadyke.bench.real;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.standins.caller.Caller;
+import org.verbenadyke.standins.caller.CallerOutcome;
+import org.verbenadyke.standins.caller.EffectsReader;
+import org.verbenadyke.standins.run.Fleet;
+import org.verbenadyke.standins.run.FleetOptions;
+import org.verbenadyke.standins.run.Server;
+import org.verbenadyke.standins.run.UuidV7;
+import org.verbenadyke.standins.run.Workload;
+
+import io.servicetalk.http.api.BlockingHttpClient;
+import io.servicetalk.http.netty.HttpClients;
+
+/**
+ * A randomised run of real processes with real signals: kills, pauses past every patience, planned restarts, outages
+ * and slowness of the log. Callers send filings again under the same key through other nodes. The faults are the same
+ * for a seed; the timing of a real machine is not.
+ */
+public final class ProcessSoak {
+    private static final long GAP_MILLIS = 10;
+    private static final long DEADLINE_MILLIS = 2_500;
+    private static final long SETTLE_MILLIS = 14_000;
+    private static final int FAULT_MOST_MILLIS = 6_000;
+    private static final double RESEND_SHARE = 0.5;
+    private static final long RESEND_MILLIS = 1_500;
+    private static final int READY_TRIES = 200;
+
+    private final Workload workload;
+    private final Fleet fleet;
+    private final Random random;
+    private final Map<String, List<CallerOutcome>> filings = new ConcurrentHashMap<>();
+    private final Map<String, Integer> answers = new ConcurrentSkipListMap<>();
+    private final Map<String, Integer> faults = new TreeMap<>();
+    private final List<String> violations = new ArrayList<>();
+    private final List<Pending> resends = new ArrayList<>();
+    private final AtomicInteger sent = new AtomicInteger();
+    private Caller caller;
+    private Runnable cure = () -> {};
+    private long cureAt = Long.MAX_VALUE;
+
+    private ProcessSoak(Workload workload, Fleet fleet, long seed) {
+        this.workload = workload;
+        this.fleet = fleet;
+        this.random = new Random(seed);
+    }
+
+    /**
+     * Runs.
+     *
+     * @param home the folder of the project
+     * @param seed chooses the faults
+     * @param seconds how long demand and faults last
+     * @return the broken promises, in words
+     * @throws Exception when the processes can't be started
+     */
+    public static List<String> run(Path home, long seed, int seconds) throws Exception {
+        Workload workload = Workload.read(home.resolve("workloads").resolve("heatwell.ini"));
+        try (Fleet fleet = Fleet.start(workload, new FleetOptions(home, "standard", 1))) {
+            ProcessSoak soak = new ProcessSoak(workload, fleet, seed);
+            soak.caller = Caller.of(
+                    workload, fleet.servers().stream().map(Server::entry).toList());
+            soak.awaitReady();
+            soak.load(seconds * 1_000L);
+            Thread.sleep(SETTLE_MILLIS);
+            soak.check();
+            soak.caller.close();
+            System.out.println("answers " + soak.answers);
+            System.out.println("faults " + soak.faults);
+            int n = soak.faults.values().stream().mapToInt(Integer::intValue).sum();
+            System.out.println("soak: seed " + seed + ", " + soak.sent + " requests, " + n + " faults, "
+                    + soak.violations.size() + " violations");
+            return soak.violations;
+        }
+    }
+
+    private void awaitReady() throws InterruptedException {
+        for (int i = 0; i < READY_TRIES; i++) {
+            AtomicInteger whole = new AtomicInteger();
+            for (Server s : fleet.servers()) {
+                caller.send(workload.requests().getFirst(), "ready", "", DEADLINE_MILLIS, o -> {
+                    if (o instanceof CallerOutcome.Whole) {
+                        whole.incrementAndGet();
+                    }
+                });
+            }
+            Thread.sleep(GAP_MILLIS * 30);
+            if (whole.get() == fleet.servers().size()) {
+                return;
+            }
+        }
+        throw new IllegalStateException("the fleet did not become ready");
+    }
+
+    private void load(long millis) throws IOException, InterruptedException {
+        long end = System.currentTimeMillis() + millis;
+        long next = System.currentTimeMillis() + FAULT_MOST_MILLIS / 2;
+        while (System.currentTimeMillis() < end) {
+            long now = System.currentTimeMillis();
+            if (now >= cureAt) {
+                cureAt = Long.MAX_VALUE;
+                cure.run();
+                next = now + random.nextInt(FAULT_MOST_MILLIS);
+            }
+            if (now >= next && cureAt == Long.MAX_VALUE) {
+                provoke();
+                next = Long.MAX_VALUE;
+            }
+            sendOne();
+            sendAgain(now);
+            TimeUnit.MILLISECONDS.sleep(GAP_MILLIS);
+        }
+        cure.run();
+    }
+
+    private void sendOne() {
+        Workload.RequestKind kind =
+                workload.requests().get(random.nextInt(workload.requests().size()));
+        String id = kind.name() + "-" + sent.incrementAndGet();
+        String key = kind.once() ? UuidV7.at(System.currentTimeMillis(), random).toString() : "";
+        send(kind, id, key);
+        if (kind.once() && random.nextDouble() < RESEND_SHARE) {
+            resends.add(new Pending(kind, id, key, System.currentTimeMillis() + RESEND_MILLIS));
+        }
+    }
+
+    private void sendAgain(long now) {
+        List<Pending> due = resends.stream().filter(p -> p.at() <= now).toList();
+        resends.removeAll(due);
+        due.forEach(p -> send(p.kind(), p.id(), p.key()));
+    }
+
+    private void send(Workload.RequestKind kind, String id, String key) {
+        if (kind.once()) {
+            filings.computeIfAbsent(id, i -> new CopyOnWriteArrayList<>());
+        }
+        caller.send(kind, id, key, DEADLINE_MILLIS, outcome -> {
+            answers.merge(label(outcome), 1, Integer::sum);
+            if (kind.once()) {
+                filings.get(id).add(outcome);
+            } else if (outcome instanceof CallerOutcome.Lost l && l.why().startsWith("another body")) {
+                answers.merge("WRONG", 1, Integer::sum);
+            }
+        });
+    }
+
+    private void provoke() throws IOException {
+        List<Server> all = fleet.servers();
+        Server server = all.get(random.nextInt(all.size()));
+        long length = 500 + random.nextInt(FAULT_MOST_MILLIS);
+        int kind = random.nextInt(5);
+        switch (kind) {
+            case 0 -> fault("kill", length, () -> destroy(server, true), () -> restart(server));
+            case 1 -> fault("pause", length, () -> signal(server, "-STOP"), () -> signal(server, "-CONT"));
+            case 2 -> fault("restart", length + FAULT_MOST_MILLIS, () -> destroy(server, false), () -> restart(server));
+            case 3 -> fault("log outage", length, () -> log("outage=true"), () -> log("outage=false"));
+            default -> fault("log slow", length, () -> log("slow-ms=700"), () -> log("slow-ms=0"));
+        }
+    }
+
+    private void fault(String name, long length, Runnable provoke, Runnable heal) {
+        faults.merge(name, 1, Integer::sum);
+        provoke.run();
+        cure = () -> {
+            heal.run();
+            cure = () -> {};
+        };
+        cureAt = System.currentTimeMillis() + length;
+    }
+
+    private void destroy(Server server, boolean kill) {
+        for (Process p : List.of(server.upstream().orElseThrow(), server.node().orElseThrow())) {
+            if (kill) {
+                p.destroyForcibly();
+            } else {
+                p.destroy();
+            }
+        }
+    }
+
+    private void restart(Server server) {
+        try {
+            for (Process p :
+                    List.of(server.upstream().orElseThrow(), server.node().orElseThrow())) {
+                p.waitFor();
+            }
+            fleet.restart(server);
+        } catch (IOException e) {
+            violations.add("restart of " + server.id() + " failed: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void signal(Server server, String signal) {
+        try {
+            new ProcessBuilder(
+                            "kill",
+                            signal,
+                            Long.toString(server.node().orElseThrow().pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException e) {
+            violations.add("signal failed: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void log(String switches) {
+        Endpoint log = fleet.log();
+        try (BlockingHttpClient client =
+                HttpClients.forSingleAddress(log.host(), log.port()).buildBlocking()) {
+            client.request(client.put("/switches?" + switches));
+        } catch (Exception e) {
+            violations.add("the log stand-in took no switch: " + e.getMessage());
+        }
+    }
+
+    private void check() throws Exception {
+        Map<String, Integer> runs = EffectsReader.runs(fleet.log());
+        filings.forEach((id, outcomes) -> {
+            int n = runs.getOrDefault(id, 0);
+            if (n > 1) {
+                violations.add("ran " + n + " times: " + id + " " + outcomes);
+            }
+            boolean allNotRun = !outcomes.isEmpty()
+                    && outcomes.stream()
+                            .allMatch(o -> o instanceof CallerOutcome.Refused r
+                                    && r.runState().equals("not-run"));
+            if (allNotRun && n > 0) {
+                violations.add("refused as not run but ran: " + id + " " + outcomes);
+            }
+            boolean whole = outcomes.stream().anyMatch(CallerOutcome.Whole.class::isInstance);
+            if (whole && n == 0) {
+                violations.add("answered but never ran: " + id);
+            }
+        });
+        if (answers.containsKey("WRONG")) {
+            violations.add("wrong bodies: " + answers.get("WRONG"));
+        }
+    }
+
+    private static String label(CallerOutcome outcome) {
+        return switch (outcome) {
+            case CallerOutcome.Whole w -> "whole";
+            case CallerOutcome.Refused r -> r.runState() + " " + r.reason();
+            case CallerOutcome.Failed f -> "failed " + f.status();
+            case CallerOutcome.Lost l -> "connection to a killed or paused entry lost";
+        };
+    }
+
+    /**
+     * A filing to be sent again.
+     *
+     * @param kind what it asks for
+     * @param id its id
+     * @param key its key
+     * @param at when, in milliseconds since the epoch
+     */
+    private record Pending(Workload.RequestKind kind, String id, String key, long at) {}
+}
--- a/standins/src/main/java/org/verbenadyke/standins/log/LogStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/log/LogStandIn.java
@@ -30,11 +30,13 @@
 
 /**
  * Stands in for the platform's log service: append, read with a long poll, limited retention, and switches for outage,
- * slowness and answers lost after the append took effect.
+ * slowness and answers lost after the append took effect. The stream of effects stands for the upstreams' database and
+ * is spared.
  */
 public final class LogStandIn implements AutoCloseable {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final String STREAMS = "/streams/";
+    private static final String EFFECTS = STREAMS + "effects";
     private static final int BATCH = 1_000;
     private static final Duration POLL = Duration.ofMillis(10);
 
@@ -72,7 +74,8 @@
         if (!request.path().startsWith(STREAMS)) {
             return Single.succeeded(answers.notFound());
         }
-        if (switches.outage()) {
+        boolean database = request.path().equals(EFFECTS);
+        if (switches.outage() && !database) {
             return Single.succeeded(answers.serviceUnavailable());
         }
         LogStream stream = streams.computeIfAbsent(request.path().substring(STREAMS.length()), n -> new LogStream());
@@ -80,7 +83,7 @@
         Single<HttpResponse> answer = request.method().equals(HttpRequestMethod.POST)
                 ? append(stream, request, answers)
                 : read(stream, request, answers, executor);
-        long slow = switches.slowMillis();
+        long slow = database ? 0 : switches.slowMillis();
         return slow == 0 ? answer : executor.timer(Duration.ofMillis(slow)).concat(answer);
     }
 
