--- a/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
-import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.dispatch.CallHandle;
@@ -303,36 +302,16 @@
     /**
      * Collects the answer of a call below.
      */
-    private final class Collected implements AnswerSink {
+    private final class Collected extends CollectingSink {
         private final Consumer<Optional<String>> taker;
-        private final StringBuilder text = new StringBuilder();
-        private CallHandle handle;
-        private int status;
 
         private Collected(Consumer<Optional<String>> taker) {
             this.taker = taker;
         }
 
-        void steer(CallHandle newHandle) {
-            handle = newHandle;
-        }
-
-        @Override
-        public void head(int newStatus, List<HeaderField> headers) {
-            status = newStatus;
-        }
-
-        @Override
-        public void data(byte[] bytes) {
-            text.append(new String(bytes, StandardCharsets.UTF_8));
-            if (handle != null) {
-                handle.credit(bytes.length);
-            }
-        }
-
         @Override
         public void end() {
-            done(status == OK ? Optional.of(text.toString()) : Optional.empty());
+            done(status() == OK ? Optional.of(text()) : Optional.empty());
         }
 
         @Override
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
@@ -9,6 +9,8 @@
 
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.ledger.Breach;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.time.VirtualTimerService;
@@ -68,18 +70,19 @@
     /** Starts a server's processes with nothing kept. */
     void start(LabServer server) {
         NodeTimers nodeProcess = new NodeTimers(world);
-        LabNode node = LabNode.start(
+        Endpoint endpoint = server.endpoint();
+        MemberRecord self = new MemberRecord(
                 server.id(),
                 incarnations++,
-                server.endpoint(),
+                0,
+                MemberState.ALIVE,
+                endpoint,
+                endpoint,
                 server.place(),
-                List.of(),
-                nodeProcess,
-                net,
-                log.seenBy(nodeProcess),
-                random,
-                settings,
-                breaches::add);
+                "",
+                world.wallMillis(),
+                0);
+        LabNode node = LabNode.start(self, nodeProcess, net, log.seenBy(nodeProcess), random, settings, breaches::add);
         FakeUpstream upstream = new FakeUpstream(server.spec(), new NodeTimers(world), random, effects);
         upstream.beside(node);
         if (naive) {
--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabCaller.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabCaller.java
@@ -1,16 +1,12 @@
 package org.verbenadyke.bench.lab;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
-import org.verbenadyke.kernel.call.AnswerSink;
-import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Refusal;
-import org.verbenadyke.kernel.dispatch.CallHandle;
 import org.verbenadyke.kernel.engine.Inbound;
 import org.verbenadyke.kernel.message.Message;
 
@@ -66,13 +62,10 @@
     /**
      * Checks one answer.
      */
-    private static final class Sink implements AnswerSink {
+    private static final class Sink extends CollectingSink {
         private final String expected;
         private final int bytes;
         private final Consumer<LabAnswer> taker;
-        private final StringBuilder text = new StringBuilder();
-        private CallHandle handle;
-        private int status;
 
         private Sink(String expected, int bytes, Consumer<LabAnswer> taker) {
             this.expected = expected;
@@ -80,33 +73,15 @@
             this.taker = taker;
         }
 
-        void steer(CallHandle newHandle) {
-            handle = newHandle;
-        }
-
-        @Override
-        public void head(int newStatus, List<HeaderField> headers) {
-            status = newStatus;
-        }
-
-        @Override
-        public void data(byte[] part) {
-            text.append(new String(part, StandardCharsets.ISO_8859_1));
-            if (handle != null) {
-                handle.credit(part.length);
-            }
-        }
-
         @Override
         public void end() {
-            if (status != OK) {
-                taker.accept(new LabAnswer.Failed(status));
+            if (status() != OK) {
+                taker.accept(new LabAnswer.Failed(status()));
                 return;
             }
-            boolean whole = bytes == 0
-                    ? text.toString().equals(expected)
-                    : text.length() == bytes && text.toString().startsWith(expected);
-            taker.accept(whole ? new LabAnswer.Whole() : new LabAnswer.Wrong(text.toString()));
+            boolean whole =
+                    bytes == 0 ? text().equals(expected) : text().length() == bytes && text().startsWith(expected);
+            taker.accept(whole ? new LabAnswer.Whole() : new LabAnswer.Wrong(text()));
         }
 
         @Override
--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
@@ -13,10 +13,8 @@
 import org.verbenadyke.kernel.log.LogService;
 import org.verbenadyke.kernel.membership.GossipMessage;
 import org.verbenadyke.kernel.membership.MemberRecord;
-import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.wire.ConfigCodec;
 import org.verbenadyke.wire.MemberCodec;
 
@@ -27,29 +25,28 @@
     private final Endpoint endpoint;
     private final NodeTimers process;
     private final Counters counters = Counters.create();
-    private final NodeCore core;
+    private NodeCore core;
 
-    private LabNode(
-            String id,
-            long incarnation,
-            Endpoint endpoint,
-            Place place,
-            List<Endpoint> seeds,
+    private LabNode(Endpoint endpoint, NodeTimers process) {
+        this.endpoint = endpoint;
+        this.process = process;
+    }
+
+    static LabNode start(
+            MemberRecord self,
             NodeTimers process,
             VirtualNet net,
             LogService log,
             RandomGenerator random,
             CoreSettings settings,
             Consumer<Breach> breaches) {
-        this.endpoint = endpoint;
-        this.process = process;
-        net.attach(endpoint, this);
-        MemberRecord self = new MemberRecord(
-                id, incarnation, 0, MemberState.ALIVE, endpoint, endpoint, place, "", process.wallMillis(), 0);
-        this.core = NodeCore.start(
+        Endpoint endpoint = self.endpoint();
+        LabNode node = new LabNode(endpoint, process);
+        net.attach(endpoint, node);
+        node.core = NodeCore.start(
                 new CoreParts(
                         self,
-                        seeds,
+                        List.of(),
                         process,
                         net.transport(endpoint),
                         (to, message) -> net.datagram(endpoint, to, message),
@@ -57,24 +54,10 @@
                         MemberCodec.create(),
                         ConfigCodec.create(),
                         () -> random,
-                        counters,
+                        node.counters,
                         Ledger.watching(breaches)),
                 settings);
-    }
-
-    static LabNode start(
-            String id,
-            long incarnation,
-            Endpoint endpoint,
-            Place place,
-            List<Endpoint> seeds,
-            NodeTimers process,
-            VirtualNet net,
-            LogService log,
-            RandomGenerator random,
-            CoreSettings settings,
-            Consumer<Breach> breaches) {
-        return new LabNode(id, incarnation, endpoint, place, seeds, process, net, log, random, settings, breaches);
+        return node;
     }
 
     Endpoint endpoint() {
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -16,8 +16,8 @@
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.ledger.Ledger;
-import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -39,11 +39,10 @@
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final Counters counters = Counters.create();
     private final List<String> got = new ArrayList<>();
-    private final List<Message.Call> calls = new ArrayList<>();
-    private final List<Message> others = new ArrayList<>();
     private final SplittableRandom random = new SplittableRandom(1);
     private final Router router = Router.create("me", PLACE, 8, new TwoChoicesProvider().create(), () -> random, true);
-    private FakeLink link = new FakeLink();
+    private final List<RecordingLink> links = new ArrayList<>(List.of(new RecordingLink()));
+    private RecordingLink link = links.getFirst();
     private final Dispatcher dispatcher = Dispatcher.create(
             new Dispatcher.Parts(
                     9,
@@ -81,7 +80,7 @@
     @Test
     void dropsLateAndRepeatedParts() {
         send(true, 2);
-        CallId id = calls.getFirst().id();
+        CallId id = calls().getFirst().id();
         dispatcher.received(link, new Message.Head(id, 200, List.of(), false, CALM));
         dispatcher.received(link, new Message.Head(id, 200, List.of(), false, CALM));
         dispatcher.received(link, new Message.Data(id, 0, "ab".getBytes()));
@@ -94,7 +93,7 @@
     @Test
     void neverPassesAShortAnswerOnAsWhole() {
         send(true, 2);
-        CallId id = calls.getFirst().id();
+        CallId id = calls().getFirst().id();
         dispatcher.received(link, new Message.Head(id, 200, List.of(), false, CALM));
         dispatcher.received(link, new Message.Data(id, 0, "ab".getBytes()));
         dispatcher.received(link, new Message.End(id, 5));
@@ -105,19 +104,19 @@
     void retriesAFailureOnAnotherUpstreamWithinTheBudget() {
         send(true, 1);
         answer(0, 500, "");
-        assertEquals(2, calls.size());
-        assertTrue(!calls.get(0).target().equals(calls.get(1).target()));
+        assertEquals(2, calls().size());
+        assertTrue(!calls().get(0).target().equals(calls().get(1).target()));
         answer(1, 500, "");
-        assertEquals(2, calls.size());
+        assertEquals(2, calls().size());
         assertEquals(List.of("head 500", "end"), got);
     }
 
     @Test
     void passesASettledFailureUp() {
         send(true, 5);
-        CallId id = calls.getFirst().id();
+        CallId id = calls().getFirst().id();
         dispatcher.received(link, new Message.Head(id, 502, List.of(), true, CALM));
-        assertEquals(1, calls.size());
+        assertEquals(1, calls().size());
         assertEquals(List.of("head 502"), got);
     }
 
@@ -125,14 +124,14 @@
     void neverRetriesWhatMayRunOnlyOnce() {
         send(false, 5);
         answer(0, 500, "");
-        assertEquals(1, calls.size());
+        assertEquals(1, calls().size());
     }
 
     @Test
     void sendsElsewhereWhatALeavingUpstreamRefused() {
         send(false, 0);
         refuse(0, RunState.NOT_RUN, RefusalReason.DRAINING);
-        assertEquals(2, calls.size());
+        assertEquals(2, calls().size());
         answer(1, 200, "x");
         assertEquals(List.of("head 200", "data x", "end"), got);
     }
@@ -140,25 +139,25 @@
     @Test
     void asksOverANewConnectionWhatBecameOfAFiling() {
         send(false, 2);
-        FakeLink silent = link;
-        link = new FakeLink();
-        silent.closed = true;
+        RecordingLink silent = link;
+        renewLink();
+        silent.close();
         dispatcher.linkLost(silent);
-        assertEquals(1, calls.size());
-        assertEquals(List.of(new Message.Inquire(calls.getFirst().id())), others);
+        assertEquals(1, calls().size());
+        assertEquals(List.of(new Message.Inquire(calls().getFirst().id())), link.sent());
         refuse(0, RunState.NOT_RUN, RefusalReason.SEALED);
-        assertEquals(2, calls.size());
+        assertEquals(2, calls().size());
     }
 
     @Test
     void movesAnIdempotentRequestToANewConnectionOfTheSameUpstream() {
         send(true, 1);
-        FakeLink silent = link;
-        link = new FakeLink();
-        silent.closed = true;
+        RecordingLink silent = link;
+        renewLink();
+        silent.close();
         dispatcher.linkLost(silent);
-        assertEquals(2, calls.size());
-        assertEquals(calls.get(0).target(), calls.get(1).target());
+        assertEquals(2, calls().size());
+        assertEquals(calls().get(0).target(), calls().get(1).target());
     }
 
     @Test
@@ -177,19 +176,28 @@
         send(true, 2);
         Message.Report full = new Message.Report(10, 10, Importance.RANKS, false);
         for (int i = 0; i < 2; i++) {
-            dispatcher.received(link, new Message.Refused(calls.get(i).id(), notRun(RefusalReason.SHED_LEVEL), full));
+            dispatcher.received(link, new Message.Refused(calls().get(i).id(), notRun(RefusalReason.SHED_LEVEL), full));
         }
         assertEquals(1, got.size());
-        int before = calls.size();
+        int before = calls().size();
         send(true, 2);
-        assertEquals(before, calls.size());
+        assertEquals(before, calls().size());
         assertTrue(got.get(1).startsWith("refused NOT_RUN SHED_EARLY"), got.toString());
     }
 
+    private void renewLink() {
+        link = new RecordingLink();
+        links.add(link);
+    }
+
+    private List<Message.Call> calls() {
+        return links.stream().flatMap(l -> l.calls().stream()).toList();
+    }
+
     private void send(boolean idempotent, int budget) {
         Message.Content content = new Message.Content(idempotent ? "GET" : "POST", "/read/1", List.of(), new byte[0]);
         Request request = new Request(
-                new RequestId(9, calls.size() + 1),
+                new RequestId(9, calls().size() + 1),
                 "",
                 "s",
                 content,
@@ -204,7 +212,7 @@
     }
 
     private void answer(int call, int status, String body) {
-        CallId id = calls.get(call).id();
+        CallId id = calls().get(call).id();
         dispatcher.received(link, new Message.Head(id, status, List.of(), false, CALM));
         if (!body.isEmpty()) {
             dispatcher.received(link, new Message.Data(id, 0, body.getBytes()));
@@ -213,47 +221,13 @@
     }
 
     private void refuse(int call, RunState state, RefusalReason reason) {
-        dispatcher.received(link, new Message.Refused(calls.get(call).id(), new Refusal(state, reason, 0), CALM));
+        dispatcher.received(link, new Message.Refused(calls().get(call).id(), new Refusal(state, reason, 0), CALM));
     }
 
     private static Refusal notRun(RefusalReason reason) {
         return Refusal.notRun(reason, 1);
     }
 
-    /** Notes what is sent. */
-    private final class FakeLink implements Link {
-        private boolean closed;
-
-        @Override
-        public void send(Message message) {
-            if (message instanceof Message.Call c) {
-                calls.add(c);
-            } else if (!(message instanceof Message.Cancel)) {
-                others.add(message);
-            }
-        }
-
-        @Override
-        public void close() {
-            closed = true;
-        }
-
-        @Override
-        public long peerClock() {
-            return 1;
-        }
-
-        @Override
-        public void awaiting(int more) {
-            // Not looked at here.
-        }
-
-        @Override
-        public boolean closed() {
-            return closed;
-        }
-    }
-
     /** Notes what the caller gets. */
     private final class Sink implements AnswerSink {
         @Override
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -15,8 +15,8 @@
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.ledger.Breach;
 import org.verbenadyke.kernel.ledger.Ledger;
-import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.KeyTable;
@@ -36,7 +36,7 @@
     private final List<Breach> breaches = new ArrayList<>();
     private final List<UpstreamPort.Listener> handed = new ArrayList<>();
     private final List<String> cancelled = new ArrayList<>();
-    private final FakeLink link = new FakeLink();
+    private final RecordingLink link = new RecordingLink();
     private final CallServer server = CallServer.create(
             new CallServer.Parts(
                     clock, () -> new SplittableRandom(1), counters, Ledger.watching(breaches::add), KeyClaims.alone()),
@@ -48,6 +48,7 @@
             Gate.of(GateSettings.standard(), FixedLimit.of(1)),
             KeyTable.keeping(60_000 * MILLI),
             clock);
+    private String token = "";
     private long sequence;
 
     CallServerTest() {
@@ -59,8 +60,8 @@
     void handsOverAndAnswers() {
         server.received(link, call(true, ""));
         answer(0, 200, "hi");
-        assertInstanceOf(Message.Head.class, link.sent.get(0));
-        assertEquals(2, ((Message.End) link.sent.getLast()).length());
+        assertInstanceOf(Message.Head.class, link.sent().get(0));
+        assertEquals(2, ((Message.End) link.sent().getLast()).length());
         assertEquals(0, server.unfinished());
     }
 
@@ -116,9 +117,9 @@
         server.received(link, filing);
         server.linkLost(link);
         answer(0, 201, "filed");
-        FakeLink fresh = new FakeLink();
+        RecordingLink fresh = new RecordingLink();
         server.received(fresh, new Message.Inquire(filing.id()));
-        assertEquals(201, ((Message.Head) fresh.sent.get(0)).status());
+        assertEquals(201, ((Message.Head) fresh.sent().get(0)).status());
         assertEquals(1, handed.size());
     }
 
@@ -127,7 +128,7 @@
         server.received(link, call(false, "k"));
         server.received(link, call(false, "k"));
         answer(0, 201, "filed");
-        long heads = link.sent.stream().filter(Message.Head.class::isInstance).count();
+        long heads = link.sent().stream().filter(Message.Head.class::isInstance).count();
         assertEquals(1, handed.size());
         assertEquals(2, heads);
     }
@@ -185,8 +186,6 @@
         assertTrue(server.context(token).isEmpty());
     }
 
-    private String token = "";
-
     private UpstreamPort.Exchange start(UpstreamPort.HandOver handOver, UpstreamPort.Listener listener) {
         handed.add(listener);
         token = handOver.contextToken();
@@ -227,40 +226,10 @@
     }
 
     private Message.Refused lastRefusal() {
-        return link.sent.stream()
+        return link.sent().stream()
                 .filter(Message.Refused.class::isInstance)
                 .map(Message.Refused.class::cast)
                 .reduce((a, b) -> b)
                 .orElseThrow();
     }
-
-    /** Notes what is sent to the node above. */
-    private static final class FakeLink implements Link {
-        private final List<Message> sent = new ArrayList<>();
-
-        @Override
-        public void send(Message message) {
-            sent.add(message);
-        }
-
-        @Override
-        public void close() {
-            // Nothing to close.
-        }
-
-        @Override
-        public long peerClock() {
-            return 1;
-        }
-
-        @Override
-        public void awaiting(int more) {
-            // Not looked at here.
-        }
-
-        @Override
-        public boolean closed() {
-            return false;
-        }
-    }
 }
--- a/node/src/main/java/org/verbenadyke/node/time/WheelTimerService.java
+++ b/node/src/main/java/org/verbenadyke/node/time/WheelTimerService.java
@@ -13,7 +13,7 @@
  * The timer service of a running node: one thread turns a wheel for all subscriptions.
  */
 public final class WheelTimerService implements TimerService, AutoCloseable {
-    private static final long TICK_MILLIS = 5;
+    private static final long TICK_MILLIS = 10;
     private static final int SLOTS = 1_024;
 
     private final HashedWheelTimer wheel;
