--- a/bench/src/main/java/org/verbenadyke/bench/BenchMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import org.verbenadyke.bench.lab.Scenarios;
 import org.verbenadyke.bench.real.Downloads;
 import org.verbenadyke.bench.real.Overhead;
+import org.verbenadyke.bench.real.Rolling;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
@@ -81,6 +82,7 @@
         all.put("outage", new Scenario("goodput through an outage of the log", Scenarios::outage));
         all.put("overhead", new Scenario("what two nodes add to a call", (w, s) -> Overhead.run(home(), ioThreads)));
         all.put("download", new Scenario("lookups beside large answers", (w, s) -> Downloads.run(home())));
+        all.put("rolling", new Scenario("every server replaced under load", (w, s) -> Rolling.run(home(), w, s)));
         all.put("capacity", new Scenario("how control traffic grows with nodes and events", Scenarios::capacity));
         all.put("decisions", new Scenario("nanoseconds and bytes of single decisions", (w, s) -> Decisions.run()));
         return all;
--- a/bench/src/test/java/org/verbenadyke/bench/lab/SoakTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SoakTest.java
@@ -14,7 +14,7 @@
     private static final int RATE = 80;
 
     @ParameterizedTest
-    @ValueSource(longs = {2, 7, 11, 14, 19, 22})
+    @ValueSource(longs = {2, 7, 11, 14, 19, 22, 115})
     void keepsEveryPromise(long seed) {
         SoakReport report = Soak.run(SoakSettings.all(seed, SECONDS, RATE));
         assertEquals(List.of(), report.violations());
