--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -180,6 +180,11 @@
                 gate.inFlight() + gate.queued(), gate.limit(), Math.max(gate.level(), levelBelow), local.draining());
     }
 
+    UpstreamPort.HandOver handOver(Message.Call call, CallContext context, long remainingNanos) {
+        return new UpstreamPort.HandOver(
+                call.content(), context.token(), call.request(), call.importance(), remainingNanos);
+    }
+
     void noteHandOver(Message.Call call, LocalUpstream local, long receivedNanos) {
         parts.counters.count(Event.HANDED_OVER);
         parts.ledger.handedOver(call.id(), call.key(), call.idempotent());
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -277,8 +277,7 @@
         phase = Phase.HANDED;
         server.noteHandOver(call, local, receivedNanos);
         context = server.openContext(call, deadlineNanos, link);
-        exchange = local.port()
-                .start(new UpstreamPort.HandOver(call.content(), context.token(), deadlineNanos - handedNanos), this);
+        exchange = local.port().start(server.handOver(call, context, deadlineNanos - handedNanos), this);
     }
 
     private void requestMore() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
@@ -3,6 +3,8 @@
 import java.util.List;
 
 import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
 
 /**
@@ -24,9 +26,16 @@
      *
      * @param content what the upstream gets
      * @param contextToken the value that the upstream copies to its own calls
+     * @param request the request of the chain
+     * @param importance how much it matters
      * @param remainingNanos the time left until the deadline, in nanoseconds
      */
-    record HandOver(Message.Content content, String contextToken, long remainingNanos) {}
+    record HandOver(
+            Message.Content content,
+            String contextToken,
+            RequestId request,
+            Importance importance,
+            long remainingNanos) {}
 
     /**
      * A call handed over.
--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -73,6 +73,8 @@
                 client.newRequest(method, handOver.content().path());
         handOver.content().headers().forEach(h -> request.addHeader(h.name(), h.value()));
         request.setHeader(HeaderNames.CONTEXT, handOver.contextToken());
+        request.setHeader(HeaderNames.REQUEST, handOver.request().toString());
+        request.setHeader(HeaderNames.IMPORTANCE, handOver.importance().name().toLowerCase(Locale.ROOT));
         request.setHeader(HeaderNames.DEADLINE, Long.toString(handOver.remainingNanos() / NANOS_PER_MILLI));
         byte[] body = handOver.content().body();
         if (body.length > 0) {
