--- a/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
@@ -55,10 +55,6 @@
         number = newNumber;
     }
 
-    Message.Hello peer() {
-        return peer;
-    }
-
     @Override
     public void send(Message message) {
         Channel c = channel;
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
@@ -109,15 +109,6 @@
         return table.values().stream().map(Entry::record).toList();
     }
 
-    /**
-     * Lists the members with the time of their last change of presence.
-     *
-     * @return every entry
-     */
-    public Collection<Entry> entries() {
-        return table.values();
-    }
-
     /**
      * Lists the upstreams that may get new work.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
@@ -13,7 +13,6 @@
 import org.verbenadyke.kernel.link.Links;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
-import org.verbenadyke.kernel.once.KeptAnswer;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.once.Ownership;
 import org.verbenadyke.kernel.routing.Upstream;
@@ -192,11 +191,9 @@
             return;
         }
         KeyTable.Known k = surrendered.get();
-        k.outcome().accept(kept -> link.send(new Message.KeyTold(ask.ticket(), told(k.fingerprint(), kept))));
-    }
-
-    private static Message.KeyFact told(long fingerprint, KeptAnswer kept) {
-        return new Message.KeyFact.Known(fingerprint, kept);
+        k.outcome()
+                .accept(kept ->
+                        link.send(new Message.KeyTold(ask.ticket(), new Message.KeyFact.Known(k.fingerprint(), kept))));
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -108,20 +108,6 @@
         return amongFit(fit(accepting, nowNanos), query, nowNanos);
     }
 
-    /**
-     * Returns the upstreams of a service that may get new work.
-     *
-     * @param service the service
-     * @return their ids
-     */
-    public List<String> acceptingIds(String service) {
-        Routes routes = table.get().getOrDefault(service, Routes.NONE);
-        return routes.all.values().stream()
-                .filter(Candidate::accepting)
-                .map(c -> c.upstream().id())
-                .toList();
-    }
-
     /**
      * Returns what is known.
      *
--- a/standins/src/main/java/org/verbenadyke/standins/run/Fleet.java
+++ b/standins/src/main/java/org/verbenadyke/standins/run/Fleet.java
@@ -8,10 +8,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 import org.verbenadyke.kernel.routing.Endpoint;
 
@@ -234,13 +232,4 @@
     public Path folder() {
         return folder;
     }
-
-    /**
-     * Returns the environment that names this fleet to a caller.
-     *
-     * @return each server's id with the address for callers
-     */
-    public Map<String, Endpoint> entries() {
-        return servers.stream().collect(Collectors.toMap(Server::id, Server::entry));
-    }
 }
