Serve the users' platform: routes, HTTP edge, adapter

Cause: the product had no routes, no way to read the operator's configuration from the platform's store and no HTTP edge that tells when a caller left or whose answer it holds.

A start whose clock is behind an earlier start of the same node now outranks the earlier record instead of being shadowed by it.

Ruled out: ServiceTalk's client for servers, since it can't skip an answer that belongs to another request.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/FakeLog.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FakeLog.java
@@ -57,7 +57,7 @@
     LogService seenBy(NodeTimers process) {
         return new LogService() {
             @Override
-            public void append(String stream, byte[] record, Consumer<Appended> taker) {
+            public void append(String stream, String key, byte[] record, Consumer<Appended> taker) {
                 world.after(delay(), () -> doAppend(stream, record, a -> process.run(() -> taker.accept(a))));
             }
 
--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
@@ -14,6 +14,7 @@
 import org.verbenadyke.kernel.membership.GossipMessage;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.route.PlanKeeper;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.wire.ConfigCodec;
 import org.verbenadyke.wire.MemberCodec;
@@ -54,6 +55,7 @@
                         MemberCodec.create(),
                         ConfigCodec.create(),
                         () -> random,
+                        PlanKeeper.absent(),
                         node.counters,
                         Ledger.watching(breaches)),
                 settings);
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorld.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorld.java
@@ -60,7 +60,7 @@
         Policy policy = Policy.standard();
         long retention = policy.keyRetentionNanos();
         ConfigSettings config =
-                new ConfigSettings(1_000, 5 * Lab.SECOND, Lab.SECOND / 2, 4 * Lab.SECOND, 8 * Lab.SECOND);
+                new ConfigSettings(true, 1_000, 5 * Lab.SECOND, Lab.SECOND / 2, 4 * Lab.SECOND, 8 * Lab.SECOND);
         return new CoreSettings(
                 policy, GossipSettings.standard(), config, OwnerSettings.keeping(retention), 30 * Lab.SECOND);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -24,6 +24,10 @@
     SHED_QUEUE(503),
     /** The deadline can't be met any more. */
     DEADLINE(504),
+    /** The upstream itself said that it did not run the call. */
+    UPSTREAM_REFUSED(503),
+    /** No routes are known yet. */
+    NO_PLAN(503),
     /** The upstream is leaving. */
     DRAINING(503),
     /** The node is stopping. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/config/ConfigKeeper.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/config/ConfigKeeper.java
@@ -52,6 +52,9 @@
      */
     public static ConfigKeeper start(Parts parts, ConfigSettings settings) {
         ConfigKeeper keeper = new ConfigKeeper(parts, settings);
+        if (!settings.followed()) {
+            return keeper;
+        }
         keeper.serial.run(keeper::read);
         long jitter = parts.random().nextLong(settings.snapshotNanos());
         parts.timers()
@@ -145,6 +148,7 @@
                         }));
         parts.log()
                 .append(
+                        STREAM,
                         STREAM,
                         parts.codec().encode(change),
                         result -> serial.run(() -> {
@@ -228,6 +232,7 @@
         ConfigEntry snapshot = new ConfigEntry.Snapshot(reader.state().get());
         parts.log()
                 .append(
+                        STREAM,
                         STREAM,
                         parts.codec().encode(snapshot),
                         r -> parts.counters()
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
@@ -12,6 +12,7 @@
 import org.verbenadyke.kernel.membership.DatagramPort;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.route.PlanKeeper;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
 
@@ -27,6 +28,7 @@
  * @param members encodes member records
  * @param configuration encodes configuration entries
  * @param random where each thread's randomness comes from
+ * @param plans the routes in force
  * @param counters the node's counters
  * @param ledger checks the promises
  */
@@ -40,5 +42,6 @@
         RecordCodec<MemberRecord> members,
         RecordCodec<ConfigEntry> configuration,
         Supplier<RandomGenerator> random,
+        PlanKeeper plans,
         Counters counters,
         Ledger ledger) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
@@ -32,4 +32,15 @@
                 OwnerSettings.keeping(policy.keyRetentionNanos()),
                 DEFAULT_REWRITE_NANOS);
     }
+
+    /**
+     * Returns the settings of a node whose configuration is not on the product's own log.
+     *
+     * @param policy the request path
+     * @return the settings
+     */
+    public static CoreSettings withoutConfigLog(Policy policy) {
+        CoreSettings s = with(policy);
+        return new CoreSettings(policy, s.gossip, ConfigSettings.unfollowed(), s.owner, s.rewriteNanos);
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -44,7 +44,7 @@
         if (stopped) {
             return;
         }
-        parts.log().append(STREAM, parts.members().encode(self.get()), result -> {
+        parts.log().append(STREAM, self.get().nodeId(), parts.members().encode(self.get()), result -> {
             boolean appended = result instanceof LogService.Appended.At;
             parts.counters().count(appended ? Event.LOG_APPENDED : Event.LOG_FAILED);
             if (!appended) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.verbenadyke.kernel.admission.FixedLimit;
 import org.verbenadyke.kernel.config.ConfigKeeper;
 import org.verbenadyke.kernel.config.ConfigState;
 import org.verbenadyke.kernel.config.Configuration;
@@ -14,6 +15,8 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.membership.MemberTable;
+import org.verbenadyke.kernel.message.Link;
+import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.owner.KeyOwners;
 import org.verbenadyke.kernel.owner.OwnerView;
@@ -101,6 +104,32 @@
         refresh();
     }
 
+    /**
+     * Takes the announcement of an upstream that says how many calls it runs at once.
+     *
+     * @param service the service it serves
+     * @param port the way to it
+     * @param slots how many calls it runs at once
+     */
+    public void announce(String service, UpstreamPort port, int slots) {
+        selfDraining = false;
+        MemberRecord record = gossip.change(MemberState.ALIVE, service);
+        engine.attach(record.upstreamId(), service, port, FixedLimit.of(slots));
+        refresh();
+    }
+
+    /** Takes the news that the upstream is gone; the node goes on without one. */
+    public void withdraw() {
+        engine.server().detach();
+        gossip.change(selfDraining ? MemberState.DRAINING : MemberState.ALIVE, "");
+        refresh();
+    }
+
+    /** Tells other nodes that this one has new routes. */
+    public void plansChanged() {
+        gossip.pushPlan();
+    }
+
     /** Takes the upstream's news that it is leaving. */
     public void drain() {
         selfDraining = true;
@@ -207,7 +236,16 @@
                 parts.counters(),
                 parts.ledger(),
                 owners,
-                (link, m) -> owners.received(link, m, upstream()));
+                (link, m) -> owners.received(link, m, upstream()),
+                this::planMessage);
+    }
+
+    private void planMessage(Link link, Message message) {
+        if (message instanceof Message.PlanTold told) {
+            parts.plans().offer(told.document(), "peer");
+            return;
+        }
+        parts.plans().document().ifPresent(d -> link.send(new Message.PlanTold(d.bytes())));
     }
 
     private Optional<LocalUpstream> upstream() {
@@ -294,6 +332,16 @@
             rename(renewed);
         }
 
+        @Override
+        public long planVersion() {
+            return parts.plans().version();
+        }
+
+        @Override
+        public void newerPlanAt(Endpoint node) {
+            engine.links().acquire(node, link -> link.ifPresent(l -> l.send(new Message.PlanWanted())));
+        }
+
         @Override
         public Optional<ConfigState> config() {
             return config == null ? Optional.empty() : config.state();
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -253,7 +253,7 @@
                 attempt.failed(parts);
                 reroute(attempt, refusal.reason());
             }
-            case SHED_LEVEL, SHED_QUEUE -> askRetry(RetryReason.SHED, () -> give(refusal));
+            case SHED_LEVEL, SHED_QUEUE, UPSTREAM_REFUSED -> askRetry(RetryReason.SHED, () -> give(refusal));
             case UPSTREAM_BROKEN, CONNECTION_LOST -> {
                 attempt.failed(parts);
                 retryIfIdempotent(refusal);
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryPermit.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryPermit.java
@@ -13,11 +13,13 @@
 
     /**
      * Asks; the decision is told once, perhaps on another thread. A lost connection says nothing of the service's load,
-     * and no more is sent again than was in flight, so that only the chain's budget bounds it.
+     * and no more is sent again than was in flight, so that only the chain's budget bounds it, unless the settings
+     * count every retry.
      */
     static void ask(Dispatcher dispatcher, Request request, RetryReason reason, Consumer<Boolean> decision) {
         RatioBudget ratio = dispatcher.ratio(request);
-        boolean bounded = dispatcher.settings().ratio() > 0 && reason != RetryReason.CONNECTION_LOST;
+        boolean counted = dispatcher.settings().everyRetryCounts() || reason != RetryReason.CONNECTION_LOST;
+        boolean bounded = dispatcher.settings().ratio() > 0 && counted;
         if (bounded && !ratio.take()) {
             dispatcher.parts().counters().retried(RetryReason.DENIED_RATIO);
             decision.accept(false);
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.verbenadyke.kernel.admission.AdmissionLevel;
+import org.verbenadyke.kernel.admission.ConcurrencyLimit;
 import org.verbenadyke.kernel.admission.Gate;
 import org.verbenadyke.kernel.budget.RetryBudget;
 import org.verbenadyke.kernel.budget.RootBudget;
@@ -25,6 +26,7 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.route.Route;
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.serve.CallContext;
 import org.verbenadyke.kernel.serve.CallServer;
@@ -127,6 +129,33 @@
         return dispatcher.dispatch(request, sink);
     }
 
+    /**
+     * Takes a request whose route was found in the plan in force. Its retries are bounded by the route's attempts.
+     *
+     * @param routed the request
+     * @param sink takes its answer
+     * @return the handle to steer it by
+     */
+    public CallHandle enter(RoutedRequest routed, AnswerSink sink) {
+        parts.counters().count(Event.REQUEST_IN);
+        Route route = routed.route();
+        long ttl = Math.min(
+                routed.ttlNanos(), Math.min(route.timeoutNanos(), policy.serve().maxTtlNanos()));
+        Request request = new Request(
+                new RequestId(parts.incarnation(), requests.incrementAndGet()),
+                "",
+                routed.service(),
+                routed.content(),
+                routed.importance(),
+                routed.depth(),
+                parts.timers().nanos() + ttl,
+                route.kind().repeatable(),
+                "",
+                RootBudget.of(route.attempts() - 1),
+                routed.observer());
+        return dispatcher.dispatch(request, sink);
+    }
+
     /**
      * Takes a call that the upstream beside this node makes while it serves another.
      *
@@ -170,7 +199,20 @@
      * @return the upstream
      */
     public LocalUpstream attach(String id, String service, UpstreamPort port) {
-        Gate gate = Gate.of(policy.gate(), PlugIns.limit(policy.limit(), policy.limits()));
+        return attach(id, service, port, PlugIns.limit(policy.limit(), policy.limits()));
+    }
+
+    /**
+     * Attaches the upstream that announced itself beside this node, with a limit of its own.
+     *
+     * @param id its id
+     * @param service the service it serves
+     * @param port the way to it
+     * @param limit how many calls it may have at once
+     * @return the upstream
+     */
+    public LocalUpstream attach(String id, String service, UpstreamPort port, ConcurrencyLimit limit) {
+        Gate gate = Gate.of(policy.gate(), limit);
         KeyTable keys = server.upstream()
                 .map(LocalUpstream::keys)
                 .orElseGet(() -> KeyTable.keeping(policy.keyRetentionNanos()));
@@ -282,6 +324,8 @@
                 case Message.KeyTold m -> parts.keyMessages().accept(link, m);
                 case Message.KeyHandOn m -> parts.keyMessages().accept(link, m);
                 case Message.KeysHandedOn m -> parts.keyMessages().accept(link, m);
+                case Message.PlanWanted m -> parts.planMessages().accept(link, m);
+                case Message.PlanTold m -> parts.planMessages().accept(link, m);
                 default -> dispatcher.received(link, message);
             }
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -26,6 +26,7 @@
  * @param ledger checks the promises
  * @param keyClaims decides about idempotency keys
  * @param keyMessages takes messages about keys from other nodes
+ * @param planMessages takes messages about routes
  */
 public record EngineParts(
         String nodeId,
@@ -37,4 +38,5 @@
         Counters counters,
         Ledger ledger,
         KeyClaims keyClaims,
-        BiConsumer<Link, Message> keyMessages) {}
+        BiConsumer<Link, Message> keyMessages,
+        BiConsumer<Link, Message> planMessages) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/error/ErrorCode.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/error/ErrorCode.java
@@ -41,6 +41,10 @@
     PLAN_STALE("VD-1404"),
     /** A plan that isn't known or can't be read. */
     PLAN_UNKNOWN("VD-1405"),
+    /** A document of routes that can't be read. */
+    PLAN_UNREADABLE("VD-1406"),
+    /** An answer of the platform's store that can't be read. */
+    STORE_ANSWER_UNREADABLE("VD-1407"),
     /** A node can't be reached by the command-line tool. */
     NODE_UNREACHABLE("VD-1501"),
     /** A plug-in that isn't registered. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
@@ -11,10 +11,11 @@
      * Appends a record.
      *
      * @param stream the stream
+     * @param key what the record is about; a log that keeps the newest record of each key keeps it by this
      * @param record the record
      * @param taker is told once what came of it
      */
-    void append(String stream, byte[] record, Consumer<Appended> taker);
+    void append(String stream, String key, byte[] record, Consumer<Appended> taker);
 
     /**
      * Reads records.
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -130,6 +130,11 @@
         serial.run(() -> learn(record));
     }
 
+    /** Tells some other nodes at once that this one has new routes. */
+    public void pushPlan() {
+        serial.run(this::push);
+    }
+
     /** Tells others of a new configuration. */
     public void pushConfig() {
         serial.run(() -> {
@@ -204,7 +209,7 @@
         Optional<MemberRecord> answer = self.refute(record);
         if (answer.isPresent()) {
             accept(answer.get());
-            if (!record.state().present()) {
+            if (!record.state().present() || answer.get().incarnation() != record.incarnation()) {
                 listener.givenUp(answer.get());
             }
             return;
@@ -236,7 +241,7 @@
 
     private GossipMessage.View view() {
         return new GossipMessage.View(
-                table.digest(), listener.config().map(ConfigState::version).orElse(-1L));
+                table.digest(), listener.config().map(ConfigState::version).orElse(-1L), listener.planVersion());
     }
 
     private List<MemberRecord> news() {
@@ -256,6 +261,9 @@
         if (theirs.configVersion() > listener.config().map(ConfigState::version).orElse(-1L)) {
             send(from, new GossipMessage.ConfigWanted(self().nodeId()));
         }
+        if (theirs.planVersion() > listener.planVersion()) {
+            listener.newerPlanAt(from);
+        }
         long now = timers.nanos();
         if (theirs.digest() != table.digest() && now - comparedNanos >= COMPARE_NANOS) {
             comparedNanos = now;
@@ -348,6 +356,20 @@
          */
         void givenUp(MemberRecord renewed);
 
+        /**
+         * Returns the version of the routes in force.
+         *
+         * @return the version, -1 if none is known
+         */
+        long planVersion();
+
+        /**
+         * Takes notice that another node has newer routes.
+         *
+         * @param node where it listens
+         */
+        void newerPlanAt(Endpoint node);
+
         /**
          * Returns the configuration to tell others of.
          *
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
@@ -81,6 +81,7 @@
      *
      * @param digest a hash of its member table
      * @param configVersion the version of its configuration
+     * @param planVersion the version of its routes, -1 if it has none
      */
-    record View(long digest, long configVersion) {}
+    record View(long digest, long configVersion, long planVersion) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Self.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Self.java
@@ -32,6 +32,9 @@
     /** Answers what others say of this node, when it isn't what the node says itself. */
     Optional<MemberRecord> refute(MemberRecord said) {
         MemberRecord mine = record.get();
+        if (said.incarnation() > mine.incarnation() && mine.state() != MemberState.LEFT) {
+            return Optional.of(record.updateAndGet(r -> outranking(r, said)));
+        }
         boolean aboutMe = said.incarnation() == mine.incarnation() && said.version() >= mine.version();
         if (!aboutMe || said.equals(mine) || mine.state() == MemberState.LEFT) {
             return Optional.empty();
@@ -41,10 +44,20 @@
                 r -> next(r, Math.max(r.version(), said.version()) + 1, r.state(), r.service(), r.epoch() + more)));
     }
 
+    /** Goes on above a record of an earlier start whose clock was ahead; it would outrank this start for ever. */
+    private MemberRecord outranking(MemberRecord r, MemberRecord said) {
+        return next(r, said.incarnation() + 1, r.version() + 1, r.state(), r.service(), r.epoch());
+    }
+
     private MemberRecord next(MemberRecord r, long version, MemberState state, String service, int epoch) {
+        return next(r, r.incarnation(), version, state, service, epoch);
+    }
+
+    private MemberRecord next(
+            MemberRecord r, long incarnation, long version, MemberState state, String service, int epoch) {
         return new MemberRecord(
                 r.nodeId(),
-                r.incarnation(),
+                incarnation,
                 version,
                 state,
                 r.endpoint(),
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/PlanDocument.java
@@ -0,0 +1,9 @@
+package org.verbenadyke.kernel.route;
+
+/**
+ * A plan as its operator wrote it, passed between nodes unchanged.
+ *
+ * @param version the plan's version
+ * @param bytes the document
+ */
+public record PlanDocument(long version, byte[] bytes) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -58,6 +58,11 @@
         this.upstream = local;
     }
 
+    /** Forgets the upstream: it is gone, and no other has announced itself yet. */
+    public void detach() {
+        this.upstream = null;
+    }
+
     /**
      * Returns the upstream beside this node.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -182,10 +182,12 @@
 
     @Override
     public void unreachable() {
-        serial.run(() -> {
-            server.parts().ledger().neverReached(call.id());
-            fail(server.notRun(RefusalReason.UPSTREAM_UNREACHABLE));
-        });
+        neverRan(RefusalReason.UPSTREAM_UNREACHABLE, ConcurrencyLimit.Outcome.IGNORED);
+    }
+
+    @Override
+    public void notRun() {
+        neverRan(RefusalReason.UPSTREAM_REFUSED, ConcurrencyLimit.Outcome.SHED);
     }
 
     @Override
@@ -228,13 +230,20 @@
 
     @Override
     public void broken() {
-        serial.run(() -> fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN)));
+        serial.run(() -> fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED));
     }
 
-    private void fail(Refusal refusal) {
+    private void neverRan(RefusalReason reason, ConcurrencyLimit.Outcome outcome) {
+        serial.run(() -> {
+            server.parts().ledger().neverReached(call.id());
+            fail(server.notRun(reason), outcome);
+        });
+    }
+
+    private void fail(Refusal refusal, ConcurrencyLimit.Outcome outcome) {
         if (phase == Phase.HANDED) {
             refuse(refusal);
-            finish(ConcurrencyLimit.Outcome.IGNORED);
+            finish(outcome);
         }
     }
 
@@ -301,7 +310,7 @@
             return;
         }
         exchange.cancel();
-        fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN));
+        fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED);
     }
 
     private void onDeadline() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
@@ -52,6 +52,9 @@
      * Takes what the upstream answers, from any thread but in order.
      */
     interface Listener {
+        /** The upstream says that it did not run the call and never will. */
+        void notRun();
+
         /** Takes notice that no connection could be had: the upstream never saw the call. */
         void unreachable();
 
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -21,6 +21,7 @@
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.route.PlanKeeper;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.node.control.ControlService;
 import org.verbenadyke.node.control.LocalService;
@@ -29,6 +30,7 @@
 import org.verbenadyke.node.log.HttpLog;
 import org.verbenadyke.node.settings.NodeSettings;
 import org.verbenadyke.node.time.WheelTimerService;
+import org.verbenadyke.node.transport.Loops;
 import org.verbenadyke.node.transport.NettyTransport;
 import org.verbenadyke.node.transport.UdpPort;
 import org.verbenadyke.wire.ConfigCodec;
@@ -68,11 +70,11 @@
     private Node(NodeSettings settings) {
         this.settings = settings;
         this.io = NettyIoExecutors.createIoExecutor(settings.ioThreads(), "io");
-        this.transport = NettyTransport.on(io, counters);
+        this.transport = NettyTransport.on(Loops.of(io), counters);
         this.ledger = settings.ledger() ? Ledger.watching(this::breached) : Ledger.off();
         long incarnation = timers.wallMillis() << INCARNATION_SHIFT | new SecureRandom().nextLong() & INCARNATION_MASK;
         LogService log = settings.logs().<LogService>map(a -> HttpLog.at(a, io)).orElseGet(AbsentLog::create);
-        this.datagrams = UdpPort.listen(settings.peers(), io, counters, this::heard);
+        this.datagrams = UdpPort.listen(settings.peers(), Loops.of(io), counters, this::heard);
         MemberRecord self = new MemberRecord(
                 settings.id(),
                 incarnation,
@@ -94,6 +96,7 @@
                 MemberCodec.create(),
                 ConfigCodec.create(),
                 ThreadLocalRandom::current,
+                PlanKeeper.absent(),
                 counters,
                 ledger);
         this.core = NodeCore.start(parts, CoreSettings.with(settings.policy()));
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpFields.java
@@ -0,0 +1,105 @@
+package org.verbenadyke.node.http1;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.verbenadyke.kernel.call.HeaderField;
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * Header fields as lists, in their order on the wire.
+ */
+public final class HttpFields {
+    /** The length of a body. */
+    public static final String CONTENT_LENGTH = "content-length";
+
+    /** The server that a request is for. */
+    public static final String HOST = "host";
+
+    /** When a refused caller may come back. */
+    public static final String RETRY_AFTER = "retry-after";
+
+    /** Whether a connection stays open. */
+    public static final String CONNECTION = "connection";
+
+    /** How long a connection is kept without a request. */
+    public static final String KEEP_ALIVE = "keep-alive";
+
+    private static final Set<String> ONE_CONNECTION = Set.of(
+            CONNECTION,
+            KEEP_ALIVE,
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect");
+
+    private HttpFields() {}
+
+    /**
+     * Finds a field.
+     *
+     * @param fields the fields
+     * @param name its name, in lower case
+     * @return its first value
+     */
+    public static Optional<String> find(List<HeaderField> fields, String name) {
+        for (HeaderField f : fields) {
+            if (f.name().equalsIgnoreCase(name)) {
+                return Optional.of(f.value());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the fields that concern the request or answer, without those that concern one connection only.
+     *
+     * @param fields the fields
+     * @return those that are passed on, the length of the body among them
+     */
+    public static List<HeaderField> endToEnd(List<HeaderField> fields) {
+        Set<String> named = named(fields);
+        List<HeaderField> kept = new ArrayList<>(fields.size());
+        for (HeaderField f : fields) {
+            String name = f.name().toLowerCase(Locale.ROOT);
+            if (!ONE_CONNECTION.contains(name) && !named.contains(name)) {
+                kept.add(f);
+            }
+        }
+        return kept;
+    }
+
+    static List<HeaderField> of(HttpHeaders headers) {
+        List<HeaderField> fields = new ArrayList<>(headers.size());
+        for (Map.Entry<String, String> e : headers) {
+            fields.add(new HeaderField(e.getKey(), e.getValue()));
+        }
+        return fields;
+    }
+
+    static HttpHeaders headers(List<HeaderField> fields) {
+        HttpHeaders headers =
+                DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+        fields.forEach(f -> headers.add(f.name(), f.value()));
+        return headers;
+    }
+
+    /** The fields that a Connection field names as its own. */
+    private static Set<String> named(List<HeaderField> fields) {
+        Optional<String> connection = find(fields, CONNECTION);
+        if (connection.isEmpty()) {
+            return Set.of();
+        }
+        return Set.of(connection.get().toLowerCase(Locale.ROOT).split("\\s*,\\s*"));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -0,0 +1,154 @@
+package org.verbenadyke.node.http1;
+
+import java.net.InetSocketAddress;
+import java.util.Deque;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.node.transport.Loops;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+
+/**
+ * Connections to one server, one request at a time on each. The connection used last is used first, so that as few as
+ * the load needs stay open. A request is sent once and never again by itself.
+ */
+public final class HttpPool implements AutoCloseable {
+    private static final int HEADER_BYTES = 32 * 1024;
+
+    private final Endpoint server;
+    private final Loops loops;
+    private final TimerService timers;
+    private final PoolSettings settings;
+    private final Deque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
+    private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
+    private volatile boolean closed;
+
+    private HttpPool(Endpoint server, Loops loops, TimerService timers, PoolSettings settings) {
+        this.server = server;
+        this.loops = loops;
+        this.timers = timers;
+        this.settings = settings;
+    }
+
+    /**
+     * Creates a pool without connections.
+     *
+     * @param server where the server listens
+     * @param loops the threads that serve connections
+     * @param timers the time
+     * @param settings how connections are kept
+     * @return the pool
+     */
+    public static HttpPool to(Endpoint server, Loops loops, TimerService timers, PoolSettings settings) {
+        return new HttpPool(server, loops, timers, settings);
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @param listener takes its answer
+     * @return the request under way
+     */
+    public HttpCall send(HttpRequestMessage request, AnswerListener listener) {
+        ClientCall call = new ClientCall(request, listener);
+        ClientConnection connection = fresh();
+        if (connection != null) {
+            connection.start(call);
+            return call;
+        }
+        connect(call);
+        return call;
+    }
+
+    /**
+     * Returns the connections.
+     *
+     * @return how many are open
+     */
+    public int size() {
+        return open.size();
+    }
+
+    /** Closes the idle connections, and each other one after its request. */
+    @Override
+    public void close() {
+        closed = true;
+        for (ClientConnection c = idle.poll(); c != null; c = idle.poll()) {
+            c.close();
+        }
+    }
+
+    Endpoint server() {
+        return server;
+    }
+
+    TimerService timers() {
+        return timers;
+    }
+
+    PoolSettings settings() {
+        return settings;
+    }
+
+    void opened(ClientConnection connection) {
+        open.add(connection);
+    }
+
+    void ended(ClientConnection connection) {
+        open.remove(connection);
+        idle.remove(connection);
+    }
+
+    void release(ClientConnection connection) {
+        if (closed) {
+            connection.close();
+            return;
+        }
+        idle.push(connection);
+    }
+
+    private ClientConnection fresh() {
+        long now = timers.nanos();
+        for (ClientConnection c = idle.poll(); c != null; c = idle.poll()) {
+            if (c.usable(now)) {
+                return c;
+            }
+            c.close();
+        }
+        return null;
+    }
+
+    private void connect(ClientCall call) {
+        ClientConnection connection = new ClientConnection(this, call);
+        new Bootstrap()
+                .group(loops.group())
+                .channel(loops.socket())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMillis())
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        HttpDecoderConfig decoder = new HttpDecoderConfig()
+                                .setMaxHeaderSize(HEADER_BYTES)
+                                .setValidateHeaders(false);
+                        channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
+                    }
+                })
+                .connect(new InetSocketAddress(server.host(), server.port()))
+                .addListener(f -> {
+                    if (!f.isSuccess()) {
+                        call.unreachable();
+                    }
+                });
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
@@ -0,0 +1,130 @@
+package org.verbenadyke.node.http1;
+
+import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.time.Subscription;
+import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.node.transport.Loops;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+
+/**
+ * An HTTP/1.1 server on Netty's codec. Used where ServiceTalk's server tells too little: when a caller has left, which
+ * connections are idle, and which request was read when a connection is closed.
+ */
+public final class HttpServer implements AutoCloseable {
+    /** Connections that wait to be accepted; a burst of new connections must not overflow it. */
+    private static final int BACKLOG = 1_024;
+
+    /** How often idle connections are looked for, in nanoseconds: coarse, since idle times are seconds. */
+    private static final long SWEEP_NANOS = 1_000_000_000L;
+
+    private static final int INITIAL_LINE_BYTES = 8_192;
+
+    private final Supplier<ServerLimits> limits;
+    private final HttpHandler handler;
+    private final TimerService timers;
+    private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
+    private volatile boolean closing;
+    private Channel listener;
+    private Subscription sweeper;
+
+    private HttpServer(Supplier<ServerLimits> limits, HttpHandler handler, TimerService timers) {
+        this.limits = limits;
+        this.handler = handler;
+        this.timers = timers;
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param endpoint the address
+     * @param loops the threads that serve connections
+     * @param timers the time
+     * @param limits what each new connection accepts
+     * @param handler takes the requests
+     * @return the server
+     * @throws VerbenadykeException with {@link ErrorCode#PORT_IN_USE}
+     */
+    public static HttpServer listen(
+            Endpoint endpoint, Loops loops, TimerService timers, Supplier<ServerLimits> limits, HttpHandler handler) {
+        HttpServer server = new HttpServer(limits, handler, timers);
+        server.listener = new ServerBootstrap()
+                .group(loops.group())
+                .channel(loops.server())
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(server.initializer())
+                .bind(new InetSocketAddress(endpoint.host(), endpoint.port()))
+                .awaitUninterruptibly()
+                .channel();
+        if (!server.listener.isOpen()) {
+            throw VerbenadykeException.of(ErrorCode.PORT_IN_USE, endpoint, "http");
+        }
+        server.sweeper = timers.every(SWEEP_NANOS, server::sweep);
+        return server;
+    }
+
+    /** Lets each connection end after its current request, and closes those that are idle for a while. */
+    public void retire() {
+        closing = true;
+    }
+
+    @Override
+    public void close() {
+        sweeper.cancel();
+        listener.close();
+        connections.forEach(ServerConnection::close);
+    }
+
+    boolean closing() {
+        return closing;
+    }
+
+    HttpHandler handler() {
+        return handler;
+    }
+
+    TimerService timers() {
+        return timers;
+    }
+
+    void opened(ServerConnection connection) {
+        connections.add(connection);
+    }
+
+    void ended(ServerConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void sweep() {
+        long now = timers.nanos();
+        connections.forEach(c -> c.closeIfIdle(now));
+    }
+
+    private ChannelInitializer<Channel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                ServerLimits l = limits.get();
+                HttpDecoderConfig decoder = new HttpDecoderConfig()
+                        .setMaxInitialLineLength(INITIAL_LINE_BYTES)
+                        .setMaxHeaderSize(l.headerBytes())
+                        .setValidateHeaders(true);
+                channel.pipeline().addLast(new HttpServerCodec(decoder), new ServerConnection(HttpServer.this, l));
+            }
+        };
+    }
+}
--- a/node/src/main/java/org/verbenadyke/node/log/AbsentLog.java
+++ b/node/src/main/java/org/verbenadyke/node/log/AbsentLog.java
@@ -22,7 +22,7 @@
     }
 
     @Override
-    public void append(String stream, byte[] record, Consumer<Appended> taker) {
+    public void append(String stream, String key, byte[] record, Consumer<Appended> taker) {
         taker.accept(new Appended.Failed(WHY));
     }
 
--- a/node/src/main/java/org/verbenadyke/node/log/HttpLog.java
+++ b/node/src/main/java/org/verbenadyke/node/log/HttpLog.java
@@ -56,7 +56,7 @@
     }
 
     @Override
-    public void append(String stream, byte[] record, Consumer<Appended> taker) {
+    public void append(String stream, String key, byte[] record, Consumer<Appended> taker) {
         Single<HttpResponse> answer = client.request(client.post("/streams/" + stream)
                 .payloadBody(client.executionContext().bufferAllocator().wrap(record)));
         answer.timeout(APPEND_TIMEOUT)
--- a/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
@@ -131,7 +131,8 @@
                         * NANOS_PER_SECOND,
                 gate,
                 limits,
-                new DispatchSettings(percent / PERCENT, d.burst(), d.perHop(), d.tryNanos(), after),
+                new DispatchSettings(
+                        percent / PERCENT, d.burst(), d.perHop(), d.tryNanos(), d.everyRetryCounts(), after),
                 base.serve(),
                 base.link());
     }
--- a/node/src/main/java/org/verbenadyke/node/transport/NettyTransport.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/NettyTransport.java
@@ -15,11 +15,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
-import io.servicetalk.transport.api.IoExecutor;
-import io.servicetalk.transport.netty.internal.BuilderUtils;
-import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutors;
 
 /**
  * The connections between nodes: TCP, on the threads that also serve HTTP.
@@ -27,10 +23,10 @@
 public final class NettyTransport implements Transport {
     private static final int CONNECT_MILLIS = 1_000;
 
-    private final EventLoopGroup loops;
+    private final Loops loops;
     private final Counters counters;
 
-    private NettyTransport(EventLoopGroup loops, Counters counters) {
+    private NettyTransport(Loops loops, Counters counters) {
         this.loops = loops;
         this.counters = counters;
     }
@@ -38,13 +34,11 @@
     /**
      * Creates a transport.
      *
-     * @param executor the threads that serve connections
+     * @param loops the threads that serve connections
      * @param counters where rejected frames are counted
      * @return the transport
      */
-    public static NettyTransport on(IoExecutor executor, Counters counters) {
-        EventLoopGroup loops = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(executor)
-                .eventLoopGroup();
+    public static NettyTransport on(Loops loops, Counters counters) {
         return new NettyTransport(loops, counters);
     }
 
@@ -58,8 +52,8 @@
     public AutoCloseable listen(Endpoint endpoint, Supplier<Handler> handlers) {
         InetSocketAddress address = new InetSocketAddress(endpoint.host(), endpoint.port());
         ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(loops)
-                .channel(BuilderUtils.serverChannel(loops, InetSocketAddress.class))
+                .group(loops.group())
+                .channel(loops.server())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(initializer(handlers));
@@ -73,8 +67,8 @@
     @Override
     public void connect(Endpoint endpoint, Handler handler) {
         new Bootstrap()
-                .group(loops)
-                .channel(BuilderUtils.socketChannel(loops, InetSocketAddress.class))
+                .group(loops.group())
+                .channel(loops.socket())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                 .handler(initializer(() -> handler))
--- a/node/src/main/java/org/verbenadyke/node/transport/UdpPort.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/UdpPort.java
@@ -17,13 +17,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
-import io.servicetalk.transport.api.IoExecutor;
-import io.servicetalk.transport.netty.internal.BuilderUtils;
-import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutors;
 
 /**
  * The datagrams between nodes: UDP on the same port number as the connections.
@@ -41,18 +37,16 @@
      * Listens for datagrams.
      *
      * @param endpoint the address
-     * @param executor the threads that serve connections
+     * @param loops the threads that serve connections
      * @param counters where rejected datagrams are counted
      * @param taker takes each datagram with its sender's address
      * @return the port
      */
     public static UdpPort listen(
-            Endpoint endpoint, IoExecutor executor, Counters counters, BiConsumer<Endpoint, GossipMessage> taker) {
-        EventLoopGroup loops = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(executor)
-                .eventLoopGroup();
+            Endpoint endpoint, Loops loops, Counters counters, BiConsumer<Endpoint, GossipMessage> taker) {
         Channel channel = new Bootstrap()
-                .group(loops)
-                .channel(BuilderUtils.datagramChannel(loops))
+                .group(loops.group())
+                .channel(loops.datagram())
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(DATAGRAM_MOST))
                 .handler(new Receiver(counters, taker))
                 .bind(new InetSocketAddress(endpoint.host(), endpoint.port()))
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -111,6 +111,8 @@
                 KeptAnswerCodec.pack(p, m.outcome());
             }
             case Message.KeysHandedOn m -> p.packString(m.upstream());
+            case Message.PlanWanted m -> p.packNil();
+            case Message.PlanTold m -> packBytes(p, m.document());
         }
     }
 
@@ -133,6 +135,11 @@
             case KEY_TOLD -> new Message.KeyTold(u.unpackLong(), KeptAnswerCodec.unpackFact(u));
             case KEY_HAND_ON -> new Message.KeyHandOn(u.unpackString(), u.unpackLong(), KeptAnswerCodec.unpack(u));
             case KEYS_HANDED_ON -> new Message.KeysHandedOn(u.unpackString());
+            case PLAN_WANTED -> {
+                u.unpackNil();
+                yield new Message.PlanWanted();
+            }
+            case PLAN_TOLD -> new Message.PlanTold(unpackBytes(u));
         };
     }
 
--- a/wire/src/main/java/org/verbenadyke/wire/FrameType.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameType.java
@@ -23,7 +23,11 @@
     KEY_ASK,
     KEY_TOLD,
     KEY_HAND_ON,
-    KEYS_HANDED_ON;
+    KEYS_HANDED_ON,
+    /** {@link Message.PlanWanted}. */
+    PLAN_WANTED,
+    /** {@link Message.PlanTold}. */
+    PLAN_TOLD;
 
     private static final FrameType[] ALL = values();
 
@@ -56,6 +60,8 @@
             case Message.KeyTold m -> KEY_TOLD;
             case Message.KeyHandOn m -> KEY_HAND_ON;
             case Message.KeysHandedOn m -> KEYS_HANDED_ON;
+            case Message.PlanWanted m -> PLAN_WANTED;
+            case Message.PlanTold m -> PLAN_TOLD;
         };
     }
 }
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -115,11 +115,11 @@
     }
 
     private static void packView(MessagePacker p, GossipMessage.View view) throws IOException {
-        p.packLong(view.digest()).packLong(view.configVersion());
+        p.packLong(view.digest()).packLong(view.configVersion()).packLong(view.planVersion());
     }
 
     private static GossipMessage.View unpackView(MessageUnpacker u) throws IOException {
-        return new GossipMessage.View(u.unpackLong(), u.unpackLong());
+        return new GossipMessage.View(u.unpackLong(), u.unpackLong(), u.unpackLong());
     }
 
     private static void packEndpoint(MessagePacker p, Endpoint endpoint) throws IOException {
