Level from load, due order, expected finish; stand-ins of the platform and whole-path tests

On the platform a call does not tell which request it belongs to.

Change: LoadLevel sets the level from the load that arrives, once in 300 ms; LevelBelow passes it up the chain; calls inside a chain carry the highest importance; the queue serves by target latency and gives up the least important first; SlotLimit leaves a few slots free; expected-finish chooses by spare room and expected time. A leaving upstream's queue is flushed.

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -89,6 +89,7 @@
                 Importance.NORMAL,
                 3,
                 1_000_000,
+                500_000,
                 1,
                 true,
                 "",
--- a/examples/src/test/java/org/verbenadyke/examples/ExamplesTest.java
+++ b/examples/src/test/java/org/verbenadyke/examples/ExamplesTest.java
@@ -36,6 +36,6 @@
     }
 
     private static Candidate candidate(String id) {
-        return Candidate.of(new Upstream(id, "s", new Endpoint("10.0.0.1", 1), new Place("r", "d")));
+        return Candidate.of(new Upstream(id, "s", new Endpoint("10.0.0.1", 1), new Place("r", "d")), true);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionLevel.java
@@ -10,7 +10,7 @@
  * arrived, so that what is admitted fits what the upstream finished. It rises at once under overload and falls in
  * growing steps when the overload has passed.
  */
-public final class AdmissionLevel {
+public final class AdmissionLevel implements LevelControl {
     /** The length of a window in nanoseconds. */
     public static final long WINDOW_NANOS = 50_000_000L;
 
@@ -37,38 +37,29 @@
         return new AdmissionLevel();
     }
 
-    /**
-     * Returns the rank below which calls are refused.
-     *
-     * @return the rank, 0 when all are admitted
-     */
+    @Override
     public int current() {
         return level;
     }
 
-    /**
-     * Notes an arriving call, admitted or not.
-     *
-     * @param rank its rank
-     * @return whether the rank is admitted
-     */
+    @Override
     public boolean arrive(int rank) {
         arrivals.incrementAndGet(rank);
         return rank >= level;
     }
 
-    /** Notes that the upstream finished a call. */
+    @Override
     public void finished() {
         finished.increment();
     }
 
-    /** Notes that a call waited too long or found the queue full. */
+    @Override
     public void overloaded() {
         overload.increment();
     }
 
-    /** Ends a window; called by one thread at a time, every {@link #WINDOW_NANOS}. */
-    public void endWindow() {
+    @Override
+    public void endWindow(GateLoad load) {
         int[] seen = new int[Importance.RANKS];
         int total = 0;
         for (int i = 0; i < seen.length; i++) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
@@ -7,8 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * The calls that wait for a slot: the most important first, then the deepest in its chain, then the earliest. Safe for
- * many threads.
+ * The calls that wait for a slot, in the order in which they are served. Safe for many threads.
  */
 public final class AdmissionQueue {
     private static final Comparator<Entry> ORDER = Comparator.<Entry>comparingInt(
@@ -16,19 +15,26 @@
             .thenComparingInt(e -> -e.call().depth())
             .thenComparingLong(Entry::order);
 
-    private final ConcurrentSkipListSet<Entry> entries = new ConcurrentSkipListSet<>(ORDER);
+    private static final Comparator<Entry> BY_DUE =
+            Comparator.<Entry>comparingLong(e -> e.call().dueNanos()).thenComparingLong(Entry::order);
+
+    private final ConcurrentSkipListSet<Entry> entries;
+    private final ConcurrentSkipListSet<Entry> byImportance = new ConcurrentSkipListSet<>(ORDER);
     private final AtomicInteger size = new AtomicInteger();
     private final AtomicLong orders = new AtomicLong();
 
-    private AdmissionQueue() {}
+    private AdmissionQueue(QueueOrder order) {
+        this.entries = new ConcurrentSkipListSet<>(order == QueueOrder.DUE ? BY_DUE : ORDER);
+    }
 
     /**
      * Creates a queue.
      *
+     * @param order which call is served next; the one given up first is always the least important
      * @return an empty queue
      */
-    public static AdmissionQueue empty() {
-        return new AdmissionQueue();
+    public static AdmissionQueue in(QueueOrder order) {
+        return new AdmissionQueue(order);
     }
 
     /**
@@ -38,7 +44,9 @@
      * @param nowNanos the time
      */
     public void add(Waiting call, long nowNanos) {
-        entries.add(new Entry(call, orders.getAndIncrement(), nowNanos));
+        Entry entry = new Entry(call, orders.getAndIncrement(), nowNanos);
+        byImportance.add(entry);
+        entries.add(entry);
         size.incrementAndGet();
     }
 
@@ -48,7 +56,11 @@
      * @return the call, if any waits
      */
     public Optional<Entry> pollFirst() {
-        return taken(entries.pollFirst());
+        Entry entry = entries.pollFirst();
+        if (entry != null) {
+            byImportance.remove(entry);
+        }
+        return taken(entry);
     }
 
     /**
@@ -57,7 +69,12 @@
      * @return the call, if any waits
      */
     public Optional<Entry> pollLast() {
-        return taken(entries.pollLast());
+        for (Entry entry = byImportance.pollLast(); entry != null; entry = byImportance.pollLast()) {
+            if (entries.remove(entry)) {
+                return taken(entry);
+            }
+        }
+        return Optional.empty();
     }
 
     /**
@@ -69,6 +86,7 @@
     public boolean remove(Waiting call) {
         for (Entry entry : entries) {
             if (entry.call() == call && entries.remove(entry)) {
+                byImportance.remove(entry);
                 size.decrementAndGet();
                 return true;
             }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -12,14 +12,17 @@
 public final class Gate {
     private final GateSettings settings;
     private final ConcurrencyLimit limit;
-    private final AdmissionLevel level = AdmissionLevel.open();
-    private final AdmissionQueue queue = AdmissionQueue.empty();
+    private final LevelControl level;
+    private final AdmissionQueue queue;
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ServiceTime serviceTime = ServiceTime.unknown();
+    private final HoldTime holdTime = HoldTime.unknown();
 
     private Gate(GateSettings settings, ConcurrencyLimit limit) {
         this.settings = settings;
         this.limit = limit;
+        this.queue = AdmissionQueue.in(settings.order());
+        this.level = settings.order() == QueueOrder.DUE ? LoadLevel.open() : AdmissionLevel.open();
     }
 
     /**
@@ -85,6 +88,7 @@
             case ANSWERED -> {
                 level.finished();
                 serviceTime.observe(nowNanos, latencyNanos);
+                holdTime.observe(latencyNanos);
             }
             case SHED -> level.overloaded();
             case IGNORED -> level.finished();
@@ -93,9 +97,16 @@
         drain(nowNanos);
     }
 
+    /** Refuses all that wait, as the upstream is leaving. */
+    public void flush() {
+        for (Optional<AdmissionQueue.Entry> e = queue.pollFirst(); e.isPresent(); e = queue.pollFirst()) {
+            e.get().call().shed(RefusalReason.DRAINING);
+        }
+    }
+
     /** Ends a window of the admission level; called every {@link AdmissionLevel#WINDOW_NANOS}. */
     public void endWindow() {
-        level.endWindow();
+        level.endWindow(new GateLoad(limit.current(), inFlight.get(), queue.size(), holdTime.nanos()));
     }
 
     /**
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/GateLoad.java
@@ -0,0 +1,11 @@
+package org.verbenadyke.kernel.admission;
+
+/**
+ * What a gate sees at the end of a window.
+ *
+ * @param limit how many calls may be in flight
+ * @param inFlight how many are
+ * @param queued how many wait
+ * @param serviceNanos how long a call holds its place in flight, smoothed, in nanoseconds; 0 if unknown
+ */
+public record GateLoad(int limit, int inFlight, int queued, long serviceNanos) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/GateSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/GateSettings.java
@@ -8,8 +8,9 @@
  * @param queueShare the length of the queue as a share of the limit
  * @param queueLeast the least length of the queue
  * @param targetWaitNanos the wait in the queue from which on the upstream counts as overloaded, in nanoseconds
+ * @param order which waiting call is served next; {@link QueueOrder#DUE} also sets the level by load
  */
-public record GateSettings(boolean sheds, double queueShare, int queueLeast, long targetWaitNanos) {
+public record GateSettings(boolean sheds, double queueShare, int queueLeast, long targetWaitNanos, QueueOrder order) {
     private static final int QUEUE_MOST = 10_000;
     private static final double DEFAULT_SHARE = 0.5;
     private static final int DEFAULT_LEAST = 8;
@@ -21,7 +22,7 @@
      * @return the settings
      */
     public static GateSettings standard() {
-        return new GateSettings(true, DEFAULT_SHARE, DEFAULT_LEAST, DEFAULT_TARGET_NANOS);
+        return new GateSettings(true, DEFAULT_SHARE, DEFAULT_LEAST, DEFAULT_TARGET_NANOS, QueueOrder.IMPORTANCE);
     }
 
     /**
@@ -30,7 +31,7 @@
      * @return the settings
      */
     public static GateSettings unbounded() {
-        return new GateSettings(false, 0, Integer.MAX_VALUE, Long.MAX_VALUE);
+        return new GateSettings(false, 0, Integer.MAX_VALUE, Long.MAX_VALUE, QueueOrder.IMPORTANCE);
     }
 
     /** Bounds the queue: by a share of the limit, but never below what is served within the target wait. */
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/HoldTime.java
@@ -0,0 +1,27 @@
+package org.verbenadyke.kernel.admission;
+
+/**
+ * How long calls hold their place in flight, smoothed over the last calls. Safe for many threads; a lost update of two
+ * at once does no harm to a mean.
+ */
+final class HoldTime {
+    /** Weight of the newest call: about the last hundred calls count, some tenths of a second under load. */
+    private static final double SMOOTHING = 0.02;
+
+    private volatile double nanos;
+
+    private HoldTime() {}
+
+    static HoldTime unknown() {
+        return new HoldTime();
+    }
+
+    void observe(long newNanos) {
+        double seen = nanos;
+        nanos = seen == 0 ? newNanos : seen + SMOOTHING * (newNanos - seen);
+    }
+
+    long nanos() {
+        return (long) nanos;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LevelControl.java
@@ -0,0 +1,34 @@
+package org.verbenadyke.kernel.admission;
+
+/**
+ * Sets the rank below which calls are refused beside an upstream. Safe for many threads, but for {@link #endWindow}.
+ */
+public interface LevelControl {
+    /**
+     * Returns the rank below which calls are refused.
+     *
+     * @return the rank, 0 when all are admitted
+     */
+    int current();
+
+    /**
+     * Notes an arriving call, admitted or not.
+     *
+     * @param rank its rank
+     * @return whether the rank is admitted
+     */
+    boolean arrive(int rank);
+
+    /** Notes that the upstream finished a call. */
+    void finished();
+
+    /** Notes that a call waited too long or found the queue full. */
+    void overloaded();
+
+    /**
+     * Ends a window; called by one thread at a time, every {@link AdmissionLevel#WINDOW_NANOS}.
+     *
+     * @param load what the gate sees
+     */
+    void endWindow(GateLoad load);
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -0,0 +1,129 @@
+package org.verbenadyke.kernel.admission;
+
+import java.util.concurrent.atomic.LongAdder;
+
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
+
+/**
+ * A level from the load that arrives, for chains in which a refused call wastes the work above it.
+ *
+ * <p>Load pattern: demand stays above what the deepest service can do for seconds, and each request that is let in
+ * at the entry makes its calls there some hundred milliseconds later. What helps is to refuse requests at the entry, so
+ * that the calls of those let in are all served. The level tells the entry how much to refuse: once a period, the share
+ * that is let in is multiplied by how far the load lies from its target. The period is as long as a change takes to
+ * show, since a shorter one would answer the same overload several times over.
+ *
+ * <p>The most important band is never refused by the level: calls inside a chain carry it.
+ */
+public final class LoadLevel implements LevelControl {
+    /** Windows in a period: 300 ms, the time in which most calls of a request that was let in have arrived. */
+    static final int PERIOD_WINDOWS = 6;
+
+    /** The load aimed at: some room is left for the chance of arrivals within a period. */
+    private static final double TARGET = 0.93;
+
+    /** Loads up to here and down to {@link #LOW} change nothing, so that the level rests between two loads. */
+    private static final double HIGH = 0.97;
+
+    private static final double LOW = 0.89;
+
+    /** The most that a period lets in less, as a share of what it let in before. */
+    private static final double SHRINK_MOST = 0.5;
+
+    /** The most that a period lets in more: low enough that a return is caught before the queue is full. */
+    private static final double GROW_MOST = 1.12;
+
+    /** Below this share, a band counts as shut and the next one is begun. */
+    private static final double SHUT = 0.03;
+
+    /** The bands that may be refused: all but the most important. */
+    private static final int BANDS = Importance.values().length - 1;
+
+    private final LongAdder arrivals = new LongAdder();
+    private int windows;
+    private int band;
+    private double letIn = 1;
+    private volatile int level;
+
+    private LoadLevel() {}
+
+    /**
+     * Creates a level that admits everything.
+     *
+     * @return the level
+     */
+    public static LoadLevel open() {
+        return new LoadLevel();
+    }
+
+    @Override
+    public int current() {
+        return level;
+    }
+
+    @Override
+    public boolean arrive(int rank) {
+        if (rank < level) {
+            return false;
+        }
+        arrivals.increment();
+        return true;
+    }
+
+    @Override
+    public void finished() {
+        // The load is taken from what arrives.
+    }
+
+    @Override
+    public void overloaded() {
+        // The load is taken from what arrives.
+    }
+
+    @Override
+    public void endWindow(GateLoad load) {
+        windows++;
+        if (windows < PERIOD_WINDOWS) {
+            return;
+        }
+        windows = 0;
+        long arrived = arrivals.sumThenReset();
+        double offered = (arrived + load.queued()) * (double) load.serviceNanos();
+        double able = (double) load.limit() * PERIOD_WINDOWS * AdmissionLevel.WINDOW_NANOS;
+        adjust(offered / able);
+    }
+
+    private void adjust(double load) {
+        if (load > HIGH) {
+            letIn *= Math.max(SHRINK_MOST, TARGET / load);
+            if (letIn < SHUT) {
+                nextBand();
+            }
+        } else if (load < LOW && level > 0) {
+            letIn *= load <= 0 ? GROW_MOST : Math.min(GROW_MOST, TARGET / load);
+            if (letIn >= 1) {
+                previousBand();
+            }
+        }
+        level = (int) Math.round((band + 1 - letIn) * RequestId.BUCKETS);
+    }
+
+    private void nextBand() {
+        if (band == BANDS - 1) {
+            letIn = SHUT;
+            return;
+        }
+        band++;
+        letIn = 1;
+    }
+
+    private void previousBand() {
+        if (band == 0) {
+            letIn = 1;
+            return;
+        }
+        band--;
+        letIn = SHUT;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/QueueOrder.java
@@ -0,0 +1,11 @@
+package org.verbenadyke.kernel.admission;
+
+/**
+ * Which waiting call is served next.
+ */
+public enum QueueOrder {
+    /** The most important, then the deepest in its chain, then the earliest. */
+    IMPORTANCE,
+    /** The one whose target latency passes first; for calls whose importance is not known all along the chain. */
+    DUE
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Waiting.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Waiting.java
@@ -35,6 +35,15 @@
      */
     long deadlineNanos();
 
+    /**
+     * Returns the time at which the call's target latency passes.
+     *
+     * @return the time on the local clock, in nanoseconds; the deadline if there is no target
+     */
+    default long dueNanos() {
+        return deadlineNanos();
+    }
+
     /** Starts the call; a slot is held for it until {@link Gate#release}. */
     void admitted();
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import org.verbenadyke.kernel.admission.FixedLimit;
+import org.verbenadyke.kernel.admission.SlotLimit;
 import org.verbenadyke.kernel.config.ConfigKeeper;
 import org.verbenadyke.kernel.config.ConfigState;
 import org.verbenadyke.kernel.config.Configuration;
@@ -113,8 +113,9 @@
      */
     public void announce(String service, UpstreamPort port, int slots) {
         selfDraining = false;
+        gossip.renew();
         MemberRecord record = gossip.change(MemberState.ALIVE, service);
-        engine.attach(record.upstreamId(), service, port, FixedLimit.of(slots));
+        engine.attach(record.upstreamId(), service, port, SlotLimit.of(slots));
         refresh();
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -150,14 +150,14 @@
             reroute(attempt, RefusalReason.CONNECT_FAILED);
             return;
         }
-        long left = request.deadlineNanos() - parts.timers().nanos();
-        if (left <= 0) {
+        long now = parts.timers().nanos();
+        if (request.deadlineNanos() <= now) {
             deadlinePassed();
             return;
         }
         attempt.bind(link.get());
         parts.ledger().attempted(request.id(), request.service(), attempt.id());
-        link.get().send(RetryRules.call(request, attempt, left));
+        link.get().send(RetryRules.call(request, attempt, now));
         if (link.get().closed()) {
             lost(attempt);
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
@@ -15,6 +15,7 @@
  * @param importance how much it matters
  * @param depth how many calls lie above it
  * @param deadlineNanos when nobody waits any more, on the local clock
+ * @param dueNanos when its target latency passes, on the local clock; the deadline if it has none
  * @param idempotent whether it may run more than once
  * @param key the idempotency key, empty if none
  * @param budget where retries come from
@@ -28,6 +29,7 @@
         Importance importance,
         int depth,
         long deadlineNanos,
+        long dueNanos,
         boolean idempotent,
         String key,
         RetryBudget budget,
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
@@ -27,7 +27,8 @@
      * Words the call. Its time to live ends a little before the sender's deadline, so that the refusal at its end comes
      * from the node that knows whether the call ran.
      */
-    static Message.Call call(Request request, Attempt attempt, long leftNanos) {
+    static Message.Call call(Request request, Attempt attempt, long nowNanos) {
+        long leftNanos = request.deadlineNanos() - nowNanos;
         long margin = Math.min(MARGIN_MOST_NANOS, leftNanos / MARGIN_SHARE);
         return new Message.Call(
                 attempt.id(),
@@ -37,6 +38,7 @@
                 request.importance(),
                 request.depth(),
                 (leftNanos - margin) / NANOS_PER_MICRO,
+                (request.dueNanos() - nowNanos) / NANOS_PER_MICRO,
                 attempt.link().peerClock(),
                 request.idempotent(),
                 request.key(),
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -30,6 +30,7 @@
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.serve.CallContext;
 import org.verbenadyke.kernel.serve.CallServer;
+import org.verbenadyke.kernel.serve.LevelBelow;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 
@@ -44,6 +45,7 @@
     private final LinkPool links;
     private final Dispatcher dispatcher;
     private final CallServer server;
+    private final LevelBelow below;
     private final KeyedBudgets keyedBudgets;
     private final AtomicLong requests = new AtomicLong();
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
@@ -71,9 +73,15 @@
                         parts.counters(),
                         parts.ledger()),
                 policy.dispatch());
+        this.below = LevelBelow.of(s -> router.level(s, parts.timers().nanos()));
         this.server = CallServer.create(
                 new CallServer.Parts(
-                        parts.timers(), parts.random(), parts.counters(), parts.ledger(), parts.keyClaims()),
+                        parts.timers(),
+                        parts.random(),
+                        parts.counters(),
+                        parts.ledger(),
+                        parts.keyClaims(),
+                        () -> below.current(parts.timers().nanos())),
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.keeping(policy.keyRetentionNanos());
     }
@@ -122,6 +130,7 @@
                 importance,
                 0,
                 parts.timers().nanos() + ttl(inbound),
+                parts.timers().nanos() + ttl(inbound),
                 inbound.idempotent(),
                 inbound.key(),
                 rootBudget(inbound, id, config),
@@ -141,6 +150,10 @@
         Route route = routed.route();
         long ttl = Math.min(
                 routed.ttlNanos(), Math.min(route.timeoutNanos(), policy.serve().maxTtlNanos()));
+        long now = parts.timers().nanos();
+        if (routed.depth() > 0) {
+            below.called(routed.service(), now);
+        }
         Request request = new Request(
                 new RequestId(parts.incarnation(), requests.incrementAndGet()),
                 "",
@@ -148,7 +161,8 @@
                 routed.content(),
                 routed.importance(),
                 routed.depth(),
-                parts.timers().nanos() + ttl,
+                now + ttl,
+                now + Math.min(ttl, route.targetNanos()),
                 route.kind().repeatable(),
                 "",
                 RootBudget.of(route.attempts() - 1),
@@ -183,6 +197,7 @@
                 c.importance(),
                 c.depth() + 1,
                 deadline,
+                deadline,
                 inbound.idempotent(),
                 inbound.key(),
                 budget,
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -41,6 +41,7 @@
      * @param importance how much it matters
      * @param depth how many calls lie above it
      * @param ttlMicros how long the sender waits, in microseconds
+     * @param dueMicros after how long the target latency of the request passes, in microseconds
      * @param receiverClock the newest clock that the receiver lent on this connection, in its nanoseconds; 0 if none
      * @param idempotent whether it may run more than once
      * @param key the idempotency key, empty if none
@@ -53,6 +54,7 @@
             Importance importance,
             int depth,
             long ttlMicros,
+            long dueMicros,
             long receiverClock,
             boolean idempotent,
             String key,
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
@@ -1,8 +1,13 @@
 package org.verbenadyke.kernel.route;
 
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
+import org.verbenadyke.kernel.call.Importance;
+
 /**
  * All routes, services and limits of one version. Immutable; published as a whole.
  */
@@ -12,6 +17,7 @@
     private final List<ServiceEntry> services;
     private final RequestLimits limits;
     private final RouteIndex index;
+    private final Map<Integer, Importance> bands;
 
     private RoutePlan(long version, List<Route> routes, List<ServiceEntry> services, RequestLimits limits) {
         this.version = version;
@@ -19,6 +25,7 @@
         this.services = List.copyOf(services);
         this.limits = limits;
         this.index = RouteIndex.of(this.routes);
+        this.bands = bands(this.routes);
     }
 
     /**
@@ -70,6 +77,32 @@
         return limits;
     }
 
+    /**
+     * Returns how much the requests of a route matter. The least urgent priority of the plan is the lowest importance,
+     * and so on upwards without gaps, so that shedding begins with requests that there are. The highest importance is
+     * left for calls inside a chain.
+     *
+     * @param route a route of this plan
+     * @return the importance
+     */
+    public Importance importance(Route route) {
+        return bands.getOrDefault(route.priority(), Importance.HIGH);
+    }
+
+    private static Map<Integer, Importance> bands(List<Route> routes) {
+        List<Integer> priorities = routes.stream()
+                .map(Route::priority)
+                .distinct()
+                .sorted(Comparator.reverseOrder())
+                .toList();
+        Map<Integer, Importance> bands = new HashMap<>();
+        for (int i = 0; i < priorities.size(); i++) {
+            int band = Math.min(i, Importance.HIGH.ordinal());
+            bands.put(priorities.get(i), Importance.values()[band]);
+        }
+        return Map.copyOf(bands);
+    }
+
     /**
      * Finds the route of a request: of the host's routes, the one with the longest prefix of the path.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -15,6 +15,19 @@
     private static final long LEVEL_FRESH_NANOS = 400_000_000L;
     private static final long LEVEL_DECAY_NANOS = 600_000_000L;
     private static final double ERROR_WEIGHT = 10;
+
+    /** How much a filled upstream counts as slower than an empty one, before calls wait. */
+    private static final double FILLING_WEIGHT = 1.5;
+
+    /** How much each call that waits counts, as a share of the places. */
+    private static final double WAITING_WEIGHT = 4;
+
+    /** What another data centre costs: a round trip between two that are near each other. */
+    private static final double AWAY_NANOS = 3_000_000;
+
+    /** What it costs besides, as a share of the latency: bytes between data centres are paid for. */
+    private static final double AWAY_SHARE = 0.05;
+
     private static final int EJECT_AFTER = 5;
     private static final double EJECT_ERROR_RATE = 0.5;
     private static final double ERROR_SMOOTHING = 0.1;
@@ -22,28 +35,34 @@
     private static final int EJECTION_DOUBLINGS = 4;
 
     private final Upstream upstream;
+    private final boolean near;
+    private final AtomicInteger sentSinceReport = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger failuresInRow = new AtomicInteger();
     private final Map<String, Level> levels = new ConcurrentHashMap<>();
     private volatile double latencyNanos;
     private volatile double errorRate;
     private volatile double reportedLoad = -1;
+    private volatile int reportedLimit;
+    private volatile Level newest = new Level(0, 0);
     private volatile boolean draining;
     private volatile long ejectedUntil = Long.MIN_VALUE;
     private volatile int ejections;
 
-    private Candidate(Upstream upstream) {
+    private Candidate(Upstream upstream, boolean near) {
         this.upstream = upstream;
+        this.near = near;
     }
 
     /**
      * Creates a candidate of which nothing was seen yet.
      *
      * @param upstream the upstream
+     * @param near whether it stands in the data centre of this node
      * @return the candidate
      */
-    public static Candidate of(Upstream upstream) {
-        return new Candidate(upstream);
+    public static Candidate of(Upstream upstream, boolean near) {
+        return new Candidate(upstream, near);
     }
 
     /**
@@ -57,6 +76,7 @@
 
     /** Notes that a call is sent. */
     public void sent() {
+        sentSinceReport.incrementAndGet();
         inFlight.incrementAndGet();
     }
 
@@ -111,6 +131,9 @@
      */
     public void reported(String pathClass, Message.Report report, long nowNanos) {
         reportedLoad = report.limit() <= 0 ? 0 : (double) report.inFlight() / report.limit();
+        sentSinceReport.set(0);
+        reportedLimit = report.limit();
+        newest = new Level(report.level(), nowNanos);
         draining |= report.draining();
         levels.put(pathClass, new Level(report.level(), nowNanos));
     }
@@ -174,6 +197,53 @@
                 * Math.max(1, Math.sqrt(latencyNanos));
     }
 
+    /**
+     * Returns the level that the upstream reported last, for any call; it fades when no news comes.
+     *
+     * @param nowNanos the time
+     * @return the rank below which a call would be refused
+     */
+    public int newestLevel(long nowNanos) {
+        return newest.faded(nowNanos);
+    }
+
+    /**
+     * Returns the share of its places that the upstream has taken, with what was sent since it said so.
+     *
+     * @return the share, from 0; above 1 when calls wait
+     */
+    public double utilisation() {
+        int limit = reportedLimit;
+        if (limit <= 0) {
+            return 0;
+        }
+        return Math.max(0, reportedLoad) + (double) sentSinceReport.get() / limit;
+    }
+
+    /**
+     * Returns the smoothed latency of its answers.
+     *
+     * @return nanoseconds, 0 when none was seen
+     */
+    public double latencyNanos() {
+        return latencyNanos;
+    }
+
+    /**
+     * Returns when a call sent now is expected to be answered: the latency seen, more as the upstream fills up, more
+     * when it fails, and a little more when it stands in another data centre.
+     *
+     * @param typicalNanos the latency that stands in while none was seen
+     * @return the time from now, in nanoseconds
+     */
+    public double expectedNanos(double typicalNanos) {
+        double u = utilisation();
+        double filling = 1 + FILLING_WEIGHT * u * u * u + WAITING_WEIGHT * Math.max(0, u - 1);
+        double seen = latencyNanos == 0 ? typicalNanos : latencyNanos;
+        double away = near ? 0 : AWAY_NANOS + seen * AWAY_SHARE;
+        return seen * filling * (1 + ERROR_WEIGHT * errorRate) + away;
+    }
+
     /**
      * A reported level.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -108,6 +108,27 @@
         return amongFit(fit(accepting, nowNanos), query, nowNanos);
     }
 
+    /**
+     * Returns the level that a service reports: that of its least loaded upstream, since calls can go there.
+     *
+     * @param service the service
+     * @param nowNanos the time
+     * @return the rank below which its calls are refused, 0 when nothing is known
+     */
+    public int level(String service, long nowNanos) {
+        Routes routes = table.get().get(service);
+        if (routes == null) {
+            return 0;
+        }
+        int lowest = Integer.MAX_VALUE;
+        for (Candidate c : routes.subset) {
+            if (c.accepting()) {
+                lowest = Math.min(lowest, c.newestLevel(nowNanos));
+            }
+        }
+        return lowest == Integer.MAX_VALUE ? 0 : lowest;
+    }
+
     /**
      * Returns what is known.
      *
@@ -183,7 +204,11 @@
         Map<String, Candidate> all = new TreeMap<>();
         for (Upstream u : upstreams) {
             Candidate known = before.all.get(u.id());
-            all.put(u.id(), known != null && known.upstream().equals(u) ? known : Candidate.of(u));
+            all.put(
+                    u.id(),
+                    known != null && known.upstream().equals(u)
+                            ? known
+                            : Candidate.of(u, u.place().equals(place)));
         }
         List<Candidate> subset = Rendezvous.subset(upstreams, self, this::weight, subsetSize).stream()
                 .map(u -> all.get(u.id()))
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -175,7 +176,8 @@
         return Refusal.notRun(reason, after);
     }
 
-    Message.Report report(int levelBelow) {
+    Message.Report report(int levelOfCall) {
+        int levelBelow = Math.max(levelOfCall, parts.levelBelow.getAsInt());
         LocalUpstream local = upstream;
         if (local == null) {
             return new Message.Report(0, 0, levelBelow, false);
@@ -251,7 +253,13 @@
      * @param counters where refusals are counted
      * @param ledger checks the promises
      * @param keys decides and asks about the owners of keys
+     * @param levelBelow tells the level of the services that the upstream calls, where calls don't name their parent
      */
     public record Parts(
-            TimerService timers, Supplier<RandomGenerator> random, Counters counters, Ledger ledger, KeyClaims keys) {}
+            TimerService timers,
+            Supplier<RandomGenerator> random,
+            Counters counters,
+            Ledger ledger,
+            KeyClaims keys,
+            IntSupplier levelBelow) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -166,6 +166,11 @@
         return deadlineNanos;
     }
 
+    @Override
+    public long dueNanos() {
+        return receivedNanos + call.dueMicros() * NANOS_PER_MICRO;
+    }
+
     @Override
     public void admitted() {
         serial.run(this::handOver);
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -132,7 +132,11 @@
         if (!leaving && draining) {
             sinceNanos = timers.nanos();
         }
+        boolean begins = leaving && !draining;
         draining = leaving;
+        if (begins) {
+            gate.flush();
+        }
     }
 
     /**
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
@@ -16,7 +16,7 @@
     private static final long FAR = Long.MAX_VALUE;
 
     private final List<String> log = new ArrayList<>();
-    private final Gate gate = Gate.of(new GateSettings(true, 0, 2, 10), FixedLimit.of(1));
+    private final Gate gate = Gate.of(new GateSettings(true, 0, 2, 10, QueueOrder.IMPORTANCE), FixedLimit.of(1));
 
     @Test
     void admitsWhileASlotIsFreeAndThenQueues() {
@@ -55,7 +55,7 @@
         gate.release(1_000, 500, ConcurrencyLimit.Outcome.ANSWERED);
         gate.release(2_000_000_000L, 500, ConcurrencyLimit.Outcome.ANSWERED);
         log.clear();
-        Gate other = Gate.of(new GateSettings(true, 0, 2, 10), FixedLimit.of(1));
+        Gate other = Gate.of(new GateSettings(true, 0, 2, 10, QueueOrder.IMPORTANCE), FixedLimit.of(1));
         other.offer(new Call("first", Importance.NORMAL, 0, FAR), 0);
         other.release(100, 100, ConcurrencyLimit.Outcome.ANSWERED);
         other.offer(new Call("second", Importance.NORMAL, 0, FAR), 1_100_000_000L);
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -204,6 +204,7 @@
                 Importance.NORMAL,
                 0,
                 clock.nanos() + 1_000 * MILLI,
+                clock.nanos() + 500 * MILLI,
                 idempotent,
                 "",
                 RootBudget.of(budget),
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -39,7 +39,12 @@
     private final RecordingLink link = new RecordingLink();
     private final CallServer server = CallServer.create(
             new CallServer.Parts(
-                    clock, () -> new SplittableRandom(1), counters, Ledger.watching(breaches::add), KeyClaims.alone()),
+                    clock,
+                    () -> new SplittableRandom(1),
+                    counters,
+                    Ledger.watching(breaches::add),
+                    KeyClaims.alone(),
+                    () -> 0),
             ServeSettings.standard());
     private final LocalUpstream local = LocalUpstream.of(
             "u1",
@@ -210,6 +215,7 @@
                 Importance.NORMAL,
                 0,
                 TTL_MICROS,
+                TTL_MICROS / 2,
                 clock.nanos(),
                 idempotent,
                 key,
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -30,8 +30,8 @@
 import org.verbenadyke.node.log.HttpLog;
 import org.verbenadyke.node.settings.NodeSettings;
 import org.verbenadyke.node.time.WheelTimerService;
-import org.verbenadyke.node.transport.Loops;
 import org.verbenadyke.node.transport.NettyTransport;
+import org.verbenadyke.node.transport.SharedLoops;
 import org.verbenadyke.node.transport.UdpPort;
 import org.verbenadyke.wire.ConfigCodec;
 import org.verbenadyke.wire.MemberCodec;
@@ -70,11 +70,11 @@
     private Node(NodeSettings settings) {
         this.settings = settings;
         this.io = NettyIoExecutors.createIoExecutor(settings.ioThreads(), "io");
-        this.transport = NettyTransport.on(Loops.of(io), counters);
+        this.transport = NettyTransport.on(SharedLoops.of(io), counters);
         this.ledger = settings.ledger() ? Ledger.watching(this::breached) : Ledger.off();
         long incarnation = timers.wallMillis() << INCARNATION_SHIFT | new SecureRandom().nextLong() & INCARNATION_MASK;
         LogService log = settings.logs().<LogService>map(a -> HttpLog.at(a, io)).orElseGet(AbsentLog::create);
-        this.datagrams = UdpPort.listen(settings.peers(), Loops.of(io), counters, this::heard);
+        this.datagrams = UdpPort.listen(settings.peers(), SharedLoops.of(io), counters, this::heard);
         MemberRecord self = new MemberRecord(
                 settings.id(),
                 incarnation,
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/transport/SharedLoops.java
@@ -0,0 +1,32 @@
+package org.verbenadyke.node.transport;
+
+import java.net.InetSocketAddress;
+
+import io.netty.channel.EventLoopGroup;
+import io.servicetalk.transport.api.IoExecutor;
+import io.servicetalk.transport.netty.internal.BuilderUtils;
+import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutors;
+
+/**
+ * Takes the threads that ServiceTalk serves HTTP on. Apart from {@link Loops}, so that a node without ServiceTalk needs
+ * none of its libraries.
+ */
+public final class SharedLoops {
+    private SharedLoops() {}
+
+    /**
+     * Returns the threads of an executor.
+     *
+     * @param executor the executor
+     * @return its threads
+     */
+    public static Loops of(IoExecutor executor) {
+        EventLoopGroup group = EventLoopAwareNettyIoExecutors.toEventLoopAwareNettyIoExecutor(executor)
+                .eventLoopGroup();
+        return new Loops(
+                group,
+                BuilderUtils.serverChannel(group, InetSocketAddress.class),
+                BuilderUtils.socketChannel(group, InetSocketAddress.class),
+                BuilderUtils.datagramChannel(group));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
@@ -0,0 +1,78 @@
+package org.verbenadyke.standins.platform;
+
+import org.verbenadyke.kernel.routing.Endpoint;
+
+/**
+ * Documents as the platform's operators and servers write them.
+ */
+public final class Documents {
+    private Documents() {}
+
+    /**
+     * Words a configuration with one idempotent and one other route of a service, at hosts {@code read.example} and
+     * {@code write.example}.
+     *
+     * @param version the version
+     * @param service the service
+     * @return the document
+     */
+    public static String configuration(int version, String service) {
+        return """
+                {"version":"%08x","routes":[\
+                {"name":"read","host":"read.example","path-prefix":"/r/","kind":"idempotent","timeout":"3000ms",\
+                "target-latency":"500ms","priority":1,"service":"%s","max-attempts":2},\
+                {"name":"write","host":"write.example","path-prefix":"/w/","kind":"non_idempotent",\
+                "timeout":"1500ms","target-latency":"500ms","priority":0,\
+                "traffic-split":[{"service":"%s","weight":3}],"max-attempts":2}],\
+                "services":[{"name":"%s","health-path":"/health","max-connections":50}],\
+                "limits":{"max-header-bytes":16384,"max-body-bytes":1048576,"header-timeout":"3s",\
+                "idle-timeout":"15s"}}""".formatted(version, service, service, service);
+    }
+
+    /**
+     * Words a server's report.
+     *
+     * @param service its service
+     * @param address where it listens
+     * @param state {@code ready} or {@code draining}
+     * @param sequence counts its reports
+     * @return the document
+     */
+    public static String report(String service, Endpoint address, String state, int sequence) {
+        return """
+                {"service":"%s","address":"%s","zone":"z","version":"v1","slots":8,"state":"%s",\
+                "cold-remaining":"0ms","sequence":%d}""".formatted(service, address, state, sequence);
+    }
+
+    /**
+     * Words a node's settings.
+     *
+     * @param id the node's name
+     * @param ports where it listens
+     * @param service the service beside it
+     * @param store the store
+     * @return the file's text
+     */
+    public static String settings(String id, NodePorts ports, String service, Endpoint store) {
+        return """
+                [node]
+                id = %s
+                region = r
+                data-centre = z
+                machine = 127.0.0.2
+                [listen]
+                entry = %s
+                ready = %s
+                announcements = %s
+                peers = %s
+                [upstream]
+                service = %s
+                heartbeat = 500ms
+                [store]
+                address = %s
+                [limits]
+                stop-within = 5s
+                retry-ratio = 0.2
+                """.formatted(id, ports.entry(), ports.ready(), ports.announcements(), ports.peers(), service, store);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/RehearsalMain.java
@@ -0,0 +1,82 @@
+package org.verbenadyke.standins.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.node.time.LoopTimerService;
+import org.verbenadyke.node.transport.Loops;
+
+/**
+ * Starts a node against the stand-ins, sends it some requests and stops it. The build runs the node's own command line
+ * through it to record which classes a node loads.
+ */
+public final class RehearsalMain {
+    private static final int REQUESTS = 60;
+    private static final long DEADLINE_MILLIS = 2_000;
+    private static final long EXIT_SECONDS = 30;
+    private static final String SERVICE = "rehearsed";
+    private static final String SERVER = "server-1";
+
+    private RehearsalMain() {}
+
+    /**
+     * Runs the rehearsal.
+     *
+     * @param args the settings file to write, then the node's command line
+     * @throws IOException when the node can't be started or does not answer
+     * @throws InterruptedException when interrupted
+     */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+        Loops loops = Loops.nio(1);
+        LoopTimerService timers = LoopTimerService.on(loops.group().next());
+        NodePorts ports = NodePorts.free();
+        Endpoint storeAt = NodePorts.freeEndpoint();
+        Endpoint serverAt = NodePorts.freeEndpoint();
+        StoreStandIn store = StoreStandIn.listen(storeAt, loops, timers);
+        ServerStandIn server = ServerStandIn.listen(SERVER, serverAt, loops, timers);
+        store.write(StoreStandIn.OPERATORS, StoreStandIn.CONFIGURATION, Documents.configuration(1, SERVICE));
+        Path settings = Path.of(args[0]);
+        Files.writeString(settings, Documents.settings("rehearsal", ports, SERVICE, storeAt));
+        ProcessBuilder builder = new ProcessBuilder(Arrays.copyOfRange(args, 1, args.length)).inheritIO();
+        builder.environment().put("VERBENADYKE_SETTINGS", settings.toString());
+        Process node = builder.start();
+        try {
+            int served = rehearse(Client.of(ports), serverAt);
+            System.out.println("rehearsal: " + served + " of " + REQUESTS + " requests served");
+        } finally {
+            node.destroy();
+            if (!node.waitFor(EXIT_SECONDS, TimeUnit.SECONDS)) {
+                node.destroyForcibly();
+            }
+            store.close();
+            server.close();
+        }
+        System.exit(0);
+    }
+
+    private static int rehearse(Client client, Endpoint server) throws IOException, InterruptedException {
+        if (!client.awaitReady()) {
+            throw new IOException("the node did not become ready");
+        }
+        client.report(SERVER, Documents.report(SERVICE, server, "ready", 1));
+        Thread.sleep(TimeUnit.MILLISECONDS.toMillis(200));
+        int served = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            boolean read = i % 2 == 0;
+            int status = client.send(
+                            read ? "GET" : "POST",
+                            read ? "read.example" : "write.example",
+                            (read ? "/r/" : "/w/") + (i % 10 == 0 ? ServerStandIn.SHED_ONCE : ServerStandIn.FINE),
+                            "r" + i,
+                            DEADLINE_MILLIS)
+                    .statusCode();
+            served += status == 200 ? 1 : 0;
+        }
+        return served;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreFault.java
@@ -0,0 +1,15 @@
+package org.verbenadyke.standins.platform;
+
+/**
+ * What the store's stand-in does to calls.
+ */
+public enum StoreFault {
+    /** It answers. */
+    NONE,
+    /** It refuses: nothing is done. */
+    REFUSES,
+    /** It doesn't answer, and does nothing. */
+    SILENT,
+    /** It does what is asked and doesn't answer. */
+    LOSES_ANSWERS
+}
--- /dev/null
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -0,0 +1,183 @@
+package org.verbenadyke.standins.platform;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.node.http1.HttpExchange;
+import org.verbenadyke.node.http1.HttpServer;
+import org.verbenadyke.node.http1.ServerLimits;
+import org.verbenadyke.node.transport.Loops;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/**
+ * A stand-in of the platform's store: keyed topics with one partition, long reads, and faults at the flip of a switch.
+ */
+public final class StoreStandIn implements AutoCloseable {
+    /** The topic of the operators. */
+    public static final String OPERATORS = "keyed.op";
+
+    /** The key of the configuration. */
+    public static final String CONFIGURATION = "config";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ServerLimits LIMITS = new ServerLimits(16 * 1024, 4 * 1024 * 1024, 60_000_000_000L);
+    private static final long POLL_NANOS = 5_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int OK = 200;
+    private static final int GONE = 410;
+    private static final int UNAVAILABLE = 503;
+    private static final byte[] NOTHING = {};
+
+    private final Map<String, KeyedTopic> topics = new ConcurrentHashMap<>();
+    private final TimerService timers;
+    private final AtomicInteger calls = new AtomicInteger();
+    private volatile StoreFault fault = StoreFault.NONE;
+    private HttpServer server;
+
+    private StoreStandIn(TimerService timers) {
+        this.timers = timers;
+    }
+
+    /**
+     * Starts a store.
+     *
+     * @param endpoint where it listens
+     * @param loops the threads that serve it
+     * @param timers the time
+     * @return the store
+     */
+    public static StoreStandIn listen(Endpoint endpoint, Loops loops, TimerService timers) {
+        StoreStandIn store = new StoreStandIn(timers);
+        store.server = HttpServer.listen(endpoint, loops, timers, () -> LIMITS, store::handle);
+        return store;
+    }
+
+    /**
+     * Writes a record, as an operator does.
+     *
+     * @param topic the topic
+     * @param key the key
+     * @param value the value
+     */
+    public void write(String topic, String key, String value) {
+        topic(topic).append(key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Sets what happens to calls from now on.
+     *
+     * @param newFault the fault
+     */
+    public void fault(StoreFault newFault) {
+        fault = newFault;
+    }
+
+    /** Forgets the history of all topics. */
+    public void compact() {
+        topics.values().forEach(KeyedTopic::compact);
+    }
+
+    /**
+     * Returns the calls so far.
+     *
+     * @return how many, refused ones too
+     */
+    public int calls() {
+        return calls.get();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private KeyedTopic topic(String name) {
+        return topics.computeIfAbsent(name, n -> new KeyedTopic());
+    }
+
+    private void handle(HttpExchange exchange) {
+        calls.incrementAndGet();
+        switch (fault) {
+            case REFUSES -> exchange.answer(UNAVAILABLE, List.of(), NOTHING);
+            case SILENT -> exchange.onGone(() -> {});
+            case LOSES_ANSWERS -> perform(exchange, false);
+            case NONE -> perform(exchange, true);
+            default -> throw new IllegalStateException(fault.name());
+        }
+    }
+
+    private void perform(HttpExchange exchange, boolean answers) {
+        String target = exchange.request().target();
+        Map<String, String> query = query(target);
+        KeyedTopic topic = topic(query.get("topic"));
+        if (target.startsWith("/-/log-append")) {
+            append(exchange, topic, answers);
+        } else if (answers && target.startsWith("/-/log-newest")) {
+            exchange.answer(OK, List.of(new HeaderField("content-type", "application/json")), newest(topic));
+        } else if (answers) {
+            long wait = Long.parseLong(query.getOrDefault("wait-ms", "0")) * NANOS_PER_MILLI;
+            read(exchange, topic, Long.parseLong(query.get("from")), timers.nanos() + wait);
+        }
+    }
+
+    private static void append(HttpExchange exchange, KeyedTopic topic, boolean answers) {
+        ByteBuffer in = ByteBuffer.wrap(exchange.request().body());
+        byte[] content = new byte[in.getInt()];
+        in.get(content);
+        int keyEnd = 1 + content[0];
+        String key = new String(content, 1, content[0], StandardCharsets.UTF_8);
+        long offset = topic.append(key, Arrays.copyOfRange(content, keyEnd, content.length));
+        if (answers) {
+            String answer = "{\"offset\":" + offset + ",\"end\":" + topic.end() + "}";
+            exchange.answer(OK, List.of(), answer.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    private static byte[] newest(KeyedTopic topic) {
+        ObjectNode root = JSON.createObjectNode();
+        ArrayNode items = root.putArray("items");
+        for (KeyedTopic.Entry e : topic.newest()) {
+            items.addObject()
+                    .put("key", e.key())
+                    .put("value", Base64.getEncoder().encodeToString(e.value()))
+                    .put("offset", e.offset());
+        }
+        root.put("more", false).put("end", topic.end());
+        return root.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void read(HttpExchange exchange, KeyedTopic topic, long from, long until) {
+        if (from < topic.first()) {
+            String gone = "{\"first\":" + topic.first() + "}";
+            exchange.answer(GONE, List.of(), gone.getBytes(StandardCharsets.UTF_8));
+        } else if (topic.end() > from || timers.nanos() >= until) {
+            exchange.answer(OK, List.of(), topic.read(from));
+        } else {
+            timers.after(POLL_NANOS, () -> read(exchange, topic, from, until));
+        }
+    }
+
+    private static Map<String, String> query(String target) {
+        Map<String, String> query = new HashMap<>();
+        for (String pair : target.substring(target.indexOf('?') + 1).split("&")) {
+            int equals = pair.indexOf('=');
+            if (equals > 0) {
+                query.put(pair.substring(0, equals), pair.substring(equals + 1));
+            }
+        }
+        return query;
+    }
+}
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -148,7 +148,7 @@
         p.packLong(m.request().incarnation()).packLong(m.request().sequence());
         p.packString(m.target().service()).packString(m.target().upstream());
         p.packInt(m.importance().ordinal()).packInt(m.depth());
-        p.packLong(m.ttlMicros()).packLong(m.receiverClock());
+        p.packLong(m.ttlMicros()).packLong(m.dueMicros()).packLong(m.receiverClock());
         p.packBoolean(m.idempotent()).packString(m.key());
         p.packString(m.content().method()).packString(m.content().path());
         packHeaders(p, m.content().headers());
@@ -164,6 +164,7 @@
                 u.unpackInt(),
                 u.unpackLong(),
                 u.unpackLong(),
+                u.unpackLong(),
                 u.unpackBoolean(),
                 u.unpackString(),
                 new Message.Content(u.unpackString(), u.unpackString(), unpackHeaders(u), unpackBytes(u)));
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -37,6 +37,7 @@
                     Importance.HIGH,
                     19,
                     5,
+                    4,
                     6,
                     true,
                     "key",
