--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -101,8 +101,8 @@
     }
 
     /** Takes the report of the node beside the upstream. */
-    void learn(Request request, Message.Report report, long nowNanos) {
-        candidate.reported(request.pathClass(), report, nowNanos);
+    void learn(Request request, String pathClass, Message.Report report, long nowNanos) {
+        candidate.reported(pathClass, report, nowNanos);
         request.observer().level(report.level());
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -25,7 +25,6 @@
  */
 final class Dispatch implements CallHandle {
     private static final int REROUTES_MOST = 3;
-    private static final long PAUSE_NANOS = 50_000_000L;
     private static final int CREDIT_LEAST = 64 * 1024;
     private static final int FAILED = 500;
     private static final int UNAVAILABLE = 503;
@@ -33,6 +32,7 @@
     private final Dispatcher dispatcher;
     private final Dispatcher.Parts parts;
     private final Request request;
+    private final String pathClass;
     private final AnswerSink sink;
     private final Serial serial = Serial.create();
     private final Set<String> tried = new HashSet<>();
@@ -49,6 +49,7 @@
         this.dispatcher = dispatcher;
         this.parts = dispatcher.parts();
         this.request = request;
+        this.pathClass = request.pathClass();
         this.sink = sink;
     }
 
@@ -122,7 +123,7 @@
         }
         RouteQuery query = new RouteQuery(
                 request.service(),
-                request.pathClass(),
+                pathClass,
                 request.importance().rank(request.id()),
                 request.idempotent() ? "" : request.key(),
                 tried);
@@ -177,7 +178,7 @@
         if (attempt.headSeen()) {
             return;
         }
-        attempt.learn(request, m.report(), parts.timers().nanos());
+        attempt.learn(request, pathClass, m.report(), parts.timers().nanos());
         long now = parts.timers().nanos();
         if (m.status() < FAILED) {
             attempt.candidate().succeeded(now - attempt.startNanos());
@@ -233,7 +234,7 @@
     }
 
     private void refused(Attempt attempt, Message.Refused m) {
-        attempt.learn(request, m.report(), parts.timers().nanos());
+        attempt.learn(request, pathClass, m.report(), parts.timers().nanos());
         attempt.conclude();
         Refusal refusal = m.refusal();
         if (committed) {
@@ -301,22 +302,16 @@
         parts.counters().retried(RetryReason.REROUTED);
         abandon(attempt);
         if (reason == RefusalReason.KEY_NOT_OWNER) {
-            later(this::next);
+            dispatcher.afterPause(serial, this::nextUnlessUnderWay);
             return;
         }
         next();
     }
 
-    private void later(Runnable step) {
-        Attempt waiting = current;
-        parts.timers()
-                .after(
-                        PAUSE_NANOS,
-                        () -> serial.run(() -> {
-                            if (!done && waiting == current) {
-                                step.run();
-                            }
-                        }));
+    private void nextUnlessUnderWay() {
+        if (current == null) {
+            next();
+        }
     }
 
     private void askRetry(RetryReason reason, Runnable otherwise) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import org.verbenadyke.kernel.budget.RatioBudget;
 import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.concurrent.Serial;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.link.Links;
 import org.verbenadyke.kernel.message.Link;
@@ -24,6 +25,9 @@
  * Sends requests to upstreams through the nodes beside them and matches the answers. Safe for many threads.
  */
 public final class Dispatcher {
+    /** How long a call waits whose key has just changed its owner, in nanoseconds: some rounds between nodes. */
+    private static final long PAUSE_NANOS = 50_000_000L;
+
     private final Parts parts;
     private final DispatchSettings settings;
     private final AtomicLong sequence = new AtomicLong();
@@ -120,6 +124,10 @@
         }
     }
 
+    void afterPause(Serial serial, Runnable step) {
+        parts.timers.after(PAUSE_NANOS, () -> serial.run(step));
+    }
+
     RatioBudget ratio(Request request) {
         return ratios.computeIfAbsent(
                 new Pair(request.caller(), request.service()), p -> RatioBudget.of(settings.ratio(), settings.burst()));
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpFields.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpFields.java
@@ -1,11 +1,13 @@
 package org.verbenadyke.node.http1;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 import org.verbenadyke.kernel.call.HeaderField;
 
@@ -43,6 +45,9 @@
             "upgrade",
             "expect");
 
+    private static final Set<String> USUAL = Set.of(KEEP_ALIVE, "close");
+    private static final Pattern COMMA = Pattern.compile("\\s*,\\s*");
+
     private HttpFields() {}
 
     /**
@@ -97,9 +102,10 @@
     /** The fields that a Connection field names as its own. */
     private static Set<String> named(List<HeaderField> fields) {
         Optional<String> connection = find(fields, CONNECTION);
-        if (connection.isEmpty()) {
+        if (connection.isEmpty() || USUAL.contains(connection.get().toLowerCase(Locale.ROOT))) {
             return Set.of();
         }
-        return Set.of(connection.get().toLowerCase(Locale.ROOT).split("\\s*,\\s*"));
+        return new HashSet<>(
+                List.of(COMMA.split(connection.get().toLowerCase(Locale.ROOT).strip())));
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/transport/NettyTransport.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/NettyTransport.java
@@ -16,6 +16,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 
 /**
  * The connections between nodes: TCP, on the threads that also serve HTTP.
@@ -23,6 +24,9 @@
 public final class NettyTransport implements Transport {
     private static final int CONNECT_MILLIS = 1_000;
 
+    /** How many messages may go out in one write; the parts of an answer are sent together. */
+    private static final int FLUSHES_MOST = 64;
+
     private final Loops loops;
     private final Counters counters;
 
@@ -85,6 +89,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline()
+                        .addLast(new FlushConsolidationHandler(FLUSHES_MOST, true))
                         .addLast(new LengthFieldBasedFrameDecoder(
                                 FrameCodec.FRAME_MOST, 0, FrameCodec.LENGTH_BYTES, 0, FrameCodec.LENGTH_BYTES))
                         .addLast(new FrameDecoder())
