Tie calls to the request they are made for; structured decisions, metrics, explain

What tells them apart: a call's id begins with the id of the request it is made for. The prefix counts only while that request runs here.

Ruled out: source address (60 of 60 requests a node come from the machine's own), User-Agent and headers (the same).

Change: RunningCalls finds the parent, whose context gives importance, deadline, budget and the way for levels. Decisions are logged as structured lines, at most ten of a kind a second, and counted; verbenadyke explain ID follows a request through them; counters and latencies are served on the metrics address.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.route.PlanKeeper;
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.trace.DecisionLog;
 import org.verbenadyke.wire.ConfigCodec;
 import org.verbenadyke.wire.MemberCodec;
 
@@ -57,7 +58,8 @@
                         () -> random,
                         PlanKeeper.absent(),
                         node.counters,
-                        Ledger.watching(breaches)),
+                        Ledger.watching(breaches),
+                        DecisionLog.none()),
                 settings);
         return node;
     }
--- /dev/null
+++ b/cli/src/main/java/org/verbenadyke/cli/ExplainCommand.java
@@ -0,0 +1,57 @@
+package org.verbenadyke.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine;
+
+/**
+ * Shows what the nodes' logs say of one request.
+ */
+@CommandLine.Command(
+        name = "explain",
+        description = "Shows the log lines that led to what became of a request. Reads the nodes' logs.")
+final class ExplainCommand implements Callable<Integer> {
+    @CommandLine.Parameters(paramLabel = "ID", description = "The request's id, as its caller knows it.")
+    private String request;
+
+    @CommandLine.Option(
+            names = "--logs",
+            paramLabel = "FILE",
+            description = "The logs of all nodes in one file (default: standard input).")
+    private Optional<Path> file = Optional.empty();
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException {
+        PrintWriter out = spec.commandLine().getOut();
+        List<String> lines;
+        try (BufferedReader reader = open()) {
+            lines = LogLines.read(reader).about(request);
+        }
+        if (lines.isEmpty()) {
+            out.println("No line names request " + request
+                    + ". It was served, or its line was left out in a busy second: look at the leftOut counts near its"
+                    + " time and at the counters.");
+            return ExitCodes.FAILED;
+        }
+        lines.forEach(out::println);
+        return ExitCodes.DONE;
+    }
+
+    private BufferedReader open() throws IOException {
+        return file.isPresent()
+                ? Files.newBufferedReader(file.get())
+                : new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+    }
+}
--- a/cli/src/main/java/org/verbenadyke/cli/Main.java
+++ b/cli/src/main/java/org/verbenadyke/cli/Main.java
@@ -19,6 +19,7 @@
             HistoryCommand.class,
             ShowCommand.class,
             DiffCommand.class,
+            ExplainCommand.class,
             AutoComplete.GenerateCompletion.class
         },
         exitCodeListHeading = "%nExit codes:%n",
--- /dev/null
+++ b/cli/src/test/java/org/verbenadyke/cli/LogLinesTest.java
@@ -0,0 +1,38 @@
+package org.verbenadyke.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.StringReader;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests {@link LogLines}. */
+final class LogLinesTest {
+    private static final String MEMBER = line("n2", "'event':'member','node':'n3','state':'SUSPECT'");
+    private static final String OTHER_MEMBER = line("n2", "'event':'member','node':'n9','state':'DEAD'");
+    private static final String TURNED = line("n3", "'event':'turned-away-draining','chain':'5-1','upstream':'n3@1.0'");
+    private static final String REFUSED = line("n1", "'event':'refused-draining','request':'abc','chain':'5-1'");
+    private static final String UNRELATED = line("n1", "'event':'refused-deadline','request':'x','chain':'5-2'");
+
+    @Test
+    void leadsFromARequestToWhatWasBelievedOfItsUpstream() throws IOException {
+        LogLines lines = read(MEMBER, OTHER_MEMBER, "no json {", UNRELATED, TURNED, REFUSED);
+        assertEquals(List.of(MEMBER, TURNED, REFUSED), lines.about("abc"));
+    }
+
+    @Test
+    void findsNothingOfARequestThatNoLineNames() throws IOException {
+        assertEquals(List.of(), read(MEMBER, REFUSED).about("unknown"));
+    }
+
+    private static String line(String node, String fields) {
+        return node + " {'part':'decision','message':{".replace('\'', '"') + fields.replace('\'', '"') + "}}";
+    }
+
+    private static LogLines read(String... lines) throws IOException {
+        return LogLines.read(new BufferedReader(new StringReader(String.join("\n", lines))));
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionLevel.java
@@ -43,7 +43,7 @@
     }
 
     @Override
-    public boolean arrive(int rank) {
+    public boolean arrive(int rank, int depth) {
         arrivals.incrementAndGet(rank);
         return rank >= level;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -48,7 +48,7 @@
             drain(nowNanos);
             return;
         }
-        if (!level.arrive(call.rank())) {
+        if (!level.arrive(call.rank(), call.depth())) {
             call.shed(RefusalReason.SHED_LEVEL);
             return;
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LevelControl.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LevelControl.java
@@ -15,9 +15,10 @@
      * Notes an arriving call, admitted or not.
      *
      * @param rank its rank
+     * @param depth how many calls lie above it
      * @return whether the rank is admitted
      */
-    boolean arrive(int rank);
+    boolean arrive(int rank, int depth);
 
     /** Notes that the upstream finished a call. */
     void finished();
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -14,7 +14,7 @@
  * that is let in is multiplied by how far the load lies from its target. The period is as long as a change takes to
  * show, since a shorter one would answer the same overload several times over.
  *
- * <p>The most important band is never refused by the level: calls inside a chain carry it.
+ * <p>Calls inside a chain are never refused by the level, since work was done for them; nor is the most important band.
  */
 public final class LoadLevel implements LevelControl {
     /** Windows in a period: 300 ms, the time in which most calls of a request that was let in have arrived. */
@@ -63,8 +63,8 @@
     }
 
     @Override
-    public boolean arrive(int rank) {
-        if (rank < level) {
+    public boolean arrive(int rank, int depth) {
+        if (depth == 0 && rank < level) {
             return false;
         }
         arrivals.increment();
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
@@ -15,6 +15,7 @@
 import org.verbenadyke.kernel.route.PlanKeeper;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.kernel.trace.DecisionLog;
 
 /**
  * What a node's decision logic works with.
@@ -31,6 +32,7 @@
  * @param plans the routes in force
  * @param counters the node's counters
  * @param ledger checks the promises
+ * @param decisions takes what is to be explained later
  */
 public record CoreParts(
         MemberRecord self,
@@ -44,4 +46,5 @@
         Supplier<RandomGenerator> random,
         PlanKeeper plans,
         Counters counters,
-        Ledger ledger) {}
+        Ledger ledger,
+        DecisionLog decisions) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -25,6 +25,7 @@
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
+import org.verbenadyke.kernel.trace.Decision;
 
 /**
  * All decision logic of one node: the request path, the membership, the configuration and the owners of keys. Has no
@@ -236,6 +237,7 @@
                 parts.random(),
                 parts.counters(),
                 parts.ledger(),
+                parts.decisions(),
                 owners,
                 (link, m) -> owners.received(link, m, upstream()),
                 this::planMessage);
@@ -333,6 +335,12 @@
             rename(renewed);
         }
 
+        @Override
+        public void learned(MemberRecord r) {
+            parts.decisions()
+                    .note(new Decision.Member(r.nodeId(), r.state().name(), r.incarnation(), r.version(), r.service()));
+        }
+
         @Override
         public long planVersion() {
             return parts.plans().version();
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.routing.Candidate;
+import org.verbenadyke.kernel.trace.Decision;
 
 /**
  * One attempt of a request. Its state is changed only inside its request's serial runner; the link alone is read from
@@ -110,6 +111,7 @@
     void failed(Dispatcher.Parts parts) {
         if (candidate.failed(parts.timers().nanos())) {
             parts.counters().count(Event.UPSTREAM_EJECTED);
+            parts.decisions().note(new Decision.Ejected(candidate.upstream().id(), dispatch.requestId()));
         }
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/CallHandle.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/CallHandle.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.kernel.dispatch;
 
+import org.verbenadyke.kernel.call.RequestId;
+
 /**
  * Steers a request under way.
  */
@@ -11,6 +13,13 @@
      */
     void credit(int bytes);
 
+    /**
+     * Returns the request's id among the nodes.
+     *
+     * @return the id
+     */
+    RequestId requestId();
+
     /** Gives the request up: its caller left. */
     void cancel();
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.concurrent.Serial;
@@ -53,6 +54,11 @@
         this.sink = sink;
     }
 
+    @Override
+    public RequestId requestId() {
+        return request.id();
+    }
+
     void start() {
         serial.run(() -> {
             long left = request.deadlineNanos() - parts.timers().nanos();
@@ -118,13 +124,17 @@
     }
 
     private void next() {
-        if (done) {
+        next(current);
+    }
+
+    private void next(Attempt after) {
+        if (done || after != current) {
             return;
         }
         RouteQuery query = new RouteQuery(
                 request.service(),
                 pathClass,
-                request.importance().rank(request.id()),
+                dispatcher.rank(request),
                 request.idempotent() ? "" : request.key(),
                 tried);
         switch (parts.router().route(query, parts.timers().nanos())) {
@@ -302,18 +312,12 @@
         parts.counters().retried(RetryReason.REROUTED);
         abandon(attempt);
         if (reason == RefusalReason.KEY_NOT_OWNER) {
-            dispatcher.afterPause(serial, this::nextUnlessUnderWay);
+            dispatcher.afterPause(serial, () -> next(null));
             return;
         }
         next();
     }
 
-    private void nextUnlessUnderWay() {
-        if (current == null) {
-            next();
-        }
-    }
-
     private void askRetry(RetryReason reason, Runnable otherwise) {
         asking = true;
         RetryPermit.ask(dispatcher, request, reason, granted -> serial.run(() -> decided(granted, reason, otherwise)));
@@ -324,6 +328,7 @@
         if (done) {
             return;
         }
+        dispatcher.noteRetry(request, current, reason, granted);
         if (granted) {
             parts.counters().retried(reason);
             Candidate same = current.candidate();
@@ -373,8 +378,7 @@
     }
 
     private void refuse(RefusalReason reason) {
-        long least = dispatcher.settings().retryAfterMillis();
-        give(new Refusal(fate, reason, RetryAfter.spread(least, parts.random().get())));
+        give(new Refusal(fate, reason, dispatcher.retryAfterMillis()));
     }
 
     private void give(Refusal refusal) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/DispatchSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/DispatchSettings.java
@@ -8,10 +8,17 @@
  * @param perHop whether each hop retries by itself, as the baseline does
  * @param tryNanos after how long one try counts as lost, in nanoseconds; 0 to wait until the deadline
  * @param everyRetryCounts whether the ratio also bounds the retries after a lost connection
+ * @param callsExempt whether calls inside a chain are sent whatever level their upstream reports
  * @param retryAfterMillis the least time after which a refused caller may come back, in milliseconds
  */
 public record DispatchSettings(
-        double ratio, int burst, boolean perHop, long tryNanos, boolean everyRetryCounts, long retryAfterMillis) {
+        double ratio,
+        int burst,
+        boolean perHop,
+        long tryNanos,
+        boolean everyRetryCounts,
+        boolean callsExempt,
+        long retryAfterMillis) {
     private static final double DEFAULT_RATIO = 0.1;
     private static final int DEFAULT_BURST = 20;
     private static final long BASELINE_TRY_NANOS = 500_000_000L;
@@ -23,7 +30,7 @@
      * @return the settings
      */
     public static DispatchSettings standard() {
-        return new DispatchSettings(DEFAULT_RATIO, DEFAULT_BURST, false, 0, false, DEFAULT_RETRY_AFTER_MILLIS);
+        return new DispatchSettings(DEFAULT_RATIO, DEFAULT_BURST, false, 0, false, false, DEFAULT_RETRY_AFTER_MILLIS);
     }
 
     /**
@@ -32,6 +39,6 @@
      * @return the settings
      */
     public static DispatchSettings baseline() {
-        return new DispatchSettings(0, 0, true, BASELINE_TRY_NANOS, false, DEFAULT_RETRY_AFTER_MILLIS);
+        return new DispatchSettings(0, 0, true, BASELINE_TRY_NANOS, false, false, DEFAULT_RETRY_AFTER_MILLIS);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -10,6 +10,8 @@
 import org.verbenadyke.kernel.budget.RatioBudget;
 import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.concurrent.Serial;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.link.Links;
@@ -20,6 +22,8 @@
 import org.verbenadyke.kernel.routing.Candidate;
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.kernel.trace.Decision;
+import org.verbenadyke.kernel.trace.DecisionLog;
 
 /**
  * Sends requests to upstreams through the nodes beside them and matches the answers. Safe for many threads.
@@ -124,10 +128,25 @@
         }
     }
 
+    /** The rank that a request is routed by; a call inside a chain passes every level if the settings say so. */
+    int rank(Request request) {
+        boolean exempt = settings.callsExempt() && request.depth() > 0;
+        return exempt ? Importance.RANKS : request.importance().rank(request.id());
+    }
+
+    long retryAfterMillis() {
+        return RetryAfter.spread(settings.retryAfterMillis(), parts.random.get());
+    }
+
     void afterPause(Serial serial, Runnable step) {
         parts.timers.after(PAUSE_NANOS, () -> serial.run(step));
     }
 
+    void noteRetry(Request request, Attempt attempt, RetryReason reason, boolean granted) {
+        String upstream = attempt.candidate().upstream().id();
+        parts.decisions.note(new Decision.Retried(request.id(), request.service(), upstream, reason, granted));
+    }
+
     RatioBudget ratio(Request request) {
         return ratios.computeIfAbsent(
                 new Pair(request.caller(), request.service()), p -> RatioBudget.of(settings.ratio(), settings.burst()));
@@ -154,6 +173,7 @@
      * @param random where each thread's randomness comes from
      * @param counters where refusals and retries are counted
      * @param ledger checks the promises
+     * @param decisions takes what is to be explained later
      */
     public record Parts(
             long incarnation,
@@ -162,7 +182,8 @@
             Links links,
             Supplier<RandomGenerator> random,
             Counters counters,
-            Ledger ledger) {}
+            Ledger ledger,
+            DecisionLog decisions) {}
 
     /**
      * A calling and a called service.
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -30,7 +30,6 @@
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.serve.CallContext;
 import org.verbenadyke.kernel.serve.CallServer;
-import org.verbenadyke.kernel.serve.LevelBelow;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 
@@ -45,7 +44,6 @@
     private final LinkPool links;
     private final Dispatcher dispatcher;
     private final CallServer server;
-    private final LevelBelow below;
     private final KeyedBudgets keyedBudgets;
     private final AtomicLong requests = new AtomicLong();
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
@@ -71,9 +69,9 @@
                         links,
                         parts.random(),
                         parts.counters(),
-                        parts.ledger()),
+                        parts.ledger(),
+                        parts.decisions()),
                 policy.dispatch());
-        this.below = LevelBelow.of(s -> router.level(s, parts.timers().nanos()));
         this.server = CallServer.create(
                 new CallServer.Parts(
                         parts.timers(),
@@ -81,7 +79,7 @@
                         parts.counters(),
                         parts.ledger(),
                         parts.keyClaims(),
-                        () -> below.current(parts.timers().nanos())),
+                        parts.decisions()),
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.keeping(policy.keyRetentionNanos());
     }
@@ -139,7 +137,8 @@
     }
 
     /**
-     * Takes a request whose route was found in the plan in force. Its retries are bounded by the route's attempts.
+     * Takes a request whose route was found in the plan in force. Its retries are bounded by the route's attempts, and
+     * those of the calls below by what is left of them.
      *
      * @param routed the request
      * @param sink takes its answer
@@ -148,25 +147,25 @@
     public CallHandle enter(RoutedRequest routed, AnswerSink sink) {
         parts.counters().count(Event.REQUEST_IN);
         Route route = routed.route();
+        long now = parts.timers().nanos();
         long ttl = Math.min(
                 routed.ttlNanos(), Math.min(route.timeoutNanos(), policy.serve().maxTtlNanos()));
-        long now = parts.timers().nanos();
-        if (routed.depth() > 0) {
-            below.called(routed.service(), now);
-        }
+        Optional<CallContext> parent = routed.parent();
+        RequestId id = parent.map(CallContext::request)
+                .orElseGet(() -> new RequestId(parts.incarnation(), requests.incrementAndGet()));
         Request request = new Request(
-                new RequestId(parts.incarnation(), requests.incrementAndGet()),
+                id,
                 "",
                 routed.service(),
                 routed.content(),
-                routed.importance(),
-                routed.depth(),
+                parent.map(CallContext::importance).orElse(routed.importance()),
+                parent.map(c -> c.depth() + 1).orElse(0),
                 now + ttl,
                 now + Math.min(ttl, route.targetNanos()),
                 route.kind().repeatable(),
                 "",
-                RootBudget.of(route.attempts() - 1),
-                routed.observer());
+                parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> RootBudget.of(route.attempts() - 1)),
+                parent.<ChainObserver>map(c -> c).orElseGet(ChainObserver::none));
         return dispatcher.dispatch(request, sink);
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -12,6 +12,7 @@
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.kernel.trace.DecisionLog;
 
 /**
  * What an engine works with.
@@ -24,6 +25,7 @@
  * @param random where each thread's randomness comes from
  * @param counters the node's counters
  * @param ledger checks the promises
+ * @param decisions takes what is to be explained later
  * @param keyClaims decides about idempotency keys
  * @param keyMessages takes messages about keys from other nodes
  * @param planMessages takes messages about routes
@@ -37,6 +39,7 @@
         Supplier<RandomGenerator> random,
         Counters counters,
         Ledger ledger,
+        DecisionLog decisions,
         KeyClaims keyClaims,
         BiConsumer<Link, Message> keyMessages,
         BiConsumer<Link, Message> planMessages) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -223,6 +223,7 @@
         }
         hot.put(record.nodeId(), REPEATS);
         listener.membersChanged();
+        listener.learned(record);
         if (!pushing) {
             pushing = true;
             timers.after(settings.pushNanos(), () -> serial.run(this::push));
@@ -356,6 +357,13 @@
          */
         void givenUp(MemberRecord renewed);
 
+        /**
+         * Takes a record that was new.
+         *
+         * @param record the record
+         */
+        void learned(MemberRecord record);
+
         /**
          * Returns the version of the routes in force.
          *
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -44,7 +44,6 @@
     private volatile double errorRate;
     private volatile double reportedLoad = -1;
     private volatile int reportedLimit;
-    private volatile Level newest = new Level(0, 0);
     private volatile boolean draining;
     private volatile long ejectedUntil = Long.MIN_VALUE;
     private volatile int ejections;
@@ -133,7 +132,6 @@
         reportedLoad = report.limit() <= 0 ? 0 : (double) report.inFlight() / report.limit();
         sentSinceReport.set(0);
         reportedLimit = report.limit();
-        newest = new Level(report.level(), nowNanos);
         draining |= report.draining();
         levels.put(pathClass, new Level(report.level(), nowNanos));
     }
@@ -197,16 +195,6 @@
                 * Math.max(1, Math.sqrt(latencyNanos));
     }
 
-    /**
-     * Returns the level that the upstream reported last, for any call; it fades when no news comes.
-     *
-     * @param nowNanos the time
-     * @return the rank below which a call would be refused
-     */
-    public int newestLevel(long nowNanos) {
-        return newest.faded(nowNanos);
-    }
-
     /**
      * Returns the share of its places that the upstream has taken, with what was sent since it said so.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -108,27 +108,6 @@
         return amongFit(fit(accepting, nowNanos), query, nowNanos);
     }
 
-    /**
-     * Returns the level that a service reports: that of its least loaded upstream, since calls can go there.
-     *
-     * @param service the service
-     * @param nowNanos the time
-     * @return the rank below which its calls are refused, 0 when nothing is known
-     */
-    public int level(String service, long nowNanos) {
-        Routes routes = table.get().get(service);
-        if (routes == null) {
-            return 0;
-        }
-        int lowest = Integer.MAX_VALUE;
-        for (Candidate c : routes.subset) {
-            if (c.accepting()) {
-                lowest = Math.min(lowest, c.newestLevel(nowNanos));
-            }
-        }
-        return lowest == Integer.MAX_VALUE ? 0 : lowest;
-    }
-
     /**
      * Returns what is known.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -21,6 +20,8 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.SeenCalls;
 import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.kernel.trace.Decision;
+import org.verbenadyke.kernel.trace.DecisionLog;
 
 /**
  * Serves the calls of other nodes for the upstream beside this one. Safe for many threads.
@@ -165,7 +166,20 @@
         calls.remove(call.id(), call);
     }
 
-    void refuse(Link link, CallId id, Refusal refusal, int level) {
+    void refuse(Link link, Message.Call call, Refusal refusal, int level) {
+        Message.Report report = report(level);
+        parts.decisions.note(new Decision.TurnedAway(
+                call.request(),
+                call.target().upstream(),
+                refusal.state(),
+                refusal.reason(),
+                report.inFlight(),
+                report.limit(),
+                report.level()));
+        refuse(link, call.id(), refusal, level);
+    }
+
+    private void refuse(Link link, CallId id, Refusal refusal, int level) {
         parts.ledger.refusedCall(id, refusal.state());
         parts.counters.refused(refusal.state(), refusal.reason());
         link.send(new Message.Refused(id, refusal, report(level)));
@@ -176,8 +190,7 @@
         return Refusal.notRun(reason, after);
     }
 
-    Message.Report report(int levelOfCall) {
-        int levelBelow = Math.max(levelOfCall, parts.levelBelow.getAsInt());
+    Message.Report report(int levelBelow) {
         LocalUpstream local = upstream;
         if (local == null) {
             return new Message.Report(0, 0, levelBelow, false);
@@ -216,16 +229,16 @@
         }
         LocalUpstream local = upstream;
         if (local == null || !local.id().equals(call.target().upstream())) {
-            refuse(link, call.id(), notRun(RefusalReason.UPSTREAM_UNREACHABLE), 0);
+            refuse(link, call, notRun(RefusalReason.UPSTREAM_UNREACHABLE), 0);
             return;
         }
         if (local.draining()) {
-            refuse(link, call.id(), notRun(RefusalReason.DRAINING), 0);
+            refuse(link, call, notRun(RefusalReason.DRAINING), 0);
             return;
         }
         IncomingCall incoming = new IncomingCall(this, local, call, link);
         if (incoming.stale()) {
-            refuse(link, call.id(), notRun(RefusalReason.FENCED), 0);
+            refuse(link, call, notRun(RefusalReason.FENCED), 0);
             return;
         }
         calls.put(call.id(), incoming);
@@ -253,7 +266,7 @@
      * @param counters where refusals are counted
      * @param ledger checks the promises
      * @param keys decides and asks about the owners of keys
-     * @param levelBelow tells the level of the services that the upstream calls, where calls don't name their parent
+     * @param decisions takes what is to be explained later
      */
     public record Parts(
             TimerService timers,
@@ -261,5 +274,5 @@
             Counters counters,
             Ledger ledger,
             KeyClaims keys,
-            IntSupplier levelBelow) {}
+            DecisionLog decisions) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -366,7 +366,7 @@
     }
 
     private void tellAbove(Refusal refusal) {
-        server.refuse(link, call.id(), refusal, context == null ? 0 : context.levelBelow());
+        server.refuse(link, call, refusal, context == null ? 0 : context.levelBelow());
     }
 
     private void finish(ConcurrencyLimit.Outcome outcome) {
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -0,0 +1,80 @@
+package org.verbenadyke.kernel.trace;
+
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.call.RetryReason;
+import org.verbenadyke.kernel.call.RunState;
+
+/**
+ * A decision that an operator may want to understand later, with what decided it.
+ */
+public sealed interface Decision {
+    /**
+     * A request entered and ended without an answer of an upstream.
+     *
+     * @param request the request, as its caller names it
+     * @param chain the request, as nodes name it
+     * @param route the route it matched, empty if none
+     * @param plan the version of the routes it was matched against
+     * @param state whether it ran
+     * @param reason why it was refused
+     * @param retryAfterMillis when its caller may come back, in milliseconds; 0 if not said
+     * @param heldMillis how long it was held, in milliseconds
+     */
+    record Refused(
+            String request,
+            String chain,
+            String route,
+            long plan,
+            RunState state,
+            RefusalReason reason,
+            long retryAfterMillis,
+            long heldMillis)
+            implements Decision {}
+
+    /**
+     * A node turned a call away that another node sent it.
+     *
+     * @param chain the request it belongs to
+     * @param upstream the upstream it was for
+     * @param state whether it ran
+     * @param reason why it was turned away
+     * @param inFlight calls at the upstream and waiting
+     * @param limit how many the upstream may have at once
+     * @param level the rank below which calls are refused here and below
+     */
+    record TurnedAway(
+            RequestId chain, String upstream, RunState state, RefusalReason reason, int inFlight, int limit, int level)
+            implements Decision {}
+
+    /**
+     * A retry was asked for.
+     *
+     * @param chain the request
+     * @param service the service it calls
+     * @param upstream the upstream that was tried before
+     * @param reason why
+     * @param granted whether it was made
+     */
+    record Retried(RequestId chain, String service, String upstream, RetryReason reason, boolean granted)
+            implements Decision {}
+
+    /**
+     * An upstream was taken out of the choice for a while.
+     *
+     * @param upstream the upstream
+     * @param chain the request whose failure was the last straw
+     */
+    record Ejected(String upstream, RequestId chain) implements Decision {}
+
+    /**
+     * Another node was learned of, or changed its state.
+     *
+     * @param node the node
+     * @param state its state
+     * @param incarnation its incarnation
+     * @param version the version of its record
+     * @param service the service beside it, empty if none
+     */
+    record Member(String node, String state, long incarnation, long version, String service) implements Decision {}
+}
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -30,6 +30,7 @@
 import org.verbenadyke.node.log.HttpLog;
 import org.verbenadyke.node.settings.NodeSettings;
 import org.verbenadyke.node.time.WheelTimerService;
+import org.verbenadyke.node.trace.DecisionLogger;
 import org.verbenadyke.node.transport.NettyTransport;
 import org.verbenadyke.node.transport.SharedLoops;
 import org.verbenadyke.node.transport.UdpPort;
@@ -98,7 +99,8 @@
                 ThreadLocalRandom::current,
                 PlanKeeper.absent(),
                 counters,
-                ledger);
+                ledger,
+                DecisionLogger.on(timers));
         this.core = NodeCore.start(parts, CoreSettings.with(settings.policy()));
     }
 
--- a/node/src/main/java/org/verbenadyke/node/control/ControlService.java
+++ b/node/src/main/java/org/verbenadyke/node/control/ControlService.java
@@ -6,6 +6,7 @@
 
 import org.verbenadyke.kernel.core.NodeCore;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.node.metrics.MetricsText;
 import org.verbenadyke.node.settings.NodeSettings;
 
 import io.servicetalk.concurrent.SingleSource;
--- a/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
@@ -72,6 +72,7 @@
 
         @Override
         public void cancel() {
+            dialect.ended(handOver);
             if (call != null) {
                 call.cancel();
             }
@@ -79,6 +80,7 @@
 
         @Override
         public void unreachable() {
+            dialect.ended(handOver);
             listener.unreachable();
         }
 
@@ -115,6 +117,7 @@
 
         @Override
         public void end() {
+            dialect.ended(handOver);
             if (verdict == UpstreamDialect.Verdict.NOT_RUN) {
                 listener.notRun();
             } else if (verdict == UpstreamDialect.Verdict.UNUSABLE) {
@@ -126,6 +129,7 @@
 
         @Override
         public void broken() {
+            dialect.ended(handOver);
             if (verdict == UpstreamDialect.Verdict.NOT_RUN) {
                 listener.notRun();
                 return;
--- a/node/src/main/java/org/verbenadyke/node/http1/UpstreamDialect.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/UpstreamDialect.java
@@ -35,6 +35,13 @@
      */
     Verdict verdict(int status, List<HeaderField> fields);
 
+    /**
+     * Takes notice that a call has ended, however.
+     *
+     * @param handOver the call
+     */
+    void ended(UpstreamPort.HandOver handOver);
+
     /**
      * What an answer says of its call.
      */
--- a/node/src/main/java/org/verbenadyke/node/control/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -1,4 +1,4 @@
-package org.verbenadyke.node.control;
+package org.verbenadyke.node.metrics;
 
 import java.util.Map;
 import java.util.function.ToIntFunction;
@@ -18,14 +18,23 @@
 /**
  * Words the node's metrics in the usual text exposition, out of a Dropwizard registry.
  */
-final class MetricsText {
+public final class MetricsText {
     private static final String PREFIX = "verbenadyke_";
 
+    private static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
+
     private final MetricRegistry registry = new MetricRegistry();
 
     private MetricsText() {}
 
-    static MetricsText of(NodeCore core, Counters counters) {
+    /**
+     * Creates the metrics of a node.
+     *
+     * @param core the node's decisions
+     * @param counters what it counted
+     * @return the metrics
+     */
+    public static MetricsText of(NodeCore core, Counters counters) {
         MetricsText text = new MetricsText();
         for (Event e : Event.values()) {
             text.gauge("events_total{event=\"" + e.label() + "\"}", () -> counters.events(e));
@@ -50,8 +59,27 @@
         return text;
     }
 
+    /**
+     * Adds the latencies of requests.
+     *
+     * @param latencies the latencies
+     * @return these metrics
+     */
+    public MetricsText with(Latencies latencies) {
+        gauge("request_latency_count", latencies::count);
+        for (double percent : PERCENTILES) {
+            gauge("request_latency_micros{percentile=\"" + percent + "\"}", () -> latencies.micros(percent));
+        }
+        return this;
+    }
+
+    /**
+     * Words the metrics.
+     *
+     * @return the text
+     */
     @SuppressWarnings("rawtypes")
-    String text() {
+    public String text() {
         StringBuilder out = new StringBuilder();
         for (Map.Entry<String, Gauge> e : registry.getGauges().entrySet()) {
             out.append(PREFIX)
--- a/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
@@ -132,7 +132,13 @@
                 gate,
                 limits,
                 new DispatchSettings(
-                        percent / PERCENT, d.burst(), d.perHop(), d.tryNanos(), d.everyRetryCounts(), after),
+                        percent / PERCENT,
+                        d.burst(),
+                        d.perHop(),
+                        d.tryNanos(),
+                        d.everyRetryCounts(),
+                        d.callsExempt(),
+                        after),
                 base.serve(),
                 base.link());
     }
--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -0,0 +1,103 @@
+package org.verbenadyke.node.trace;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.kernel.trace.Decision;
+import org.verbenadyke.kernel.trace.DecisionLog;
+import org.verbenadyke.kernel.trace.LineBudget;
+
+/**
+ * Writes decisions as structured log lines, a bounded number of each kind a second.
+ */
+public final class DecisionLogger implements DecisionLog {
+    /** The field that names the kind of decision. */
+    public static final String EVENT = "event";
+
+    /** The field with a request's id as its caller names it. */
+    public static final String REQUEST = "request";
+
+    /** The field with a request's id as nodes name it. */
+    public static final String CHAIN = "chain";
+
+    private static final Logger LOG = LogManager.getLogger("decision");
+
+    /** Lines of each kind in a second: a few hundred bytes each, some kilobytes a second under the worst load. */
+    private static final int LINES_MOST = 10;
+
+    private static final int FIELDS = 10;
+
+    private final LineBudget budget;
+
+    private DecisionLogger(LineBudget budget) {
+        this.budget = budget;
+    }
+
+    /**
+     * Creates a logger.
+     *
+     * @param timers the time
+     * @return the logger
+     */
+    public static DecisionLogger on(TimerService timers) {
+        return new DecisionLogger(LineBudget.of(timers, LINES_MOST));
+    }
+
+    @Override
+    public void note(Decision decision) {
+        String kind = kind(decision);
+        int leftOut = budget.take(kind);
+        if (leftOut < 0) {
+            return;
+        }
+        StringMapMessage line = new StringMapMessage(FIELDS).with(EVENT, kind);
+        fill(line, decision);
+        if (leftOut > 0) {
+            line.with("leftOut", leftOut);
+        }
+        LOG.info(line);
+    }
+
+    private static String kind(Decision decision) {
+        return switch (decision) {
+            case Decision.Refused d -> "refused-" + d.reason().label();
+            case Decision.TurnedAway d -> "turned-away-" + d.reason().label();
+            case Decision.Retried d -> "retried-" + d.reason().label();
+            case Decision.Ejected d -> "upstream-ejected";
+            case Decision.Member d -> "member";
+        };
+    }
+
+    private static void fill(StringMapMessage line, Decision decision) {
+        switch (decision) {
+            case Decision.Refused d ->
+                line.with(REQUEST, d.request())
+                        .with(CHAIN, d.chain())
+                        .with("route", d.route())
+                        .with("plan", d.plan())
+                        .with("runState", d.state().label())
+                        .with("retryAfterMs", d.retryAfterMillis())
+                        .with("heldMs", d.heldMillis());
+            case Decision.TurnedAway d ->
+                line.with(CHAIN, d.chain())
+                        .with("upstream", d.upstream())
+                        .with("runState", d.state().label())
+                        .with("inFlight", d.inFlight())
+                        .with("limit", d.limit())
+                        .with("level", d.level());
+            case Decision.Retried d ->
+                line.with(CHAIN, d.chain())
+                        .with("service", d.service())
+                        .with("upstream", d.upstream())
+                        .with("granted", d.granted());
+            case Decision.Ejected d -> line.with(CHAIN, d.chain()).with("upstream", d.upstream());
+            case Decision.Member d ->
+                line.with("node", d.node())
+                        .with("state", d.state())
+                        .with("incarnation", d.incarnation())
+                        .with("version", d.version())
+                        .with("service", d.service());
+        }
+    }
+}
