--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -1,6 +1,6 @@
 package org.verbenadyke.kernel.admission;
 
-import java.util.concurrent.atomic.LongAdder;
+import java.util.concurrent.atomic.AtomicLongArray;
 
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
@@ -9,15 +9,16 @@
  * A level from the load that arrives, for chains in which a refused call wastes the work above it.
  *
  * <p>Load pattern: demand stays above what the deepest service can do for seconds, and each request that is let in
- * at the entry makes its calls there some hundred milliseconds later. What helps is to refuse requests at the entry, so
- * that the calls of those let in are all served. The level tells the entry how much to refuse: once a period, the share
- * that is let in is multiplied by how far the load lies from its target. The period is as long as a change takes to
- * show, since a shorter one would answer the same overload several times over.
+ * at the entry makes its calls there some hundred milliseconds later, and for some hundred more. What helps is to
+ * refuse requests at the entry, so that the calls of those let in are all served. The level tells the entry how much to
+ * refuse: once a period, the share that is let in is multiplied by a power of how far the load lies from its target.
+ * The power, and a period about half as long as a change takes to show, keep the level from answering the same overload
+ * several times over.
  *
  * <p>Calls inside a chain are never refused by the level, since work was done for them; nor is the most important band.
  */
 public final class LoadLevel implements LevelControl {
-    /** Windows in a period: 300 ms, the time in which most calls of a request that was let in have arrived. */
+    /** Windows in a period: 300 ms, in which about half of the calls of a request that was let in have arrived. */
     static final int PERIOD_WINDOWS = 6;
 
     /** The load aimed at: some room is left for the chance of arrivals within a period. */
@@ -37,10 +38,19 @@
     /** Below this share, a band counts as shut and the next one is begun. */
     private static final double SHUT = 0.03;
 
+    /**
+     * The share of the arrivals up to which a band counts as having nothing more to give. Above it, calls of requests
+     * let in earlier still come, or other entries have not heard yet; more important requests must not pay for that.
+     */
+    private static final double NOTHING_LEFT = 0.03;
+
+    /** The power of the correction: less than 1, since a change takes about two periods to show in full. */
+    private static final double POWER = 0.75;
+
     /** The bands that may be refused: all but the most important. */
     private static final int BANDS = Importance.values().length - 1;
 
-    private final LongAdder arrivals = new LongAdder();
+    private final AtomicLongArray arrivals = new AtomicLongArray(Importance.values().length);
     private int windows;
     private int band;
     private double letIn = 1;
@@ -67,7 +77,7 @@
         if (depth == 0 && rank < level) {
             return false;
         }
-        arrivals.increment();
+        arrivals.incrementAndGet(Math.min(rank / RequestId.BUCKETS, BANDS));
         return true;
     }
 
@@ -88,17 +98,21 @@
             return;
         }
         windows = 0;
-        long arrived = arrivals.sumThenReset();
+        long inBand = arrivals.get(band);
+        long arrived = 0;
+        for (int i = 0; i < arrivals.length(); i++) {
+            arrived += arrivals.getAndSet(i, 0);
+        }
         double offered = (arrived + load.queued()) * (double) load.serviceNanos();
         double able = (double) load.limit() * PERIOD_WINDOWS * AdmissionLevel.WINDOW_NANOS;
-        adjust(offered / able);
+        adjust(offered / able, (double) inBand / Math.max(1, arrived));
     }
 
-    private void adjust(double load) {
+    private void adjust(double load, double arrivedInBand) {
         if (load > HIGH) {
-            letIn *= Math.max(SHRINK_MOST, TARGET / load);
+            letIn *= Math.max(SHRINK_MOST, Math.pow(TARGET / load, POWER));
             if (letIn < SHUT) {
-                nextBand();
+                shut(arrivedInBand);
             }
         } else if (load < LOW && level > 0) {
             letIn *= load <= 0 ? GROW_MOST : Math.min(GROW_MOST, TARGET / load);
@@ -109,6 +123,13 @@
         level = (int) Math.round((band + 1 - letIn) * RequestId.BUCKETS);
     }
 
+    private void shut(double arrivedInBand) {
+        letIn = SHUT;
+        if (arrivedInBand < NOTHING_LEFT) {
+            nextBand();
+        }
+    }
+
     private void nextBand() {
         if (band == BANDS - 1) {
             letIn = SHUT;
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
@@ -26,4 +26,13 @@
     public int rank(RequestId request) {
         return ordinal() * RequestId.BUCKETS + request.bucket();
     }
+
+    /**
+     * Returns the highest rank of this importance.
+     *
+     * @return the rank
+     */
+    public int highestRank() {
+        return (ordinal() + 1) * RequestId.BUCKETS - 1;
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -104,7 +104,7 @@
     /** Takes the report of the node beside the upstream. */
     void learn(Request request, String pathClass, Message.Report report, long nowNanos) {
         candidate.reported(pathClass, report, nowNanos);
-        request.observer().level(report.level());
+        request.observer().level(request.service(), report.level());
     }
 
     /** Notes that the upstream failed, which may take it out of the choice for a while. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
@@ -7,9 +7,10 @@
     /**
      * Takes the admission level of a path below.
      *
+     * @param service the service called
      * @param level the rank below which calls are refused there
      */
-    void level(int level);
+    void level(String service, int level);
 
     /** Takes notice that a call below failed for good. */
     void childFailed();
@@ -22,7 +23,7 @@
     static ChainObserver none() {
         return new ChainObserver() {
             @Override
-            public void level(int level) {
+            public void level(String service, int level) {
                 // Nobody above is to be told.
             }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
@@ -18,6 +18,7 @@
  * @param dueNanos when its target latency passes, on the local clock; the deadline if it has none
  * @param idempotent whether it may run more than once
  * @param key the idempotency key, empty if none
+ * @param returning whether its caller was refused before and came back later
  * @param budget where retries come from
  * @param observer who learns what came of it
  */
@@ -32,6 +33,7 @@
         long dueNanos,
         boolean idempotent,
         String key,
+        boolean returning,
         RetryBudget budget,
         ChainObserver observer) {
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -131,6 +131,7 @@
                 parts.timers().nanos() + ttl(inbound),
                 inbound.idempotent(),
                 inbound.key(),
+                false,
                 rootBudget(inbound, id, config),
                 ChainObserver.none());
         return dispatcher.dispatch(request, sink);
@@ -164,6 +165,7 @@
                 now + Math.min(ttl, route.targetNanos()),
                 route.kind().repeatable(),
                 "",
+                routed.returning(),
                 parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> RootBudget.of(route.attempts() - 1)),
                 parent.<ChainObserver>map(c -> c).orElseGet(ChainObserver::none));
         return dispatcher.dispatch(request, sink);
@@ -199,6 +201,7 @@
                 deadline,
                 inbound.idempotent(),
                 inbound.key(),
+                false,
                 budget,
                 c);
         return Optional.of(dispatcher.dispatch(request, sink));
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
@@ -16,6 +16,7 @@
  * @param importance how much it matters, if it begins a chain
  * @param parent the call that the upstream beside the node made it for; empty if it begins a chain
  * @param ttlNanos how long its caller waits, in nanoseconds
+ * @param returning whether its caller was refused before and came back later
  */
 public record RoutedRequest(
         Route route,
@@ -23,4 +24,5 @@
         Message.Content content,
         Importance importance,
         Optional<CallContext> parent,
-        long ttlNanos) {}
+        long ttlNanos,
+        boolean returning) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.serve;
 
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 import org.verbenadyke.kernel.budget.ParentBudget;
 import org.verbenadyke.kernel.call.Importance;
@@ -19,7 +20,7 @@
     private final int depth;
     private final long deadlineNanos;
     private final ParentBudget budget;
-    private final AtomicInteger level = new AtomicInteger();
+    private final Map<String, Integer> levels = new ConcurrentHashMap<>();
     private volatile boolean childFailed;
 
     private CallContext(String token, Message.Call call, long deadlineNanos, Link link) {
@@ -108,17 +109,22 @@
     }
 
     /**
-     * Returns the highest admission level seen below.
+     * Returns the admission level seen below: of each service the lowest that its answers brought, since an upstream
+     * with room can take what the others can't; of the services the highest, since the request needs them all.
      *
      * @return the rank
      */
     public int levelBelow() {
-        return level.get();
+        int highest = 0;
+        for (int level : levels.values()) {
+            highest = Math.max(highest, level);
+        }
+        return highest;
     }
 
     @Override
-    public void level(int seen) {
-        level.accumulateAndGet(seen, Math::max);
+    public void level(String service, int seen) {
+        levels.merge(service, seen, Math::min);
     }
 
     @Override
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelReplayTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelReplayTest.java
@@ -25,7 +25,8 @@
     private static final double SERVICE_MILLIS = 22;
     private static final double[] SPEEDS = {0.6, 1.0, 1.4};
     private static final int LIMIT = 40;
-    private static final long BEFORE_CALL_NANOS = 15 * MILLI;
+    private static final long BEFORE_CALL_NANOS = 60 * MILLI;
+    private static final long IMPORTANT_GAP_NANOS = 5 * MILLI;
     private static final int SECONDS = 12;
     private static final int SETTLED_AFTER = 3;
 
@@ -37,6 +38,8 @@
     private long served;
     private long asked;
     private long askedSettled;
+    private long importantAsked;
+    private long importantServed;
 
     @Test
     void keepsNearlyAllOfTheCapacityUnderLastingOverload() {
@@ -56,6 +59,13 @@
         assertTrue(ours > 0.98 * demand, "goodput " + ours + " of " + demand);
     }
 
+    @Test
+    void sparesTheImportantWhileTheRestCanGive() {
+        goodput(QueueOrder.DUE, true, 2.2 * capacity());
+        double share = (double) importantServed / importantAsked;
+        assertTrue(share > 0.97, "important requests served: " + share);
+    }
+
     /** Requests a second that the service could do if no work were wasted. */
     private static double capacity() {
         double calls = 0;
@@ -73,6 +83,13 @@
         }
         clock.every(AdmissionLevel.WINDOW_NANOS, () -> gates.forEach(Gate::endWindow));
         arrive(perSecond);
+        clock.every(IMPORTANT_GAP_NANOS, () -> {
+            importantAsked++;
+            Request request = new Request(importantAsked, Importance.NORMAL, 1);
+            if (!heeds || request.rank >= level()) {
+                new Call(request, choose(), 0, 1).offer();
+            }
+        });
         clock.advance(SETTLED_AFTER * SECOND);
         long before = served;
         long askedBefore = asked;
@@ -84,16 +101,17 @@
     private void arrive(double perSecond) {
         long gap = (long) (-Math.log(1 - random.nextDouble()) * SECOND / perSecond);
         clock.after(gap, () -> {
-            new Request(asked++).enter();
+            new Request(asked++, Importance.LOW, CALLS).enter();
             arrive(perSecond);
         });
     }
 
+    /** The level that an answer brings: each request meets every upstream, and the lowest level is passed up. */
     private int level() {
         return gates.stream().mapToInt(Gate::level).min().orElse(0);
     }
 
-    /** Chooses as many senders do: two at random, the one with fewer calls for its speed. */
+    /** Chooses as many senders do: two at random, the one that is expected to answer first. */
     private int choose() {
         int a = random.nextInt(gates.size());
         int b = (a + 1 + random.nextInt(gates.size() - 1)) % gates.size();
@@ -101,17 +119,21 @@
     }
 
     private double weight(int i) {
-        return (gates.get(i).inFlight() + gates.get(i).queued() + 1) * serviceNanos[i];
+        double used = (double) (gates.get(i).inFlight() + gates.get(i).queued()) / LIMIT;
+        return serviceNanos[i] * (1 + 1.5 * used * used * used + 4 * Math.max(0, used - 1));
     }
 
     /** One request and its calls. */
     private final class Request {
         private final int rank;
-        private int left = CALLS;
+        private final Importance importance;
+        private int left;
         private boolean failed;
 
-        Request(long number) {
-            this.rank = Importance.LOW.rank(new RequestId(1, number));
+        Request(long number, Importance importance, int calls) {
+            this.rank = importance.rank(new RequestId(1, number));
+            this.importance = importance;
+            this.left = calls;
         }
 
         void enter() {
@@ -126,14 +148,16 @@
         private void call(int more) {
             clock.after(BEFORE_CALL_NANOS, () -> {
                 if (!failed) {
-                    new Call(this, choose(), more).offer();
+                    new Call(this, choose(), 1, more).offer();
                 }
             });
         }
 
         void answered(int more) {
             left--;
-            if (left == 0 && !failed) {
+            if (left == 0 && !failed && importance == Importance.NORMAL) {
+                importantServed++;
+            } else if (left == 0 && !failed) {
                 served++;
             } else if (more > 1) {
                 call(more - 1);
@@ -145,12 +169,14 @@
     private final class Call implements Waiting {
         private final Request request;
         private final int at;
+        private final int depth;
         private final int more;
         private final long due = clock.nanos() + 300 * MILLI;
 
-        Call(Request request, int at, int more) {
+        Call(Request request, int at, int depth, int more) {
             this.request = request;
             this.at = at;
+            this.depth = depth;
             this.more = more;
         }
 
@@ -160,17 +186,17 @@
 
         @Override
         public Importance importance() {
-            return Importance.LOW;
+            return request.importance;
         }
 
         @Override
         public int rank() {
-            return importance().rank(new RequestId(2, random.nextInt()));
+            return depth == 0 ? request.rank : importance().rank(new RequestId(2, random.nextInt()));
         }
 
         @Override
         public int depth() {
-            return 1;
+            return depth;
         }
 
         @Override
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -209,6 +209,7 @@
                 clock.nanos() + 500 * MILLI,
                 idempotent,
                 "",
+                false,
                 RootBudget.of(budget),
                 ChainObserver.none());
         dispatcher.dispatch(request, new Sink());
