--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -86,6 +86,7 @@
      */
     public static NodeCore start(CoreParts parts, CoreSettings settings) {
         NodeCore core = new NodeCore(parts, settings);
+        core.refresh();
         core.memberLog.start(settings.rewriteNanos());
         parts.timers().every(TICK_NANOS, core::tick);
         return core;
@@ -295,6 +296,10 @@
     }
 
     private void refreshNow() {
+        if (gossip == null) {
+            // A timer fired while the constructor still ran on another thread; start refreshes once it is done.
+            return;
+        }
         Configuration configuration = engine.configuration();
         List<Upstream> accepting = table.present().stream()
                 .filter(r -> r.state().accepting() && !leaving(r, configuration))
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/NodeCoreStartTest.java
@@ -0,0 +1,116 @@
+package org.verbenadyke.kernel.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.config.ConfigEntry;
+import org.verbenadyke.kernel.engine.Policy;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.log.LogService;
+import org.verbenadyke.kernel.log.RecordCodec;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.route.PlanKeeper;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Place;
+import org.verbenadyke.kernel.time.Subscription;
+import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.kernel.trace.DecisionLog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests the start of {@link NodeCore} while timers already run on another thread. */
+final class NodeCoreStartTest {
+    private static final Endpoint HERE = new Endpoint("127.0.0.1", 1);
+    private static final int RUNS_MOST = 50;
+
+    private final List<String> failures = new ArrayList<>();
+    private int runs;
+
+    @Test
+    void bearsTimersThatFireBeforeItIsComplete() {
+        Place place = new Place("r", "d");
+        MemberRecord self = new MemberRecord("n", 1, 0, MemberState.ALIVE, HERE, HERE, place, "", 0, 0);
+        NodeCore.start(
+                new CoreParts(
+                        self,
+                        List.of(),
+                        new Eager(),
+                        (endpoint, handler) -> {},
+                        (to, message) -> {},
+                        new NoLog(),
+                        new NoCodec<MemberRecord>(),
+                        new NoCodec<ConfigEntry>(),
+                        () -> new SplittableRandom(1),
+                        PlanKeeper.absent(),
+                        Counters.create(),
+                        Ledger.off(),
+                        DecisionLog.none()),
+                CoreSettings.withoutConfigLog(Policy.standard()));
+        assertEquals(List.of(), failures);
+    }
+
+    /** Runs each task as soon as it is set, as a busy thread beside the starting one may. */
+    private final class Eager implements TimerService {
+        @Override
+        public long nanos() {
+            return 0;
+        }
+
+        @Override
+        public long wallMillis() {
+            return 0;
+        }
+
+        @Override
+        public Subscription after(long delayNanos, Runnable task) {
+            if (runs++ < RUNS_MOST) {
+                try {
+                    task.run();
+                } catch (RuntimeException e) {
+                    failures.add(e.toString());
+                }
+            }
+            return () -> {};
+        }
+
+        @Override
+        public Subscription every(long periodNanos, Runnable task) {
+            return () -> {};
+        }
+    }
+
+    /** A log that never answers. */
+    private static final class NoLog implements LogService {
+        @Override
+        public void append(String stream, String key, byte[] record, Consumer<Appended> taker) {
+            // Never answers.
+        }
+
+        @Override
+        public void read(String stream, long fromOffset, long waitMillis, Consumer<Read> taker) {
+            // Never answers.
+        }
+    }
+
+    /**
+     * A codec that nothing is decoded with.
+     *
+     * @param <T> the type of the records
+     */
+    private static final class NoCodec<T> implements RecordCodec<T> {
+        @Override
+        public byte[] encode(T record) {
+            return new byte[0];
+        }
+
+        @Override
+        public T decode(byte[] bytes) {
+            throw new IllegalStateException("nothing is read");
+        }
+    }
+}
