--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -40,6 +40,7 @@
     private UpstreamPort.Exchange exchange;
     private long handedNanos;
     private long headNanos;
+    private long progressNanos;
     private int status;
     private boolean keyClaimed;
     private boolean deadlinePassed;
@@ -203,7 +204,9 @@
             }
             status = newStatus;
             headNanos = server.parts().timers().nanos();
-            armIdleTimer();
+            progressNanos = headNanos;
+            timer.cancel();
+            armIdleTimer(server.settings().idleNanos());
             Message.Head head = new Message.Head(call.id(), newStatus, headers, context.hasFailedChild(), report());
             answer.head(head, link);
             requestMore();
@@ -216,7 +219,7 @@
             if (phase != Phase.HANDED) {
                 return;
             }
-            armIdleTimer();
+            progressNanos = server.parts().timers().nanos();
             answer.data(bytes, link);
             requestMore();
         });
@@ -300,18 +303,18 @@
         }
     }
 
-    private void armIdleTimer() {
-        timer.cancel();
-        long idle = server.settings().idleNanos();
-        timer = server.parts().timers().after(idle, () -> serial.run(this::onIdle));
+    private void armIdleTimer(long nanos) {
+        timer = server.parts().timers().after(nanos, () -> serial.run(this::onIdle));
     }
 
     private void onIdle() {
         if (phase != Phase.HANDED) {
             return;
         }
-        if (!answer.wantsMore()) {
-            armIdleTimer();
+        long idle = server.parts().timers().nanos() - progressNanos;
+        long most = server.settings().idleNanos();
+        if (idle < most || !answer.wantsMore()) {
+            armIdleTimer(idle < most ? most - idle : most);
             return;
         }
         exchange.cancel();
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpExchange.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpExchange.java
@@ -16,13 +16,6 @@
      */
     HttpRequestMessage request();
 
-    /**
-     * Returns the address that the request came from.
-     *
-     * @return the IP address
-     */
-    String caller();
-
     /**
      * Answers in one go.
      *
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -1,6 +1,5 @@
 package org.verbenadyke.node.http1;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -187,10 +186,7 @@
         HttpRequestMessage request =
                 new HttpRequestMessage(head.method().name(), head.uri(), HttpFields.of(head.headers()), bytes);
         head = null;
-        String caller = ((InetSocketAddress) context.channel().remoteAddress())
-                .getAddress()
-                .getHostAddress();
-        exchange = new ServerExchange(this, request, caller);
+        exchange = new ServerExchange(this, request);
         server.handler().handle(exchange);
     }
 
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerExchange.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerExchange.java
@@ -26,17 +26,15 @@
     private final ServerConnection connection;
     private final ChannelHandlerContext context;
     private final HttpRequestMessage request;
-    private final String caller;
     private Runnable gone = () -> {};
     private IntConsumer sent = n -> {};
     private boolean done;
     private boolean last;
 
-    ServerExchange(ServerConnection connection, HttpRequestMessage request, String caller) {
+    ServerExchange(ServerConnection connection, HttpRequestMessage request) {
         this.connection = connection;
         this.context = connection.context();
         this.request = request;
-        this.caller = caller;
     }
 
     @Override
@@ -44,11 +42,6 @@
         return request;
     }
 
-    @Override
-    public String caller() {
-        return caller;
-    }
-
     @Override
     public void answer(int status, List<HeaderField> fields, byte[] body) {
         onThread(() -> {
--- a/node/src/main/java/org/verbenadyke/node/time/LoopTimerService.java
+++ b/node/src/main/java/org/verbenadyke/node/time/LoopTimerService.java
@@ -1,7 +1,6 @@
 package org.verbenadyke.node.time;
 
 import java.util.concurrent.Future;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 import org.apache.logging.log4j.LogManager;
@@ -9,16 +8,22 @@
 import org.verbenadyke.kernel.time.Subscription;
 import org.verbenadyke.kernel.time.TimerService;
 
+import io.netty.util.concurrent.EventExecutor;
+
 /**
  * Timers on the thread that serves connections: exact, and without a wake-up a tick, which matters on a machine where
- * each wake-up is paid for.
+ * each wake-up is paid for. On that thread the clock is read once a turn of the loop: a request looks at it some tens
+ * of times, and a turn is short against every time that is measured by it.
  */
 public final class LoopTimerService implements TimerService {
     private static final Logger LOG = LogManager.getLogger("timer");
 
-    private final ScheduledExecutorService loop;
+    private final EventExecutor loop;
+    private final Runnable forget = () -> read = false;
+    private boolean read;
+    private long now;
 
-    private LoopTimerService(ScheduledExecutorService loop) {
+    private LoopTimerService(EventExecutor loop) {
         this.loop = loop;
     }
 
@@ -28,13 +33,21 @@
      * @param loop the loop
      * @return the timers
      */
-    public static LoopTimerService on(ScheduledExecutorService loop) {
+    public static LoopTimerService on(EventExecutor loop) {
         return new LoopTimerService(loop);
     }
 
     @Override
     public long nanos() {
-        return System.nanoTime();
+        if (!loop.inEventLoop()) {
+            return System.nanoTime();
+        }
+        if (!read) {
+            read = true;
+            now = System.nanoTime();
+            loop.execute(forget);
+        }
+        return now;
     }
 
     @Override
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -24,7 +24,7 @@
     private static final Logger LOG = LogManager.getLogger("decision");
 
     /** Lines of each kind in a second: a few hundred bytes each, some kilobytes a second under the worst load. */
-    private static final int LINES_MOST = 10;
+    private static final int LINES_MOST = 5;
 
     private static final int FIELDS = 10;
 
