--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreFault.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreFault.java
@@ -10,6 +10,8 @@
     REFUSES,
     /** It doesn't answer, and does nothing. */
     SILENT,
+    /** It answers reads with bytes that mean nothing. */
+    GARBLES,
     /** It does what is asked and doesn't answer. */
     LOSES_ANSWERS
 }
--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -113,6 +113,7 @@
         switch (fault) {
             case REFUSES -> exchange.answer(UNAVAILABLE, List.of(), NOTHING);
             case SILENT -> exchange.onGone(() -> {});
+            case GARBLES -> exchange.answer(OK, List.of(), new byte[] {1, 2, 3});
             case LOSES_ANSWERS -> perform(exchange, false);
             case NONE -> perform(exchange, true);
             default -> throw new IllegalStateException(fault.name());
