Leave at a stop only when no client can send any more

Ruled out: the time for a stop was not used up (3.4 of 6 s).

Change: once clients have had time to go elsewhere, the entry takes no more connections and closes the idle ones; the node leaves when no connection of a client is left, or its time is up.

--- a/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
@@ -77,9 +77,20 @@
         return server;
     }
 
-    /** Lets each connection end after its current request, and closes those that are idle for a while. */
+    /** Takes no more connections, closes the idle ones, and lets each other end after its current request. */
     public void retire() {
         closing = true;
+        listener.close();
+        sweep();
+    }
+
+    /**
+     * Returns the connections.
+     *
+     * @return how many are open
+     */
+    public int connections() {
+        return connections.size();
     }
 
     @Override
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -56,6 +56,9 @@
         context = newContext;
         quietSince = server.timers().nanos();
         server.opened(this);
+        if (server.closing()) {
+            context.close();
+        }
     }
 
     @Override
@@ -95,8 +98,8 @@
     }
 
     void closeIfIdle(long now) {
-        long most = server.closing() ? 0 : limits.idleNanos();
-        if (!busy && now - quietSince > most) {
+        boolean over = server.closing() || now - quietSince > limits.idleNanos();
+        if (!busy && over) {
             context.executor().execute(() -> {
                 if (!busy) {
                     context.close();
