Avoid an upstream that sheds calls on its own

Cause: a refusal of the upstream itself changed nothing in the choice. What it sheds takes no time there, so that it looked idle and drew more calls the more it shed.

Ruled out: counting refusals by level or a full queue as well; they report load, which the choice knows already.

Change: such a refusal raises the error rate of the candidate; the rate fades by a fifth every 250 ms without news, since an avoided upstream gives none.

DispatcherTest .avoidsAnUpstreamThatShedsOnItsOwn failed before.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
@@ -107,6 +108,15 @@
         request.observer().level(request.service(), report.level());
     }
 
+    /** Takes a refusal, which is the last word of the node beside the upstream. */
+    void refused(Request request, String pathClass, Message.Refused refused, long nowNanos) {
+        learn(request, pathClass, refused.report(), nowNanos);
+        conclude();
+        if (refused.refusal().reason() == RefusalReason.UPSTREAM_REFUSED) {
+            candidate.shed(nowNanos);
+        }
+    }
+
     /** Notes that the upstream failed, which may take it out of the choice for a while. */
     void failed(Dispatcher.Parts parts) {
         if (candidate.failed(parts.timers().nanos())) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -197,7 +197,7 @@
             return;
         }
         if (m.status() == UNAVAILABLE) {
-            attempt.candidate().shed();
+            attempt.candidate().shed(now);
         } else if (!m.settled()) {
             attempt.failed(parts);
         }
@@ -244,8 +244,7 @@
     }
 
     private void refused(Attempt attempt, Message.Refused m) {
-        attempt.learn(request, pathClass, m.report(), parts.timers().nanos());
-        attempt.conclude();
+        attempt.refused(request, pathClass, m, parts.timers().nanos());
         Refusal refusal = m.refusal();
         if (committed) {
             abort(attempt);
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -34,6 +34,15 @@
     private static final long FIRST_EJECTION_NANOS = 500_000_000L;
     private static final int EJECTION_DOUBLINGS = 4;
 
+    /**
+     * How long a failure or shed counts in full when nothing newer was seen, in nanoseconds. Load pattern: an upstream
+     * that sheds part of its calls is avoided, and then gives no news by which to tell that its trouble is over.
+     */
+    private static final long FADE_NANOS = 250_000_000L;
+
+    /** What is left of the error rate after each such time: a fifth after two seconds, so that it is tried again. */
+    private static final double FADE_SHARE = 0.8;
+
     private final Upstream upstream;
     private final boolean near;
     private final AtomicInteger sentSinceReport = new AtomicInteger();
@@ -47,6 +56,7 @@
     private volatile boolean draining;
     private volatile long ejectedUntil = Long.MIN_VALUE;
     private volatile int ejections;
+    private volatile long judgedNanos;
 
     private Candidate(Upstream upstream, boolean near) {
         this.upstream = upstream;
@@ -105,6 +115,7 @@
      */
     public boolean failed(long nowNanos) {
         errorRate += ERROR_SMOOTHING * (1 - errorRate);
+        judgedNanos = nowNanos;
         int row = failuresInRow.incrementAndGet();
         if (ejected(nowNanos) || row < EJECT_AFTER && errorRate < EJECT_ERROR_RATE) {
             return false;
@@ -116,9 +127,27 @@
         return true;
     }
 
-    /** Notes that the upstream shed a call on its own: it is less attractive, but not broken. */
-    public void shed() {
+    /**
+     * Notes that the upstream shed a call on its own: it is less attractive, but not broken. What it sheds takes no
+     * time there, so that it looks idle and would else draw the more calls the more it sheds.
+     *
+     * @param nowNanos the time
+     */
+    public void shed(long nowNanos) {
         errorRate += ERROR_SMOOTHING * (1 - errorRate);
+        judgedNanos = nowNanos;
+    }
+
+    /**
+     * Lets old failures count less.
+     *
+     * @param nowNanos the time
+     */
+    public void fade(long nowNanos) {
+        if (errorRate > 0 && nowNanos - judgedNanos >= FADE_NANOS) {
+            errorRate *= FADE_SHARE;
+            judgedNanos = nowNanos;
+        }
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -172,6 +172,7 @@
     private static List<Candidate> fit(List<Candidate> accepting, long now) {
         List<Candidate> fit = new ArrayList<>(accepting.size());
         for (Candidate c : accepting) {
+            c.fade(now);
             if (!c.ejected(now)) {
                 fit.add(c);
             }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -176,13 +176,13 @@
                 report.inFlight(),
                 report.limit(),
                 report.level()));
-        refuse(link, call.id(), refusal, level);
+        refuse(link, call.id(), refusal, report);
     }
 
-    private void refuse(Link link, CallId id, Refusal refusal, int level) {
+    private void refuse(Link link, CallId id, Refusal refusal, Message.Report report) {
         parts.ledger.refusedCall(id, refusal.state());
         parts.counters.refused(refusal.state(), refusal.reason());
-        link.send(new Message.Refused(id, refusal, report(level)));
+        link.send(new Message.Refused(id, refusal, report));
     }
 
     Refusal notRun(RefusalReason reason) {
@@ -252,10 +252,10 @@
             return;
         }
         if (seen.claim(id)) {
-            refuse(link, id, notRun(RefusalReason.SEALED), 0);
+            refuse(link, id, notRun(RefusalReason.SEALED), report(0));
             return;
         }
-        refuse(link, id, new Refusal(RunState.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, 0), 0);
+        refuse(link, id, new Refusal(RunState.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, 0), report(0));
     }
 
     /**
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -20,6 +20,7 @@
 import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.routing.Candidate;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.routing.Router;
@@ -187,6 +188,20 @@
         assertTrue(got.get(1).startsWith("refused NOT_RUN SHED_EARLY"), got.toString());
     }
 
+    @Test
+    void avoidsAnUpstreamThatShedsOnItsOwn() {
+        send(true, 0);
+        String shedding = calls().getFirst().target().upstream();
+        refuse(0, RunState.NOT_RUN, RefusalReason.UPSTREAM_REFUSED);
+        Candidate candidate = router.candidates().stream()
+                .filter(c -> c.upstream().id().equals(shedding))
+                .findFirst()
+                .orElseThrow();
+        Candidate unseen = Candidate.of(candidate.upstream(), true);
+        unseen.reported("", CALM, clock.nanos());
+        assertTrue(candidate.expectedNanos(MILLI) > unseen.expectedNanos(MILLI));
+    }
+
     private void renewLink() {
         link = new RecordingLink();
         links.add(link);
