Keep returning callers within the level's reach; let only sheds fade

Change: new and returning requests each spread over 160 of a band's 256 ranks, the returning ones 96 further up.

--- a/examples/src/main/java/org/verbenadyke/examples/EmbeddedGate.java
+++ b/examples/src/main/java/org/verbenadyke/examples/EmbeddedGate.java
@@ -68,7 +68,7 @@
 
         @Override
         public int rank() {
-            return importance.rank(new RequestId(1, number));
+            return importance.rank(new RequestId(1, number), false);
         }
 
         @Override
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
@@ -18,21 +18,22 @@
     public static final int RANKS = values().length * RequestId.BUCKETS;
 
     /**
-     * Combines importance and bucket into the rank that admission compares with its level.
-     *
-     * @param request the request
-     * @return the rank, from 0 to {@link #RANKS} - 1; higher is shed later
+     * How far up in its band a request begins whose caller was refused and came back, in ranks. Load pattern: lasting
+     * overload, in which a caller that comes back as told would else be refused again as likely as a new one. Less than
+     * half a band, so that new requests are not all sent away first. Both kinds spread over as many ranks as are left,
+     * so that a level high in the band shuts out nearly all of either.
      */
-    public int rank(RequestId request) {
-        return ordinal() * RequestId.BUCKETS + request.bucket();
-    }
+    private static final int RETURNING_RANKS = 96;
 
     /**
-     * Returns the highest rank of this importance.
+     * Combines importance and bucket into the rank that admission compares with its level.
      *
-     * @return the rank
+     * @param request the request
+     * @param returning whether its caller was refused and came back
+     * @return the rank, from 0 to {@link #RANKS} - 1; higher is shed later
      */
-    public int highestRank() {
-        return (ordinal() + 1) * RequestId.BUCKETS - 1;
+    public int rank(RequestId request, boolean returning) {
+        int spread = request.bucket() * (RequestId.BUCKETS - RETURNING_RANKS) / RequestId.BUCKETS;
+        return ordinal() * RequestId.BUCKETS + spread + (returning ? RETURNING_RANKS : 0);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -29,13 +29,6 @@
  * Sends requests to upstreams through the nodes beside them and matches the answers. Safe for many threads.
  */
 public final class Dispatcher {
-    /**
-     * How much further up in its band a request ranks whose caller was refused and came back, out of 256 ranks. Load
-     * pattern: lasting overload, in which a caller that comes back as told would else be refused again as likely as a
-     * new one. Less than half a band, so that new requests are not all sent away first.
-     */
-    private static final int RETURNING_RANKS = 96;
-
     /** How long a call waits whose key has just changed its owner, in nanoseconds: some rounds between nodes. */
     private static final long PAUSE_NANOS = 50_000_000L;
 
@@ -141,8 +134,7 @@
         if (exempt) {
             return Importance.RANKS;
         }
-        int rank = request.importance().rank(request.id());
-        return request.returning() ? Math.min(request.importance().highestRank(), rank + RETURNING_RANKS) : rank;
+        return request.importance().rank(request.id(), request.returning());
     }
 
     long retryAfterMillis() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -35,12 +35,13 @@
     private static final int EJECTION_DOUBLINGS = 4;
 
     /**
-     * How long a failure or shed counts in full when nothing newer was seen, in nanoseconds. Load pattern: an upstream
-     * that sheds part of its calls is avoided, and then gives no news by which to tell that its trouble is over.
+     * How long a shed call counts in full when none was shed since, in nanoseconds. Load pattern: an upstream that
+     * sheds part of its calls is avoided, and then gives no news by which to tell that its trouble is over. One that
+     * failed is not tried again so soon: a call that fails costs more than one that was never run.
      */
     private static final long FADE_NANOS = 250_000_000L;
 
-    /** What is left of the error rate after each such time: a fifth after two seconds, so that it is tried again. */
+    /** What is left of the shed rate after each such time: a fifth after two seconds, so that it is tried again. */
     private static final double FADE_SHARE = 0.8;
 
     private final Upstream upstream;
@@ -56,7 +57,8 @@
     private volatile boolean draining;
     private volatile long ejectedUntil = Long.MIN_VALUE;
     private volatile int ejections;
-    private volatile long judgedNanos;
+    private volatile double shedRate;
+    private volatile long shedNanos;
 
     private Candidate(Upstream upstream, boolean near) {
         this.upstream = upstream;
@@ -103,6 +105,7 @@
         double seen = latencyNanos;
         latencyNanos = seen == 0 ? latency : seen + SMOOTHING * (latency - seen);
         errorRate *= 1 - ERROR_SMOOTHING;
+        shedRate *= 1 - ERROR_SMOOTHING;
         failuresInRow.set(0);
         ejections = 0;
     }
@@ -115,7 +118,6 @@
      */
     public boolean failed(long nowNanos) {
         errorRate += ERROR_SMOOTHING * (1 - errorRate);
-        judgedNanos = nowNanos;
         int row = failuresInRow.incrementAndGet();
         if (ejected(nowNanos) || row < EJECT_AFTER && errorRate < EJECT_ERROR_RATE) {
             return false;
@@ -134,19 +136,19 @@
      * @param nowNanos the time
      */
     public void shed(long nowNanos) {
-        errorRate += ERROR_SMOOTHING * (1 - errorRate);
-        judgedNanos = nowNanos;
+        shedRate += ERROR_SMOOTHING * (1 - shedRate);
+        shedNanos = nowNanos;
     }
 
     /**
-     * Lets old failures count less.
+     * Lets old sheds count less.
      *
      * @param nowNanos the time
      */
     public void fade(long nowNanos) {
-        if (errorRate > 0 && nowNanos - judgedNanos >= FADE_NANOS) {
-            errorRate *= FADE_SHARE;
-            judgedNanos = nowNanos;
+        if (shedRate > 0 && nowNanos - shedNanos >= FADE_NANOS) {
+            shedRate *= FADE_SHARE;
+            shedNanos = nowNanos;
         }
     }
 
@@ -220,7 +222,7 @@
         double waiting = inFlight.get() + 1.0;
         return waiting
                 * (1 + Math.max(0, reportedLoad))
-                * (1 + ERROR_WEIGHT * errorRate)
+                * (1 + ERROR_WEIGHT * (errorRate + shedRate))
                 * Math.max(1, Math.sqrt(latencyNanos));
     }
 
@@ -258,7 +260,7 @@
         double filling = 1 + FILLING_WEIGHT * u * u * u + WAITING_WEIGHT * Math.max(0, u - 1);
         double seen = latencyNanos == 0 ? typicalNanos : latencyNanos;
         double away = near ? 0 : AWAY_NANOS + seen * AWAY_SHARE;
-        return seen * filling * (1 + ERROR_WEIGHT * errorRate) + away;
+        return seen * filling * (1 + ERROR_WEIGHT * (errorRate + shedRate)) + away;
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -154,7 +154,7 @@
 
     @Override
     public int rank() {
-        return call.importance().rank(call.request());
+        return call.importance().rank(call.request(), false);
     }
 
     @Override
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
@@ -111,7 +111,7 @@
 
         @Override
         public int rank() {
-            return importance.rank(new RequestId(1, name.hashCode()));
+            return importance.rank(new RequestId(1, name.hashCode()), false);
         }
 
         @Override
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelReplayTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelReplayTest.java
@@ -27,6 +27,8 @@
     private static final int LIMIT = 40;
     private static final long BEFORE_CALL_NANOS = 60 * MILLI;
     private static final long IMPORTANT_GAP_NANOS = 5 * MILLI;
+    private static final long RETURN_LEAST_NANOS = 300 * MILLI;
+    private static final long RETURN_SPREAD_NANOS = 600 * MILLI;
     private static final int SECONDS = 12;
     private static final int SETTLED_AFTER = 3;
 
@@ -35,6 +37,7 @@
     private final List<Gate> gates = new ArrayList<>();
     private final double[] serviceNanos = new double[SPEEDS.length];
     private boolean entryHeeds;
+    private boolean callersReturn;
     private long served;
     private long asked;
     private long askedSettled;
@@ -66,6 +69,16 @@
         assertTrue(share > 0.97, "important requests served: " + share);
     }
 
+    /** Each refused caller comes back once, as told; those that come back are as many as the others. */
+    @Test
+    void keepsTheCapacityWhenRefusedCallersComeBack() {
+        callersReturn = true;
+        double capacity = capacity();
+        double ours = goodput(QueueOrder.DUE, true, 3 * capacity);
+        System.out.printf("replay with returning callers: capacity %.0f/s, ours %.0f/s%n", capacity, ours);
+        assertTrue(ours > 0.8 * capacity, "goodput " + ours + " of " + capacity);
+    }
+
     /** Requests a second that the service could do if no work were wasted. */
     private static double capacity() {
         double calls = 0;
@@ -125,19 +138,22 @@
 
     /** One request and its calls. */
     private final class Request {
-        private final int rank;
+        private final RequestId id;
         private final Importance importance;
+        private int rank;
         private int left;
         private boolean failed;
 
         Request(long number, Importance importance, int calls) {
-            this.rank = importance.rank(new RequestId(1, number));
+            this.id = new RequestId(1, number);
+            this.rank = importance.rank(id, false);
             this.importance = importance;
             this.left = calls;
         }
 
         void enter() {
             if (entryHeeds && rank < level()) {
+                comeBack();
                 return;
             }
             for (int i = 0; i < AT_ONCE; i++) {
@@ -145,6 +161,13 @@
             }
         }
 
+        private void comeBack() {
+            if (callersReturn && rank == importance.rank(id, false)) {
+                rank = importance.rank(id, true);
+                clock.after(RETURN_LEAST_NANOS + random.nextLong(RETURN_SPREAD_NANOS), this::enter);
+            }
+        }
+
         private void call(int more) {
             clock.after(BEFORE_CALL_NANOS, () -> {
                 if (!failed) {
@@ -191,7 +214,7 @@
 
         @Override
         public int rank() {
-            return depth == 0 ? request.rank : importance().rank(new RequestId(2, random.nextInt()));
+            return depth == 0 ? request.rank : importance().rank(new RequestId(2, random.nextInt()), false);
         }
 
         @Override
