--- a/kernel/src/main/java/org/verbenadyke/kernel/time/TurnPacing.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/time/TurnPacing.java
@@ -13,8 +13,8 @@
  */
 public final class TurnPacing {
     /**
-     * The rest between two turns in nanoseconds: the longest that still served a calm
-     * day as before (4 ms cost 1.7 % of its credit), little against target latencies of a hundred ms and more.
+     * The rest between two turns in nanoseconds: the longest that still served a calm day as before (4 ms cost 1.7 % of
+     * its credit), and little against target latencies of a hundred milliseconds and more.
      */
     public static final long REST_NANOS = 2_000_000L;
 
--- /dev/null
+++ b/node/src/test/java/org/verbenadyke/node/trace/JsonLogConfigurationTest.java
@@ -0,0 +1,35 @@
+package org.verbenadyke.node.trace;
+
+import java.util.Set;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.config.Configuration;
+import org.apache.logging.log4j.core.config.ConfigurationSource;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+/** Tests {@link JsonLogConfiguration} and its factory. */
+final class JsonLogConfigurationTest {
+    private final LoggerContext context = new LoggerContext("test");
+    private final Configuration configuration =
+            new JsonLogFactory().getConfiguration(context, ConfigurationSource.NULL_SOURCE);
+
+    @Test
+    void logsLinesOfJsonToOneAppender() {
+        configuration.initialize();
+        assertEquals(Set.of("console"), configuration.getAppenders().keySet());
+        assertInstanceOf(
+                JsonLineLayout.class, configuration.getAppender("console").getLayout());
+        assertEquals(Level.INFO, configuration.getRootLogger().getLevel());
+    }
+
+    @Test
+    void leavesOutTheLibrarysOwnWarnings() {
+        configuration.initialize();
+        assertEquals(
+                Level.ERROR, configuration.getLoggerConfig("io.netty.channel").getLevel());
+    }
+}
