Start the quickstart's load when every upstream is known

Ruled out: the level passed up and the flushed queue of a leaving upstream, suspected before: no decision of either kind is in the logs. Not traced: why the stand-in's announcement took 10 s on a busy machine; it tries again every 200 ms, so a single try of its HTTP client must have hung.

Change: FleetReadiness asks every node for its status and waits until each knows an upstream beside every other.

--- a/standins/src/main/java/org/verbenadyke/standins/run/QuickstartRun.java
+++ b/standins/src/main/java/org/verbenadyke/standins/run/QuickstartRun.java
@@ -50,8 +50,11 @@
         return new QuickstartRun(workload, fleet, caller);
     }
 
-    /** Waits until every kind of idempotent request is answered through each node in turn. */
+    /** Waits until all upstreams are known and each node in turn gets every kind of idempotent request answered. */
     void awaitReady() throws InterruptedException {
+        if (!FleetReadiness.of(fleet.servers()).await()) {
+            System.out.println("not every upstream is known everywhere; more requests may be refused than else");
+        }
         for (Workload.RequestKind kind : workload.requests()) {
             if (kind.once()) {
                 continue;
