--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
@@ -10,21 +10,20 @@
  * The calls that wait for a slot, in the order in which they are served. Safe for many threads.
  */
 public final class AdmissionQueue {
-    private static final Comparator<Entry> ORDER = Comparator.<Entry>comparingInt(
+    /** The more important first, then the one with more work done above it. */
+    private static final Comparator<Entry> WORTH = Comparator.<Entry>comparingInt(
                     e -> -e.call().importance().ordinal())
-            .thenComparingInt(e -> -e.call().depth())
-            .thenComparingLong(Entry::order);
+            .thenComparingInt(e -> -e.call().depth());
+
+    private static final Comparator<Entry> ORDER = WORTH.thenComparingLong(Entry::order);
 
     /**
      * Which call is given up last. Load pattern: more calls than fit, several of each request, and a request is lost
      * with any of them. A rank is the same for all calls of a request, at every upstream, so that the same requests
      * lose their calls everywhere and the others keep all of theirs.
      */
-    private static final Comparator<Entry> KEPT_FIRST = Comparator.<Entry>comparingInt(
-                    e -> -e.call().importance().ordinal())
-            .thenComparingInt(e -> -e.call().depth())
-            .thenComparingInt(e -> -e.rank())
-            .thenComparingLong(Entry::order);
+    private static final Comparator<Entry> KEPT_FIRST =
+            WORTH.thenComparingInt(e -> -e.rank()).thenComparingLong(Entry::order);
 
     private static final Comparator<Entry> BY_DUE =
             Comparator.<Entry>comparingLong(e -> e.call().dueNanos()).thenComparingLong(Entry::order);
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -220,10 +220,7 @@
      */
     public double score() {
         double waiting = inFlight.get() + 1.0;
-        return waiting
-                * (1 + Math.max(0, reportedLoad))
-                * (1 + ERROR_WEIGHT * (errorRate + shedRate))
-                * Math.max(1, Math.sqrt(latencyNanos));
+        return waiting * (1 + Math.max(0, reportedLoad)) * penalty() * Math.max(1, Math.sqrt(latencyNanos));
     }
 
     /**
@@ -260,7 +257,12 @@
         double filling = 1 + FILLING_WEIGHT * u * u * u + WAITING_WEIGHT * Math.max(0, u - 1);
         double seen = latencyNanos == 0 ? typicalNanos : latencyNanos;
         double away = near ? 0 : AWAY_NANOS + seen * AWAY_SHARE;
-        return seen * filling * (1 + ERROR_WEIGHT * (errorRate + shedRate)) + away;
+        return seen * filling * penalty() + away;
+    }
+
+    /** How much less attractive its failures and sheds make the upstream, as a factor of at least 1. */
+    private double penalty() {
+        return 1 + ERROR_WEIGHT * (errorRate + shedRate);
     }
 
     /**
