Log the question for a lost attempt's fate, its answer, and reroutes

Cause: two filings ran twice and no line of any node said why they had been sent on: neither the question over the new connection, nor the answer to it, nor the change of upstream was logged, and a request that ended with an upstream's 500 had no line at all. Change: fate-asked names the incarnations of the process that got the attempt and of the one that is asked, fate-told what a node without a trace of it says, rerouted-REASON each change of upstream, answered-failed a failed answer. 'verbenadyke explain' joins them by the attempt. No decision changes.

--- a/cli/src/main/java/org/verbenadyke/cli/LogLines.java
+++ b/cli/src/main/java/org/verbenadyke/cli/LogLines.java
@@ -8,14 +8,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /**
- * Finds the lines of nodes' logs that bear on one request: those that name it, those of the calls it led to, and what
- * nodes had learned last of each upstream that these name.
+ * Finds the lines of nodes' logs that bear on one request: those that name it, those of the calls it led to and of
+ * their attempts, and what nodes had learned last of each upstream that these name.
  */
 final class LogLines {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -42,6 +43,7 @@
     List<String> about(String request) {
         Set<String> chains = new HashSet<>();
         Set<String> upstreams = new HashSet<>();
+        Set<String> attempts = new HashSet<>();
         for (Line line : lines) {
             if (line.field("request").equals(request)) {
                 chains.add(line.field("chain"));
@@ -51,18 +53,19 @@
         for (Line line : lines) {
             if (chains.contains(line.field("chain"))) {
                 upstreams.add(node(line.field("upstream")));
+                attempts.add(line.field("attempt"));
             }
         }
         upstreams.remove("");
-        return select(request, chains, upstreams);
+        attempts.remove("");
+        return select(line -> line.names(request, chains, attempts), upstreams);
     }
 
-    private List<String> select(String request, Set<String> chains, Set<String> upstreams) {
+    private List<String> select(Predicate<Line> about, Set<String> upstreams) {
         Map<String, String> beliefs = new LinkedHashMap<>();
         List<String> direct = new ArrayList<>();
         for (Line line : lines) {
-            boolean named = line.field("request").equals(request) || chains.contains(line.field("chain"));
-            if (named) {
+            if (about.test(line)) {
                 direct.add(line.text());
             } else if (direct.isEmpty() && line.belief(upstreams)) {
                 beliefs.put(line.source() + line.part() + line.field("node"), line.text());
@@ -102,6 +105,12 @@
             return json.path("message").path(name).asText("");
         }
 
+        boolean names(String request, Set<String> chains, Set<String> attempts) {
+            return field("request").equals(request)
+                    || chains.contains(field("chain"))
+                    || attempts.contains(field("attempt"));
+        }
+
         String part() {
             return json.path("part").asText("");
         }
--- a/cli/src/test/java/org/verbenadyke/cli/LogLinesTest.java
+++ b/cli/src/test/java/org/verbenadyke/cli/LogLinesTest.java
@@ -23,6 +23,15 @@
         assertEquals(List.of(MEMBER, TURNED, REFUSED), lines.about("abc"));
     }
 
+    @Test
+    void joinsWhatTheAskedNodeToldOfAnAttempt() throws IOException {
+        String asked = line("n1", "'event':'fate-asked','chain':'5-1','attempt':'5/7','sentTo':'3','asked':'4'");
+        String told = line("n3", "'event':'fate-told','attempt':'5/7','runState':'may-have-run'");
+        String other = line("n3", "'event':'fate-told','attempt':'5/8','runState':'not-run'");
+        assertEquals(
+                List.of(asked, told, REFUSED), read(asked, told, other, REFUSED).about("abc"));
+    }
+
     @Test
     void findsNothingOfARequestThatNoLineNames() throws IOException {
         assertEquals(List.of(), read(MEMBER, REFUSED).about("unknown"));
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -22,6 +22,7 @@
     private final long startNanos;
     private final List<Message> held = new ArrayList<>();
     private volatile Link link;
+    private long sentTo;
     private boolean headSeen;
     private long received;
     private boolean concluded;
@@ -56,6 +57,9 @@
 
     void bind(Link newLink) {
         unbind();
+        if (link == null) {
+            sentTo = newLink.peerIncarnation();
+        }
         newLink.awaiting(1);
         awaited = true;
         this.link = newLink;
@@ -69,6 +73,11 @@
         awaited = false;
     }
 
+    /** Returns the incarnation of the process that the attempt was sent to, whoever was asked about it later. */
+    long sentTo() {
+        return sentTo;
+    }
+
     boolean sent() {
         return link != null;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -309,6 +309,7 @@
         }
         reroutes++;
         parts.counters().retried(RetryReason.REROUTED);
+        dispatcher.noteReroute(request, attempt, reason);
         abandon(attempt);
         if (reason == RefusalReason.KEY_NOT_OWNER) {
             dispatcher.afterPause(serial, () -> next(null));
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -11,6 +11,7 @@
 import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.concurrent.Serial;
 import org.verbenadyke.kernel.ledger.Ledger;
@@ -150,6 +151,11 @@
         parts.decisions.note(new Decision.Retried(request.id(), request.service(), upstream, reason, granted));
     }
 
+    void noteReroute(Request request, Attempt attempt, RefusalReason reason) {
+        String upstream = attempt.candidate().upstream().id();
+        parts.decisions.note(new Decision.Rerouted(request.id(), request.service(), upstream, reason));
+    }
+
     RatioBudget ratio(Request request) {
         return ratios.computeIfAbsent(
                 new Pair(request.caller(), request.service()), p -> RatioBudget.of(settings.ratio(), settings.burst()));
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Inquiry.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Inquiry.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.trace.Decision;
 
 /**
  * Asks over a new connection what became of an attempt that must not run twice. The answer is the kept answer, a
@@ -51,6 +52,13 @@
             return;
         }
         attempt.bind(link.get());
+        parts.decisions()
+                .note(new Decision.FateAsked(
+                        attempt.dispatch().requestId(),
+                        attempt.id(),
+                        attempt.candidate().upstream().id(),
+                        attempt.sentTo(),
+                        link.get().peerIncarnation()));
         link.get().send(new Message.Inquire(attempt.id()));
         if (link.get().closed()) {
             lost.accept(attempt);
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -74,6 +74,7 @@
                 policy.dispatch());
         this.server = CallServer.create(
                 new CallServer.Parts(
+                        parts.incarnation(),
                         parts.timers(),
                         parts.random(),
                         parts.counters(),
--- a/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
@@ -73,6 +73,12 @@
         return peerClock;
     }
 
+    @Override
+    public long peerIncarnation() {
+        Message.Hello p = peer;
+        return p == null ? 0 : p.incarnation();
+    }
+
     @Override
     public void awaiting(int more) {
         awaited.addAndGet(more);
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Link.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Link.java
@@ -21,6 +21,13 @@
      */
     long peerClock();
 
+    /**
+     * Returns which start of the peer's process is at the other end. What one start knows, the next has forgotten.
+     *
+     * @return the peer's incarnation, 0 before it has said it
+     */
+    long peerIncarnation();
+
     /**
      * Notes that one more answer is awaited on the link, or one less.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -11,7 +11,6 @@
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
-import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.dispatch.RetryAfter;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Link;
@@ -251,16 +250,16 @@
             call.rebind(link);
             return;
         }
-        if (seen.claim(id)) {
-            refuse(link, id, notRun(RefusalReason.SEALED), report(0));
-            return;
-        }
-        refuse(link, id, new Refusal(RunState.MAY_HAVE_RUN, RefusalReason.CONNECTION_LOST, 0), report(0));
+        Refusal fate =
+                seen.claim(id) ? notRun(RefusalReason.SEALED) : Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST);
+        parts.decisions.note(new Decision.FateTold(id, fate.state(), fate.reason(), parts.incarnation));
+        refuse(link, id, fate, report(0));
     }
 
     /**
      * What a server works with.
      *
+     * @param incarnation drawn anew at each start of the process
      * @param timers the time
      * @param random where each thread's randomness comes from
      * @param counters where refusals are counted
@@ -269,6 +268,7 @@
      * @param decisions takes what is to be explained later
      */
     public record Parts(
+            long incarnation,
             TimerService timers,
             Supplier<RandomGenerator> random,
             Counters counters,
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.trace;
 
+import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RetryReason;
@@ -32,6 +33,19 @@
             long heldMillis)
             implements Decision {}
 
+    /**
+     * A request got an upstream's answer that says that it failed.
+     *
+     * @param request the request, as its caller names it
+     * @param chain the request, as nodes name it
+     * @param route the route it matched
+     * @param plan the version of the routes it was matched against
+     * @param status the HTTP status
+     * @param heldMillis how long it was held until the answer began, in milliseconds
+     */
+    record Failed(String request, String chain, String route, long plan, int status, long heldMillis)
+            implements Decision {}
+
     /**
      * A node turned a call away that another node sent it.
      *
@@ -59,6 +73,37 @@
     record Retried(RequestId chain, String service, String upstream, RetryReason reason, boolean granted)
             implements Decision {}
 
+    /**
+     * A request that was not run where it was sent goes to another upstream.
+     *
+     * @param chain the request
+     * @param service the service it calls
+     * @param upstream the upstream that did not run it
+     * @param reason why it was not run there
+     */
+    record Rerouted(RequestId chain, String service, String upstream, RefusalReason reason) implements Decision {}
+
+    /**
+     * The node beside an upstream was asked over a new connection what became of an attempt.
+     *
+     * @param chain the request
+     * @param attempt the attempt
+     * @param upstream the upstream it was sent to
+     * @param sentTo the incarnation of the process that the attempt was sent to
+     * @param asked the incarnation of the process that is asked
+     */
+    record FateAsked(RequestId chain, CallId attempt, String upstream, long sentTo, long asked) implements Decision {}
+
+    /**
+     * This node told what became of an attempt of which it holds nothing.
+     *
+     * @param attempt the attempt
+     * @param state what it said of the attempt
+     * @param reason why
+     * @param incarnation the incarnation of this process
+     */
+    record FateTold(CallId attempt, RunState state, RefusalReason reason, long incarnation) implements Decision {}
+
     /**
      * An upstream was taken out of the choice for a while.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/message/RecordingLink.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/message/RecordingLink.java
@@ -44,6 +44,11 @@
         return 1;
     }
 
+    @Override
+    public long peerIncarnation() {
+        return 1;
+    }
+
     @Override
     public void awaiting(int more) {
         // Nobody looks at it in tests.
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -40,6 +40,7 @@
     private final RecordingLink link = new RecordingLink();
     private final CallServer server = CallServer.create(
             new CallServer.Parts(
+                    1,
                     clock,
                     () -> new SplittableRandom(1),
                     counters,
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -21,6 +21,9 @@
     /** The field with a request's id as nodes name it. */
     public static final String CHAIN = "chain";
 
+    /** The field with an attempt's id; it joins the lines of the node that sent it and the node that took it. */
+    public static final String ATTEMPT = "attempt";
+
     private static final Logger LOG = LogManager.getLogger("decision");
 
     /** Lines of each kind in a second: a few hundred bytes each, some kilobytes a second under the worst load. */
@@ -62,8 +65,12 @@
     private static String kind(Decision decision) {
         return switch (decision) {
             case Decision.Refused d -> "refused-" + d.reason().label();
+            case Decision.Failed d -> "answered-failed";
             case Decision.TurnedAway d -> "turned-away-" + d.reason().label();
             case Decision.Retried d -> "retried-" + d.reason().label();
+            case Decision.Rerouted d -> "rerouted-" + d.reason().label();
+            case Decision.FateAsked d -> "fate-asked";
+            case Decision.FateTold d -> "fate-told";
             case Decision.Ejected d -> "upstream-ejected";
             case Decision.Member d -> "member";
         };
@@ -79,6 +86,13 @@
                         .with("runState", d.state().label())
                         .with("retryAfterMs", d.retryAfterMillis())
                         .with("heldMs", d.heldMillis());
+            case Decision.Failed d ->
+                line.with(REQUEST, d.request())
+                        .with(CHAIN, d.chain())
+                        .with("route", d.route())
+                        .with("plan", d.plan())
+                        .with("status", d.status())
+                        .with("heldMs", d.heldMillis());
             case Decision.TurnedAway d ->
                 line.with(CHAIN, d.chain())
                         .with("upstream", d.upstream())
@@ -91,6 +105,19 @@
                         .with("service", d.service())
                         .with("upstream", d.upstream())
                         .with("granted", d.granted());
+            case Decision.Rerouted d ->
+                line.with(CHAIN, d.chain()).with("service", d.service()).with("upstream", d.upstream());
+            case Decision.FateAsked d ->
+                line.with(CHAIN, d.chain())
+                        .with(ATTEMPT, d.attempt())
+                        .with("upstream", d.upstream())
+                        .with("sentTo", d.sentTo())
+                        .with("asked", d.asked());
+            case Decision.FateTold d ->
+                line.with(ATTEMPT, d.attempt())
+                        .with("runState", d.state().label())
+                        .with("reason", d.reason().label())
+                        .with("incarnation", d.incarnation());
             case Decision.Ejected d -> line.with(CHAIN, d.chain()).with("upstream", d.upstream());
             case Decision.Member d ->
                 line.with("node", d.node())
