Seal only what the memory that is asked reaches back to

Cause: a process that is asked what became of an attempt took an id it doesn't know for one that never arrived. It sealed the id, said 'not run', and the sender sent a filing on that had run. The same in KeyOwners: an upstream asked about a key of the one before it at its address gave the key up. Class: the absence of a memory taken as proof of absence. Ruled out: a refusal of the new process taken for one of the old (a refusal names the attempt, and an attempt is sent once; the new process refused others with upstream-unreachable, truthfully); a seal after the hand-over on a broken connection (IncomingCall seals only what waits). Change: Inquire names the incarnation that the attempt was sent to and the clock that it had lent; SeenCalls says how far it reaches back; any other process or age answers 'may have run'. KeyAsk names the upstream asked; another one is unsure. Protocol version 2, as both messages have new fields.

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -81,7 +81,7 @@
         query = new RouteQuery("s0", "GET /lookup", 300, "", Set.of());
         gate = Gate.of(GateSettings.standard(), FixedLimit.of(100));
         call = new Admitted();
-        seen = SeenCalls.empty();
+        seen = SeenCalls.startingAt(0);
         message = new Message.Call(
                 new CallId(1, 1),
                 new RequestId(1, 1),
@@ -132,7 +132,7 @@
     @Benchmark
     public boolean claim() {
         if (++sequence % 10_000 == 0) {
-            seen.rotate();
+            seen.rotate(0);
         }
         return seen.claim(new CallId(1, sequence));
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -23,6 +23,7 @@
     private final List<Message> held = new ArrayList<>();
     private volatile Link link;
     private long sentTo;
+    private long sentClock;
     private boolean headSeen;
     private long received;
     private boolean concluded;
@@ -59,6 +60,7 @@
         unbind();
         if (link == null) {
             sentTo = newLink.peerIncarnation();
+            sentClock = newLink.peerClock();
         }
         newLink.awaiting(1);
         awaited = true;
@@ -78,6 +80,11 @@
         return sentTo;
     }
 
+    /** Words the question what became of the attempt. */
+    Message.Inquire inquiry() {
+        return new Message.Inquire(id, sentTo, sentClock);
+    }
+
     boolean sent() {
         return link != null;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Inquiry.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Inquiry.java
@@ -6,13 +6,13 @@
 
 import org.verbenadyke.kernel.concurrent.Serial;
 import org.verbenadyke.kernel.message.Link;
-import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.trace.Decision;
 
 /**
  * Asks over a new connection what became of an attempt that must not run twice. The answer is the kept answer, a
- * refusal that tells whether it ran, or a seal: the attempt never started and never will.
+ * refusal that tells whether it ran, or a seal: the attempt never started and never will. A process that can't know, as
+ * one that started after the attempt was sent, says that it may have run.
  */
 final class Inquiry {
     private static final long PAUSE_NANOS = 50_000_000L;
@@ -59,7 +59,7 @@
                         attempt.candidate().upstream().id(),
                         attempt.sentTo(),
                         link.get().peerIncarnation()));
-        link.get().send(new Message.Inquire(attempt.id()));
+        link.get().send(attempt.inquiry());
         if (link.get().closed()) {
             lost.accept(attempt);
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -14,7 +14,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 1;
+    int VERSION = 2;
 
     /**
      * The first message of both sides.
@@ -159,21 +159,25 @@
     record Grant(CallId id, long ticket, boolean granted) implements Message {}
 
     /**
-     * Asks over a new connection what became of an attempt. A receiver that never started it seals its id.
+     * Asks over a new connection what became of an attempt. A receiver that never saw the attempt, and whose memory
+     * reaches back to when it was sent, seals its id.
      *
      * @param id the attempt
+     * @param sentTo the incarnation of the process that it was sent to
+     * @param sentClock the newest clock which that process had lent when it was sent, in its nanoseconds
      */
-    record Inquire(CallId id) implements Message {}
+    record Inquire(CallId id, long sentTo, long sentClock) implements Message {}
 
     /**
      * Asks a former owner of a key what it knows of it. A former owner that knows nothing gives the key up for good.
      *
      * @param ticket numbers the question
+     * @param asked the id of the former owner; another upstream at its address can't answer for it
      * @param asker the id of the upstream that owns the key now
      * @param vouch whether the former owner is also to say that nobody before it ran the key
      * @param key the key
      */
-    record KeyAsk(long ticket, String asker, boolean vouch, String key) implements Message {}
+    record KeyAsk(long ticket, String asked, String asker, boolean vouch, String key) implements Message {}
 
     /**
      * Answers {@link KeyAsk}, once the key's outcome is known.
--- a/kernel/src/main/java/org/verbenadyke/kernel/once/SeenCalls.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/once/SeenCalls.java
@@ -8,20 +8,24 @@
 
 /**
  * Remembers the attempts that arrived or were sealed, so that each can start at most once. An id is kept for at least
- * one generation; after that, the fence on the call's age refuses any copy of it.
+ * one generation; after that, the fence on the call's age refuses any copy of it. An id that isn't known never arrived
+ * only if it would have come within the memory.
  */
 public final class SeenCalls {
-    private final AtomicReference<Generations> generations = new AtomicReference<>(Generations.empty());
+    private final AtomicReference<Generations> generations;
 
-    private SeenCalls() {}
+    private SeenCalls(long nowNanos) {
+        generations = new AtomicReference<>(Generations.startingAt(nowNanos));
+    }
 
     /**
      * Creates an empty memory.
      *
+     * @param nowNanos the time from which on it remembers, on the local clock
      * @return the memory
      */
-    public static SeenCalls empty() {
-        return new SeenCalls();
+    public static SeenCalls startingAt(long nowNanos) {
+        return new SeenCalls(nowNanos);
     }
 
     /**
@@ -35,10 +39,24 @@
         return !g.previous().containsKey(id) && g.current().putIfAbsent(id, Boolean.TRUE) == null;
     }
 
-    /** Starts a generation and forgets the one before the last; called by one thread at a time. */
-    public void rotate() {
+    /**
+     * Tells whether every id that arrived since a time is still kept.
+     *
+     * @param nanos the time, on the local clock
+     * @return whether an id that isn't known has not arrived since then
+     */
+    public boolean reachesBackTo(long nanos) {
+        return nanos - generations.get().previousSince() >= 0;
+    }
+
+    /**
+     * Starts a generation and forgets the one before the last; called by one thread at a time.
+     *
+     * @param nowNanos the time, on the local clock
+     */
+    public void rotate(long nowNanos) {
         Generations g = generations.get();
-        generations.set(new Generations(g.current(), new ConcurrentHashMap<>()));
+        generations.set(new Generations(g.current(), g.currentSince(), new ConcurrentHashMap<>(), nowNanos));
     }
 
     /**
@@ -55,11 +73,14 @@
      * Two generations of ids.
      *
      * @param previous the older, only read
+     * @param previousSince when the older began, in nanoseconds
      * @param current the newer
+     * @param currentSince when the newer began, in nanoseconds
      */
-    private record Generations(Map<CallId, Boolean> previous, Map<CallId, Boolean> current) {
-        static Generations empty() {
-            return new Generations(new ConcurrentHashMap<>(), new ConcurrentHashMap<>());
+    private record Generations(
+            Map<CallId, Boolean> previous, long previousSince, Map<CallId, Boolean> current, long currentSince) {
+        static Generations startingAt(long nanos) {
+            return new Generations(new ConcurrentHashMap<>(), nanos, new ConcurrentHashMap<>(), nanos);
         }
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
@@ -170,7 +170,7 @@
                 () -> Optional.ofNullable(asked.remove(ticket)).ifPresent(c -> c.accept(Optional.empty())));
         links.acquire(question.upstream().node(), link -> {
             if (link.isPresent()) {
-                link.get().send(new Message.KeyAsk(ticket, asker, question.vouch(), key));
+                link.get().send(new Message.KeyAsk(ticket, question.upstream().id(), asker, question.vouch(), key));
                 return;
             }
             Optional.ofNullable(asked.remove(ticket)).ifPresent(c -> c.accept(Optional.empty()));
@@ -178,7 +178,8 @@
     }
 
     private void answer(Link link, Message.KeyAsk ask, Optional<LocalUpstream> local) {
-        if (local.isEmpty()) {
+        // An upstream that came after the one asked knows none of its keys: taken for proof, that runs a key again.
+        if (local.map(l -> !l.id().equals(ask.asked())).orElse(true)) {
             link.send(new Message.KeyTold(ask.ticket(), new Message.KeyFact.Unsure()));
             return;
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -28,7 +28,7 @@
 public final class CallServer {
     private final Parts parts;
     private final ServeSettings settings;
-    private final SeenCalls seen = SeenCalls.empty();
+    private final SeenCalls seen;
     private final Map<CallId, IncomingCall> calls = new ConcurrentHashMap<>();
     private final Map<String, CallContext> contexts = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
@@ -37,6 +37,7 @@
     private CallServer(Parts parts, ServeSettings settings) {
         this.parts = parts;
         this.settings = settings;
+        this.seen = SeenCalls.startingAt(parts.timers.nanos());
     }
 
     /**
@@ -95,7 +96,7 @@
             case Message.Credit m -> find(m.id()).ifPresent(c -> c.credit(m.bytes()));
             case Message.Cancel m -> find(m.id()).ifPresent(IncomingCall::cancelled);
             case Message.Grant m -> find(m.id()).ifPresent(c -> c.granted(m.ticket(), m.granted()));
-            case Message.Inquire m -> inquire(link, m.id());
+            case Message.Inquire m -> inquire(link, m);
             default -> parts.counters.count(Event.MESSAGE_UNMATCHED);
         }
     }
@@ -126,8 +127,8 @@
      * Forgets what is past its time; called at least every fence period, by one thread at a time.
      */
     public void sweep() {
-        seen.rotate();
         long now = parts.timers.nanos();
+        seen.rotate(now);
         calls.values().removeIf(c -> c.forgettable(now));
         upstream().ifPresent(u -> u.keys().expire(now));
     }
@@ -244,18 +245,31 @@
         incoming.start();
     }
 
-    private void inquire(Link link, CallId id) {
+    private void inquire(Link link, Message.Inquire inquiry) {
+        CallId id = inquiry.id();
         IncomingCall call = calls.get(id);
         if (call != null) {
             call.rebind(link);
             return;
         }
-        Refusal fate =
-                seen.claim(id) ? notRun(RefusalReason.SEALED) : Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST);
+        Refusal fate = neverArrived(inquiry)
+                ? notRun(RefusalReason.SEALED)
+                : Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST);
         parts.decisions.note(new Decision.FateTold(id, fate.state(), fate.reason(), parts.incarnation));
         refuse(link, id, fate, report(0));
     }
 
+    /**
+     * Tells whether an attempt never arrived, and sees to it that it never will. An unknown id proves it only to the
+     * process that the attempt was sent to, and only while that process keeps ids of that age: a process that had
+     * started anew gave 2 filings a second run.
+     */
+    private boolean neverArrived(Message.Inquire inquiry) {
+        return inquiry.sentTo() == parts.incarnation
+                && seen.claim(inquiry.id())
+                && seen.reachesBackTo(inquiry.sentClock());
+    }
+
     /**
      * What a server works with.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -147,7 +147,7 @@
         silent.close();
         dispatcher.linkLost(silent);
         assertEquals(1, calls().size());
-        assertEquals(List.of(new Message.Inquire(calls().getFirst().id())), link.sent());
+        assertEquals(List.of(new Message.Inquire(calls().getFirst().id(), 1, 1)), link.sent());
         refuse(0, RunState.NOT_RUN, RefusalReason.SEALED);
         assertEquals(2, calls().size());
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/once/SeenCallsTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/once/SeenCallsTest.java
@@ -13,7 +13,7 @@
 public class SeenCallsTest {
     private static final CallId ID = new CallId(1, 1);
 
-    private final SeenCalls shared = SeenCalls.empty();
+    private final SeenCalls shared = SeenCalls.startingAt(0);
 
     @Operation
     public boolean claim() {
@@ -22,15 +22,27 @@
 
     @Test
     public void remembersForOneGeneration() {
-        SeenCalls seen = SeenCalls.empty();
+        SeenCalls seen = SeenCalls.startingAt(0);
         assertTrue(seen.claim(ID));
-        seen.rotate();
+        seen.rotate(1);
         assertFalse(seen.claim(ID));
-        seen.rotate();
-        seen.rotate();
+        seen.rotate(2);
+        seen.rotate(3);
         assertEquals(0, seen.size());
     }
 
+    @Test
+    public void reachesBackAsFarAsItKeepsIds() {
+        SeenCalls seen = SeenCalls.startingAt(10);
+        assertFalse(seen.reachesBackTo(9));
+        assertTrue(seen.reachesBackTo(10));
+        seen.rotate(20);
+        assertTrue(seen.reachesBackTo(10));
+        seen.rotate(30);
+        assertFalse(seen.reachesBackTo(19));
+        assertTrue(seen.reachesBackTo(20));
+    }
+
     @Test
     public void exactlyOneClaimSucceeds() {
         new ModelCheckingOptions()
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -112,7 +112,7 @@
     @Test
     void sealsAnAttemptThatNeverArrived() {
         Message.Call late = call(false, "");
-        server.received(link, new Message.Inquire(late.id()));
+        server.received(link, new Message.Inquire(late.id(), 1, late.receiverClock()));
         assertEquals(RefusalReason.SEALED, lastRefusal().refusal().reason());
         server.received(link, late);
         assertEquals(0, handed.size());
@@ -125,7 +125,7 @@
         server.linkLost(link);
         answer(0, 201, "filed");
         RecordingLink fresh = new RecordingLink();
-        server.received(fresh, new Message.Inquire(filing.id()));
+        server.received(fresh, new Message.Inquire(filing.id(), 1, filing.receiverClock()));
         assertEquals(201, ((Message.Head) fresh.sent().get(0)).status());
         assertEquals(1, handed.size());
     }
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -96,9 +96,10 @@
             case Message.Cancel m -> packId(p, m.id());
             case Message.Spend m -> packId(p, m.id()).packLong(m.ticket());
             case Message.Grant m -> packId(p, m.id()).packLong(m.ticket()).packBoolean(m.granted());
-            case Message.Inquire m -> packId(p, m.id());
+            case Message.Inquire m -> packId(p, m.id()).packLong(m.sentTo()).packLong(m.sentClock());
             case Message.KeyAsk m ->
                 p.packLong(m.ticket())
+                        .packString(m.asked())
                         .packString(m.asker())
                         .packBoolean(m.vouch())
                         .packString(m.key());
@@ -130,8 +131,10 @@
             case CANCEL -> new Message.Cancel(unpackId(u));
             case SPEND -> new Message.Spend(unpackId(u), u.unpackLong());
             case GRANT -> new Message.Grant(unpackId(u), u.unpackLong(), u.unpackBoolean());
-            case INQUIRE -> new Message.Inquire(unpackId(u));
-            case KEY_ASK -> new Message.KeyAsk(u.unpackLong(), u.unpackString(), u.unpackBoolean(), u.unpackString());
+            case INQUIRE -> new Message.Inquire(unpackId(u), u.unpackLong(), u.unpackLong());
+            case KEY_ASK ->
+                new Message.KeyAsk(
+                        u.unpackLong(), u.unpackString(), u.unpackString(), u.unpackBoolean(), u.unpackString());
             case KEY_TOLD -> new Message.KeyTold(u.unpackLong(), KeptAnswerCodec.unpackFact(u));
             case KEY_HAND_ON -> new Message.KeyHandOn(u.unpackString(), u.unpackLong(), KeptAnswerCodec.unpack(u));
             case KEYS_HANDED_ON -> new Message.KeysHandedOn(u.unpackString());
