Test that two starts of an upstream under one id are told apart

Cause: UpstreamWatch knows a start by the upstream's id only. After a restart under the same id all heartbeats count as late until their count passes the old one, and after a goodbye the id is never taken again. UpstreamStart names a start by id and time of start; nothing compares the time yet.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
@@ -57,12 +57,12 @@
     /**
      * Takes the word of an upstream that it is gone for good, though it may still end what it has.
      *
-     * @param id the upstream's id
+     * @param gone the start that is over, as far as the upstream says which
      */
-    public void left(String id) {
+    public void left(UpstreamStart gone) {
         serial.run(() -> {
-            end(id);
-            if (current != null && current.id().equals(id)) {
+            end(gone.id());
+            if (current != null && current.id().equals(gone.id())) {
                 leave();
             }
         });
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamWatchTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamWatchTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -38,7 +39,7 @@
         watch.hear(beat("a", 1, false));
         watch.hear(beat("a", 2, true));
         watch.hear(beat("a", 3, true));
-        watch.left("a");
+        watch.left(start("a"));
         watch.hear(beat("a", 4, false));
         assertEquals(List.of("arrived a", "leaving a", "late a"), told);
     }
@@ -46,8 +47,8 @@
     @Test
     void takesAGoodbyeWithoutWarning() {
         watch.hear(beat("a", 1, false));
-        watch.left("a");
-        watch.left("other");
+        watch.left(start("a"));
+        watch.left(start("other"));
         assertEquals(List.of("arrived a", "leaving a"), told);
     }
 
@@ -66,30 +67,142 @@
         assertEquals(List.of(), told);
     }
 
+    @Test
+    void takesALaterStartUnderTheSameIdThoughItCountsAnew() {
+        watch.hear(beat("a", 100, 50, false));
+        watch.hear(beat("a", 200, 1, false));
+        watch.hear(beat("a", 200, 2, false));
+        assertEquals(List.of("arrived a@100", "arrived a@200"), told);
+    }
+
+    @Test
+    void ignoresAnEarlierStartUnderTheSameIdThoughItCountsHigher() {
+        watch.hear(beat("a", 200, 1, false));
+        watch.hear(beat("a", 100, 50, true));
+        watch.hear(beat("a", 100, 51, false));
+        clock.advance(2 * SILENT);
+        watch.hear(beat("a", 100, 52, false));
+        assertEquals(List.of("arrived a@200", "late a@100", "late a@100", "silent a@200", "late a@100"), told);
+    }
+
+    @Test
+    void ordersTheHeartbeatsOfOneStartByTheirSequence() {
+        watch.hear(beat("a", 100, 5, false));
+        watch.hear(beat("a", 100, 4, true));
+        watch.hear(beat("a", 100, 5, true));
+        assertEquals(List.of("arrived a@100", "late a@100", "late a@100"), told);
+    }
+
+    @Test
+    void takesALaterStartAfterAGoodbyeUnderTheSameId() {
+        watch.hear(beat("a", 100, 7, false));
+        watch.left(start("a"));
+        watch.hear(beat("a", 100, 8, false));
+        watch.hear(beat("a", 200, 1, false));
+        assertEquals(List.of("arrived a@100", "leaving a@100", "late a@100", "arrived a@200"), told);
+    }
+
+    @Test
+    void ignoresAGoodbyeOfAnEarlierStart() {
+        watch.hear(beat("a", 200, 1, false));
+        watch.left(start("a", 100));
+        watch.hear(beat("a", 200, 2, false));
+        assertEquals(List.of("arrived a@200"), told);
+    }
+
+    @Test
+    void ignoresAnEarlierStartUnderAnotherIdWhileTheLaterOneReports() {
+        watch.hear(beat("b", 200, 1, false));
+        watch.hear(beat("a", 100, 50, false));
+        assertEquals(List.of("arrived b@200", "late a@100"), told);
+    }
+
+    @Test
+    void takesAnUpstreamWhoseClockWentBackOnceTheOtherIsSilent() {
+        watch.hear(beat("b", 200, 1, false));
+        clock.advance(2 * SILENT);
+        watch.hear(beat("a", 100, 1, false));
+        assertEquals(List.of("arrived b@200", "silent b@200", "arrived a@100"), told);
+    }
+
+    @Test
+    void tellsThatTheUpstreamLeavesWhenItsNextStartLeavesAtOnce() {
+        watch.hear(beat("a", 100, 1, false));
+        watch.hear(beat("a", 200, 1, true));
+        assertEquals(List.of("arrived a@100", "leaving a@200"), told);
+    }
+
+    @Test
+    void ignoresAHeartbeatThatDoesNotSayWhichOfSeveralStartsItMeans() {
+        watch.hear(beat("a", 100, 1, false));
+        watch.hear(beat("a", 9, true));
+        watch.hear(beat("b", 9, false));
+        assertEquals(List.of("arrived a@100", "late a", "late b"), told);
+    }
+
+    @Test
+    void ignoresForAWhileWhatAnUnknownUpstreamSaidBeforeItsGoodbye() {
+        watch.left(start("a"));
+        watch.hear(beat("a", 100, 7, false));
+        clock.advance(2 * SILENT);
+        watch.hear(beat("a", 100, 8, false));
+        watch.hear(beat("a", 200, 1, false));
+        assertEquals(List.of("late a@100", "late a@100", "arrived a@200"), told);
+    }
+
+    @Test
+    void takesALaterStartLongAfterAnUnknownUpstreamsGoodbye() {
+        watch.left(start("a"));
+        clock.advance(2 * SILENT);
+        watch.hear(beat("a", 100, 1, false));
+        assertEquals(List.of("arrived a@100"), told);
+    }
+
+    private static UpstreamStart start(String id) {
+        return new UpstreamStart(id, OptionalLong.empty());
+    }
+
+    private static UpstreamStart start(String id, long born) {
+        return new UpstreamStart(id, OptionalLong.of(born));
+    }
+
     private static UpstreamBeat beat(String id, long sequence, boolean leaving) {
-        return new UpstreamBeat(id, "s", new Endpoint("127.0.0.1", 80), 4, leaving, 0, sequence);
+        return beat(start(id), sequence, leaving);
+    }
+
+    private static UpstreamBeat beat(String id, long born, long sequence, boolean leaving) {
+        return beat(start(id, born), sequence, leaving);
+    }
+
+    private static UpstreamBeat beat(UpstreamStart start, long sequence, boolean leaving) {
+        return new UpstreamBeat(start, "s", new Endpoint("127.0.0.1", 80), 4, leaving, 0, sequence);
     }
 
     /** Notes what is told. */
     private final class Told implements UpstreamWatch.Host {
         @Override
         public void arrived(UpstreamBeat beat) {
-            told.add("arrived " + beat.id());
+            note("arrived ", beat);
         }
 
         @Override
         public void leaving(UpstreamBeat beat) {
-            told.add("leaving " + beat.id());
+            note("leaving ", beat);
         }
 
         @Override
         public void silent(UpstreamBeat beat, long silentNanos) {
-            told.add("silent " + beat.id());
+            note("silent ", beat);
         }
 
         @Override
         public void late(UpstreamBeat beat) {
-            told.add("late " + beat.id());
+            note("late ", beat);
+        }
+
+        private void note(String what, UpstreamBeat beat) {
+            OptionalLong born = beat.start().bornMillis();
+            told.add(what + beat.id() + (born.isPresent() ? "@" + born.getAsLong() : ""));
         }
     }
 }
