Tell starts of an upstream apart by id and time of start

Cause: a start was known by the upstream's id only, and its goodbye ended the id. A start is now id and time. Under one id a later time replaces the earlier, an earlier one is late, and the sequence orders within a start. A goodbye ends the start that is known at that moment; one that names an earlier start changes nothing. An id whose goodbye comes before any heartbeat is kept out for as long as silence lasts, as the heartbeat that was on its way with it can't be told from a restart. Without a time the id alone counts, as before, unless the current start says its time: then such a heartbeat is late while that start reports. Across ids the earlier start is late while the later one reports, and counts once that is silent, so that a clock set back keeps no upstream out for ever. A next start that is leaving already ends the work of the one it replaces; before, the replaced one kept its work for ever, as it no longer counted as present and its silence was not looked for. Ruled out: taking the newest by arrival, which a heartbeat held up by a cut would win.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
@@ -1,26 +1,22 @@
 package org.verbenadyke.kernel.core;
 
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 
 import org.verbenadyke.kernel.concurrent.Serial;
 import org.verbenadyke.kernel.time.TimerService;
 
 /**
  * Follows the upstream beside a node by its heartbeats: which start of it is the current one, whether it leaves, and
- * when it has fallen silent. A heartbeat that was held up on the way changes nothing: neither an older one of the same
- * start, nor one of a start that another has replaced or that has said that it is gone.
+ * when it has fallen silent. A start is known by its id and its time; under one id the later time is the newer start. A
+ * heartbeat that was held up on the way changes nothing: neither an older one of the same start, nor one of a start
+ * that another has replaced or that has said that it is gone.
  */
 public final class UpstreamWatch {
-    /** Starts that are remembered as over; an upstream is replaced a few times a day at most. */
-    private static final int OVER_MOST = 1_000;
-
     private final TimerService timers;
     private final long silentNanos;
     private final Host host;
     private final Serial serial = Serial.create();
-    private final Set<String> over = new HashSet<>();
+    private final FinishedStarts over = FinishedStarts.none();
     private UpstreamBeat current;
     private boolean present;
     private long heardNanos;
@@ -55,17 +51,13 @@
     }
 
     /**
-     * Takes the word of an upstream that it is gone for good, though it may still end what it has.
+     * Takes the word of an upstream that it is gone for good, though it may still end what it has. It speaks of one
+     * start only; a later one under the same id counts.
      *
-     * @param gone the start that is over, as far as the upstream says which
+     * @param gone the start that is over; without a time it is the newest that is known under the id
      */
     public void left(UpstreamStart gone) {
-        serial.run(() -> {
-            end(gone.id());
-            if (current != null && current.id().equals(gone.id())) {
-                leave();
-            }
-        });
+        serial.run(() -> end(gone));
     }
 
     /**
@@ -78,43 +70,77 @@
     }
 
     private void take(UpstreamBeat beat) {
-        boolean known = current != null && current.id().equals(beat.id());
-        if (over.contains(beat.id()) || known && beat.sequence() <= current.sequence()) {
+        if (late(beat)) {
             host.late(beat);
             return;
         }
-        heardNanos = timers.nanos();
-        UpstreamBeat before = current;
-        if (before != null && !known) {
-            end(before.id());
+        boolean known = current != null && current.start().equals(beat.start());
+        boolean working = present;
+        if (current != null && !known) {
+            over.finish(current.start());
         }
+        heardNanos = timers.nanos();
         current = beat;
-        if (!known || !present) {
-            present = !beat.leaving();
-            if (present) {
-                host.arrived(beat);
-            }
-        } else if (beat.leaving()) {
-            leave();
+        present = !beat.leaving();
+        if (present && !(known && working)) {
+            host.arrived(beat);
+        } else if (working && !present) {
+            host.leaving(beat);
+        }
+    }
+
+    private boolean late(UpstreamBeat beat) {
+        if (over.covers(beat.start(), timers.nanos())) {
+            return true;
+        }
+        if (current == null) {
+            return false;
+        }
+        if (current.start().equals(beat.start())) {
+            return beat.sequence() <= current.sequence();
         }
+        // Another id that is older, or that leaves open how old it is, has to wait until the current start is silent;
+        // it
+        // isn't kept out for ever, since the clock of its machine may have been set back.
+        boolean mustYield = beat.id().equals(current.id()) || !silent();
+        return mustYield && (beat.start().bornBefore(current.start()) || hidesItsBirth(beat));
     }
 
-    private void leave() {
+    private boolean hidesItsBirth(UpstreamBeat beat) {
+        return beat.start().bornMillis().isEmpty()
+                && current.start().bornMillis().isPresent();
+    }
+
+    private void end(UpstreamStart gone) {
+        if (current == null || !current.id().equals(gone.id())) {
+            endOther(gone);
+            return;
+        }
+        if (gone.bornBefore(current.start())) {
+            return;
+        }
+        over.finish(current.start());
+        over.finish(gone);
         if (present) {
             present = false;
             host.leaving(current);
         }
     }
 
-    private void end(String id) {
-        if (over.size() >= OVER_MOST) {
-            over.clear();
+    private void endOther(UpstreamStart gone) {
+        if (gone.bornMillis().isPresent()) {
+            over.finish(gone);
+        } else {
+            over.finishUnheard(gone.id(), timers.nanos() + silentNanos);
         }
-        over.add(id);
+    }
+
+    private boolean silent() {
+        return timers.nanos() - heardNanos > silentNanos;
     }
 
     private void look() {
-        if (present && timers.nanos() - heardNanos > silentNanos) {
+        if (present && silent()) {
             present = false;
             host.silent(current, timers.nanos() - heardNanos);
         }
