--- a/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
@@ -74,6 +74,19 @@
                 .statusCode();
     }
 
+    /**
+     * Says for a server that it is gone.
+     *
+     * @param id the server's id
+     * @return the status of the answer
+     * @throws IOException when the node breaks the connection off
+     */
+    public int leave(String id) throws IOException {
+        return call(HttpRequest.newBuilder(uri(ports.announcements(), "/-/instances/" + id))
+                        .DELETE())
+                .statusCode();
+    }
+
     /**
      * Waits until the node is ready.
      *
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
@@ -35,13 +35,15 @@
      * @param service its service
      * @param address where it listens
      * @param state {@code ready} or {@code draining}
-     * @param sequence counts its reports
+     * @param sequence counts its reports since its start
+     * @param bornMillis when it started, in milliseconds since the epoch
      * @return the document
      */
-    public static String report(String service, Endpoint address, String state, int sequence) {
+    public static String report(String service, Endpoint address, String state, int sequence, long bornMillis) {
         return """
                 {"service":"%s","address":"%s","zone":"z","version":"v1","slots":8,"state":"%s",\
-                "cold-remaining":"0ms","sequence":%d}""".formatted(service, address, state, sequence);
+                "cold-remaining":"0ms","sequence":%d,\
+                "born":%d}""".formatted(service, address, state, sequence, bornMillis);
     }
 
     /**
--- a/standins/src/main/java/org/verbenadyke/standins/platform/RehearsalMain.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/RehearsalMain.java
@@ -51,7 +51,7 @@
         builder.environment().put("VERBENADYKE_SETTINGS", settings.toString());
         Process node = builder.start();
         try {
-            int served = rehearse(Client.of(ports), serverAt);
+            int served = rehearse(Client.of(ports), serverAt, server.bornMillis());
             int load = Integer.getInteger("rehearsal.load", 0);
             if (load > 0) {
                 Load.on(HttpPool.to(ports.entry(), loops, timers, PoolSettings.standard()), load)
@@ -71,11 +71,12 @@
         System.exit(0);
     }
 
-    private static int rehearse(Client client, Endpoint server) throws IOException, InterruptedException {
+    private static int rehearse(Client client, Endpoint server, long bornMillis)
+            throws IOException, InterruptedException {
         if (!client.awaitReady()) {
             throw new IOException("the node did not become ready");
         }
-        client.report(SERVER, Documents.report(SERVICE, server, "ready", 1));
+        client.report(SERVER, Documents.report(SERVICE, server, "ready", 1, bornMillis));
         Thread.sleep(SETTLE_MILLIS);
         int served = 0;
         for (int i = 0; i < REQUESTS; i++) {
--- a/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
@@ -50,6 +50,7 @@
 
     private final String id;
     private final TimerService timers;
+    private final long bornMillis;
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<String, Boolean> refused = new ConcurrentHashMap<>();
     private volatile Optional<HttpRequestMessage> last = Optional.empty();
@@ -58,6 +59,7 @@
     private ServerStandIn(String id, TimerService timers) {
         this.id = id;
         this.timers = timers;
+        this.bornMillis = timers.wallMillis();
     }
 
     /**
@@ -75,6 +77,15 @@
         return standIn;
     }
 
+    /**
+     * Returns when the server started.
+     *
+     * @return the time in milliseconds since the epoch
+     */
+    public long bornMillis() {
+        return bornMillis;
+    }
+
     /**
      * Returns how often a request ran.
      *
