Test that one odd record hides none of the others

Cause: a page of the store in which one item can't be read fails as a whole; a member record that can't be decoded ends the reading of the members' stream for good, as the error leaves the log's callback; its key isn't compared with the node that it names; a datagram with one odd record is dropped whole, and odd values (ports, counts that none can outrank) are taken. Log records now carry their key, and an event and a decision name what is left out; nothing uses them yet.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/FakeLog.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FakeLog.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -104,7 +105,7 @@
         List<LogService.LogRecord> found = new ArrayList<>();
         stream.records.tailMap(from).forEach((o, b) -> {
             if (found.size() < BATCH) {
-                found.add(new LogService.LogRecord(o, b));
+                found.add(new LogService.LogRecord(o, Optional.empty(), b));
             }
         });
         if (found.isEmpty() && world.nanos() < until) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.log;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -78,7 +79,8 @@
      * A record on the log.
      *
      * @param offset its offset
+     * @param key what it is about, if the log tells
      * @param bytes its content
      */
-    record LogRecord(long offset, byte[] bytes) {}
+    record LogRecord(long offset, Optional<String> key, byte[] bytes) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -44,6 +44,8 @@
     LOG_FAILED,
     /** A record was appended to the log. */
     LOG_APPENDED,
+    /** A record or a datagram that can't be read, or a record under another's key, was left out. */
+    RECORD_SKIPPED,
     /** A gossip message was sent. */
     GOSSIP_SENT,
     /** A gossip message was received. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -122,4 +122,13 @@
      * @param service the service beside it, empty if none
      */
     record Member(String node, String state, long incarnation, long version, String service) implements Decision {}
+
+    /**
+     * A record was left out: it can't be read, or its key isn't the one that it is about. Those beside it hold.
+     *
+     * @param source the stream or the sender that it came from
+     * @param key its key, empty if it has none
+     * @param why what is wrong with it
+     */
+    record RecordSkipped(String source, String key, String why) implements Decision {}
 }
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
@@ -0,0 +1,143 @@
+package org.verbenadyke.kernel.core;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.log.LogService;
+import org.verbenadyke.kernel.log.RecordCodec;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.route.PlanKeeper;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Place;
+import org.verbenadyke.kernel.time.VirtualTimerService;
+import org.verbenadyke.kernel.trace.Decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests {@link MemberLog}. */
+final class MemberLogTest {
+    private static final String UNREADABLE = "unreadable";
+    private static final long HOUR_NANOS = 3_600_000_000_000L;
+
+    private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
+    private final Counters counters = Counters.create();
+    private final List<Decision> decisions = new ArrayList<>();
+    private final List<String> learned = new ArrayList<>();
+    private final PagedLog log = new PagedLog();
+
+    @Test
+    void learnsTheMembersBesideARecordThatCanNotBeRead() {
+        log.page(record("a", "a"), record("b", UNREADABLE), record("c", "c"));
+        start();
+        assertEquals(List.of("a", "c"), learned);
+        assertEquals(1, counters.events(Event.RECORD_SKIPPED));
+        Decision.RecordSkipped noted = (Decision.RecordSkipped) decisions.get(0);
+        assertEquals("members", noted.source());
+        assertEquals("b", noted.key());
+    }
+
+    @Test
+    void learnsNobodyFromARecordUnderTheKeyOfAnother() {
+        log.page(record("a", "a"), record("b", "c"), record("", "d"), record("e", "e"));
+        start();
+        assertEquals(List.of("a", "e"), learned);
+        assertEquals(2, counters.events(Event.RECORD_SKIPPED));
+    }
+
+    @Test
+    void learnsMembersFromALogWithoutKeys() {
+        log.page(new LogService.LogRecord(0, Optional.empty(), bytes("a")));
+        start();
+        assertEquals(List.of("a"), learned);
+    }
+
+    @Test
+    void readsOnPastARecordThatCanNotBeRead() {
+        log.page(record("a", UNREADABLE));
+        log.page(record("b", "b"));
+        start();
+        assertEquals(List.of("b"), learned);
+        assertEquals(List.of(0L, 1L, 2L), log.asked);
+    }
+
+    private void start() {
+        CoreParts parts = new CoreParts(
+                member("self"),
+                List.of(),
+                clock,
+                (endpoint, handler) -> {},
+                (to, message) -> {},
+                log,
+                new NameCodec(),
+                null,
+                () -> new SplittableRandom(1),
+                PlanKeeper.absent(),
+                counters,
+                Ledger.off(),
+                decisions::add);
+        new MemberLog(parts, () -> member("self"), r -> learned.add(r.nodeId())).start(HOUR_NANOS);
+    }
+
+    private static LogService.LogRecord record(String key, String content) {
+        return new LogService.LogRecord(0, Optional.of(key), bytes(content));
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static MemberRecord member(String id) {
+        Endpoint here = new Endpoint("127.0.0.1", 1);
+        return new MemberRecord(id, 1, 0, MemberState.ALIVE, here, here, new Place("r", "d"), "", 0, 0);
+    }
+
+    /** Gives one page after the other, a record as long as an offset. */
+    private static final class PagedLog implements LogService {
+        private final List<List<LogRecord>> pages = new ArrayList<>();
+        private final List<Long> asked = new ArrayList<>();
+
+        private void page(LogRecord... records) {
+            pages.add(List.of(records));
+        }
+
+        @Override
+        public void append(String stream, String key, byte[] record, Consumer<Appended> taker) {
+            taker.accept(new Appended.At(0));
+        }
+
+        @Override
+        public void read(String stream, long fromOffset, long waitMillis, Consumer<Read> taker) {
+            asked.add(fromOffset);
+            List<LogRecord> page = fromOffset < pages.size() ? pages.get((int) fromOffset) : List.of();
+            taker.accept(new Read.Records(0, fromOffset + (page.isEmpty() ? 0 : 1), page));
+        }
+    }
+
+    /** Words a member as its name. */
+    private static final class NameCodec implements RecordCodec<MemberRecord> {
+        @Override
+        public byte[] encode(MemberRecord record) {
+            return bytes(record.nodeId());
+        }
+
+        @Override
+        public MemberRecord decode(byte[] bytes) {
+            String name = new String(bytes, StandardCharsets.UTF_8);
+            if (name.equals(UNREADABLE)) {
+                throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, name);
+            }
+            return member(name);
+        }
+    }
+}
--- a/node/src/main/java/org/verbenadyke/node/log/HttpLog.java
+++ b/node/src/main/java/org/verbenadyke/node/log/HttpLog.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.log.LogService;
@@ -103,6 +104,7 @@
         for (JsonNode r : node.path("records")) {
             records.add(new LogRecord(
                     r.path("offset").asLong(),
+                    Optional.empty(),
                     Base64.getDecoder().decode(r.path("data").asText())));
         }
         return new Read.Records(node.path("first").asLong(), node.path("next").asLong(), records);
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -73,6 +73,7 @@
             case Decision.FateTold d -> "fate-told";
             case Decision.Ejected d -> "upstream-ejected";
             case Decision.Member d -> "member";
+            case Decision.RecordSkipped d -> "record-skipped";
         };
     }
 
@@ -125,6 +126,8 @@
                         .with("incarnation", d.incarnation())
                         .with("version", d.version())
                         .with("service", d.service());
+            case Decision.RecordSkipped d ->
+                line.with("source", d.source()).with("key", d.key()).with("why", d.why());
         }
     }
 }
--- /dev/null
+++ b/wire/src/test/java/org/verbenadyke/wire/GossipCodecTest.java
@@ -0,0 +1,149 @@
+package org.verbenadyke.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.membership.GossipMessage;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Place;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Tests {@link GossipCodec} and {@link MemberCodec} with records that are not as a node writes them. */
+final class GossipCodecTest {
+    private static final byte RECORDS = 5;
+    private static final int SEED = 42;
+    private static final int TRIES = 5_000;
+
+    @ParameterizedTest
+    @EnumSource(Odd.class)
+    void takesTheRecordsBesideAnOddOne(Odd odd) throws IOException {
+        GossipMessage.Records decoded = (GossipMessage.Records) GossipCodec.decode(datagram(odd));
+        assertEquals(
+                List.of("a", "c"),
+                decoded.records().stream().map(MemberRecord::nodeId).toList());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Odd.class)
+    void refusesAnOddRecordAlone(Odd odd) throws IOException {
+        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+            packOdd(p, odd);
+            byte[] bytes = p.toByteArray();
+            assertThrows(VerbenadykeException.class, () -> MemberCodec.create().decode(bytes));
+        }
+    }
+
+    @Test
+    void takesAllRecordsThatAreAsANodeWritesThem() {
+        GossipMessage.Rumor rumor = new GossipMessage.Rumor(
+                "n", 7, new GossipMessage.View(1, 2, 3), List.of(member("a"), member("b"), member("c")));
+        assertEquals(rumor, GossipCodec.decode(GossipCodec.encode(rumor)));
+        assertEquals(
+                member("a"), MemberCodec.create().decode(MemberCodec.create().encode(member("a"))));
+    }
+
+    @Test
+    void garbledDatagramsGiveATypedError() {
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int i = 0; i < TRIES; i++) {
+            byte[] whole = GossipCodec.encode(new GossipMessage.Records(List.of(member("a"), member("b"))));
+            whole[random.nextInt(whole.length)] = (byte) random.nextInt();
+            decodes(Arrays.copyOf(whole, whole.length - random.nextInt(whole.length)));
+        }
+    }
+
+    @Test
+    void madeUpDatagramsGiveATypedError() {
+        SplittableRandom random = new SplittableRandom(SEED);
+        for (int i = 0; i < TRIES; i++) {
+            byte[] bytes = new byte[random.nextInt(80)];
+            random.nextBytes(bytes);
+            decodes(bytes);
+        }
+    }
+
+    private static void decodes(byte[] bytes) {
+        try {
+            assertNotNull(GossipCodec.decode(bytes));
+        } catch (VerbenadykeException e) {
+            assertNotNull(e.getMessage());
+        }
+    }
+
+    private static byte[] datagram(Odd odd) throws IOException {
+        try (MessageBufferPacker p = MessagePack.newDefaultBufferPacker()) {
+            p.packByte(RECORDS).packArrayHeader(3);
+            p.addPayload(MemberCodec.create().encode(member("a")));
+            packOdd(p, odd);
+            p.addPayload(MemberCodec.create().encode(member("c")));
+            return p.toByteArray();
+        }
+    }
+
+    /** Packs a record's fields in their order, one of them odd. */
+    private static void packOdd(MessageBufferPacker p, Odd odd) throws IOException {
+        List<Object> fields = new ArrayList<>(
+                List.of("b", 1L << 60, 0L, 0L, "127.0.0.1", 80L, "127.0.0.1", 81L, "r", "d", "s", 5L, 0L));
+        fields.set(odd.field, odd.value);
+        for (Object field : fields) {
+            if (field instanceof String text) {
+                p.packString(text);
+            } else {
+                p.packLong((Long) field);
+            }
+        }
+    }
+
+    private static MemberRecord member(String id) {
+        Endpoint here = new Endpoint("127.0.0.1", 80);
+        return new MemberRecord(id, 1L << 60, 3, MemberState.ALIVE, here, here, new Place("r", "d"), "s", 5, 0);
+    }
+
+    /** What may be odd in a record. */
+    private enum Odd {
+        ID_OF_ANOTHER_TYPE(0, 7L),
+        ID_EMPTY(0, ""),
+        INCARNATION_OF_ANOTHER_TYPE(1, "x"),
+        INCARNATION_NEGATIVE(1, -1L),
+        INCARNATION_THAT_NONE_CAN_OUTRANK(1, Long.MAX_VALUE),
+        VERSION_OF_ANOTHER_TYPE(2, "x"),
+        VERSION_NEGATIVE(2, -1L),
+        VERSION_THAT_NONE_CAN_OUTRANK(2, Long.MAX_VALUE),
+        STATE_OF_ANOTHER_TYPE(3, "ALIVE"),
+        STATE_UNNAMED(3, 99L),
+        STATE_NEGATIVE(3, -1L),
+        HOST_OF_ANOTHER_TYPE(4, 7L),
+        HOST_EMPTY(4, ""),
+        PORT_OF_ANOTHER_TYPE(5, "80"),
+        PORT_ZERO(5, 0L),
+        PORT_TOO_HIGH(5, 70_000L),
+        CONTROL_PORT_NEGATIVE(7, -1L),
+        REGION_OF_ANOTHER_TYPE(8, 7L),
+        SERVICE_OF_ANOTHER_TYPE(10, 7L),
+        TIME_OF_ANOTHER_TYPE(11, "now"),
+        EPOCH_NEGATIVE(12, -1L),
+        EPOCH_TOO_HIGH(12, 1L << 40);
+
+        private final int field;
+        private final Object value;
+
+        Odd(int field, Object value) {
+            this.field = field;
+            this.value = value;
+        }
+    }
+}
