Leave out odd member records, take those beside them

Cause: an undecodable record of the members' stream threw out of the log's callback and ended the reading for good; in a datagram it took the rest with it, though every record has the same number of values and the next can be found. MemberLog skips such a record and one whose key isn't the node that it names; RecordList skips it in a datagram and goes on after its 13 values. MemberCodec refuses values that would do harm: an empty id, ports that no socket takes (sending there throws inside the gossip round), and counts so near the end of their type that the node named could never outrank them.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -3,9 +3,11 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.log.LogService;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.trace.Decision;
 
 /**
  * The members' stream: each node writes its record at its start and again before the log may drop it, and reads the
@@ -60,7 +62,7 @@
         parts.log().read(STREAM, nextOffset, 0, result -> {
             switch (result) {
                 case LogService.Read.Records r -> {
-                    r.records().forEach(x -> taker.accept(parts.members().decode(x.bytes())));
+                    r.records().forEach(this::take);
                     nextOffset = r.nextOffset();
                     if (r.records().isEmpty()) {
                         later(AGAIN_NANOS, this::read);
@@ -76,6 +78,27 @@
         });
     }
 
+    /** Takes one record; an odd one names nobody and must not end the reading of the others. */
+    private void take(LogService.LogRecord record) {
+        MemberRecord member;
+        try {
+            member = parts.members().decode(record.bytes());
+        } catch (VerbenadykeException e) {
+            skip(record, e.getMessage());
+            return;
+        }
+        if (!record.key().orElse(member.nodeId()).equals(member.nodeId())) {
+            skip(record, "it names " + member.nodeId());
+            return;
+        }
+        taker.accept(member);
+    }
+
+    private void skip(LogService.LogRecord record, String why) {
+        parts.counters().count(Event.RECORD_SKIPPED);
+        parts.decisions().note(new Decision.RecordSkipped(STREAM, record.key().orElse(""), why));
+    }
+
     /** Runs a step between half and one and a half of a delay from now, so that nodes don't act together. */
     private void later(long nanos, Runnable step) {
         parts.timers().after(nanos / 2 + parts.random().get().nextLong(nanos), step);
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -75,7 +75,8 @@
         this.ledger = settings.ledger() ? Ledger.watching(this::breached) : Ledger.off();
         long incarnation = timers.wallMillis() << INCARNATION_SHIFT | new SecureRandom().nextLong() & INCARNATION_MASK;
         LogService log = settings.logs().<LogService>map(a -> HttpLog.at(a, io)).orElseGet(AbsentLog::create);
-        this.datagrams = UdpPort.listen(settings.peers(), SharedLoops.of(io), counters, this::heard);
+        DecisionLogger decisions = DecisionLogger.on(timers);
+        this.datagrams = UdpPort.listen(settings.peers(), SharedLoops.of(io), counters, decisions, this::heard);
         MemberRecord self = new MemberRecord(
                 settings.id(),
                 incarnation,
@@ -100,7 +101,7 @@
                 PlanKeeper.absent(),
                 counters,
                 ledger,
-                DecisionLogger.on(timers));
+                decisions);
         this.core = NodeCore.start(parts, CoreSettings.with(settings.policy()));
     }
 
--- a/node/src/main/java/org/verbenadyke/node/transport/UdpPort.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/UdpPort.java
@@ -10,6 +10,8 @@
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.trace.Decision;
+import org.verbenadyke.kernel.trace.DecisionLog;
 import org.verbenadyke.wire.GossipCodec;
 
 import io.netty.bootstrap.Bootstrap;
@@ -38,17 +40,22 @@
      *
      * @param endpoint the address
      * @param loops the threads that serve connections
-     * @param counters where rejected datagrams are counted
+     * @param counters where datagrams and records that can't be read are counted
+     * @param decisions takes what was wrong with them
      * @param taker takes each datagram with its sender's address
      * @return the port
      */
     public static UdpPort listen(
-            Endpoint endpoint, Loops loops, Counters counters, BiConsumer<Endpoint, GossipMessage> taker) {
+            Endpoint endpoint,
+            Loops loops,
+            Counters counters,
+            DecisionLog decisions,
+            BiConsumer<Endpoint, GossipMessage> taker) {
         Channel channel = new Bootstrap()
                 .group(loops.group())
                 .channel(loops.datagram())
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(DATAGRAM_MOST))
-                .handler(new Receiver(counters, taker))
+                .handler(new Receiver(counters, decisions, taker))
                 .bind(new InetSocketAddress(endpoint.host(), endpoint.port()))
                 .awaitUninterruptibly()
                 .channel();
@@ -74,14 +81,16 @@
     }
 
     /**
-     * Decodes what arrives; what can't be decoded is dropped and counted.
+     * Decodes what arrives; what can't be decoded is left out, noted and counted.
      */
     private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         private final Counters counters;
+        private final DecisionLog decisions;
         private final BiConsumer<Endpoint, GossipMessage> taker;
 
-        private Receiver(Counters counters, BiConsumer<Endpoint, GossipMessage> taker) {
+        private Receiver(Counters counters, DecisionLog decisions, BiConsumer<Endpoint, GossipMessage> taker) {
             this.counters = counters;
+            this.decisions = decisions;
             this.taker = taker;
         }
 
@@ -89,9 +98,22 @@
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             byte[] bytes = new byte[packet.content().readableBytes()];
             packet.content().readBytes(bytes);
-            InetSocketAddress sender = packet.sender();
-            taker.accept(
-                    new Endpoint(sender.getAddress().getHostAddress(), sender.getPort()), GossipCodec.decode(bytes));
+            Endpoint sender = new Endpoint(
+                    packet.sender().getAddress().getHostAddress(),
+                    packet.sender().getPort());
+            GossipMessage message;
+            try {
+                message = GossipCodec.decode(bytes, why -> skip(sender, why));
+            } catch (VerbenadykeException e) {
+                skip(sender, e.getMessage());
+                return;
+            }
+            taker.accept(sender, message);
+        }
+
+        private void skip(Endpoint sender, String why) {
+            counters.count(Event.RECORD_SKIPPED);
+            decisions.note(new Decision.RecordSkipped(sender.toString(), "", why));
         }
 
         @Override
--- a/wire/src/main/java/org/verbenadyke/wire/Buffers.java
+++ b/wire/src/main/java/org/verbenadyke/wire/Buffers.java
@@ -22,6 +22,10 @@
     }
 
     static MessageUnpacker unpacker(byte[] bytes) {
-        return UNPACKER.newUnpacker(bytes);
+        return unpacker(bytes, 0);
+    }
+
+    static MessageUnpacker unpacker(byte[] bytes, int from) {
+        return UNPACKER.newUnpacker(bytes, from, bytes.length - from);
     }
 }
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePackException;
@@ -27,7 +28,6 @@
     private static final byte RECORDS = 5;
     private static final byte CONFIG_WANTED = 6;
     private static final byte CONFIG_NEWS = 7;
-    private static final int RECORDS_MOST = 1_000;
 
     private GossipCodec() {}
 
@@ -47,15 +47,27 @@
     }
 
     /**
-     * Decodes a datagram.
+     * Decodes a datagram. An odd record in it is left out; the others hold.
      *
      * @param bytes its bytes
      * @return the message
      * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
      */
     public static GossipMessage decode(byte[] bytes) {
+        return decode(bytes, why -> {});
+    }
+
+    /**
+     * Decodes a datagram. An odd record in it is left out; the others hold.
+     *
+     * @param bytes its bytes
+     * @param skipped is told of each record that is left out what is wrong with it
+     * @return the message
+     * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
+     */
+    public static GossipMessage decode(byte[] bytes, Consumer<String> skipped) {
         try (MessageUnpacker u = Buffers.unpacker(bytes)) {
-            return unpack(u);
+            return unpack(u, new RecordList(bytes, skipped));
         } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
             throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "datagram");
         }
@@ -98,16 +110,16 @@
         }
     }
 
-    private static GossipMessage unpack(MessageUnpacker u) throws IOException {
+    private static GossipMessage unpack(MessageUnpacker u, RecordList records) throws IOException {
         byte kind = u.unpackByte();
         return switch (kind) {
-            case RUMOR -> new GossipMessage.Rumor(u.unpackString(), u.unpackLong(), unpackView(u), unpackRecords(u));
-            case ACK -> new GossipMessage.Ack(u.unpackString(), u.unpackLong(), unpackView(u), unpackRecords(u));
+            case RUMOR -> new GossipMessage.Rumor(u.unpackString(), u.unpackLong(), unpackView(u), records.unpack(u));
+            case ACK -> new GossipMessage.Ack(u.unpackString(), u.unpackLong(), unpackView(u), records.unpack(u));
             case PROBE ->
                 new GossipMessage.Probe(u.unpackString(), u.unpackLong(), unpackEndpoint(u), unpackEndpoint(u));
             case PROBE_ACK -> new GossipMessage.ProbeAck(u.unpackLong());
             case BUCKETS -> new GossipMessage.Buckets(u.unpackString(), u.unpackBoolean(), unpackDigests(u));
-            case RECORDS -> new GossipMessage.Records(unpackRecords(u));
+            case RECORDS -> new GossipMessage.Records(records.unpack(u));
             case CONFIG_WANTED -> new GossipMessage.ConfigWanted(u.unpackString());
             case CONFIG_NEWS -> new GossipMessage.ConfigNews(ConfigCodec.unpackState(u));
             default -> throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "datagram of type " + kind);
@@ -148,16 +160,4 @@
             MemberCodec.pack(p, r);
         }
     }
-
-    private static List<MemberRecord> unpackRecords(MessageUnpacker u) throws IOException {
-        int n = u.unpackArrayHeader();
-        if (n > RECORDS_MOST) {
-            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, n + " records");
-        }
-        List<MemberRecord> records = new ArrayList<>(n);
-        for (int i = 0; i < n; i++) {
-            records.add(MemberCodec.unpack(u));
-        }
-        return records;
-    }
 }
--- a/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
@@ -18,6 +18,18 @@
  * Encodes member records for the log and for gossip.
  */
 public final class MemberCodec implements RecordCodec<MemberRecord> {
+    /** How many values a packed record has. */
+    static final int VALUES = 13;
+
+    /**
+     * The highest incarnation, version or epoch that is taken: no count of a node gets there, and a record near the end
+     * of its type could never be outranked by the node that it names.
+     */
+    private static final long COUNT_MOST = Long.MAX_VALUE / 2;
+
+    private static final int EPOCH_MOST = Integer.MAX_VALUE / 2;
+    private static final int PORT_MOST = 65_535;
+
     private MemberCodec() {}
 
     /**
@@ -58,7 +70,7 @@
     }
 
     static MemberRecord unpack(MessageUnpacker u) throws IOException {
-        return new MemberRecord(
+        MemberRecord record = new MemberRecord(
                 u.unpackString(),
                 u.unpackLong(),
                 u.unpackLong(),
@@ -69,5 +81,24 @@
                 u.unpackString(),
                 u.unpackLong(),
                 u.unpackInt());
+        if (!usable(record)) {
+            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "member record of '" + record.nodeId() + "'");
+        }
+        return record;
+    }
+
+    private static boolean usable(MemberRecord r) {
+        return !r.nodeId().isEmpty()
+                && count(r.incarnation(), COUNT_MOST)
+                && count(r.version(), COUNT_MOST)
+                && count(r.epoch(), EPOCH_MOST)
+                && !r.endpoint().host().isEmpty()
+                && r.endpoint().port() > 0
+                && r.endpoint().port() <= PORT_MOST
+                && count(r.control().port(), PORT_MOST);
+    }
+
+    private static boolean count(long value, long most) {
+        return value >= 0 && value <= most;
     }
 }
