--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -63,8 +63,10 @@
             switch (result) {
                 case LogService.Read.Records r -> {
                     r.records().forEach(this::take);
+                    // A page may have been read of which no record is left; only one that leads nowhere is the end.
+                    boolean atEnd = r.records().isEmpty() && r.nextOffset() <= nextOffset;
                     nextOffset = r.nextOffset();
-                    if (r.records().isEmpty()) {
+                    if (atEnd) {
                         later(AGAIN_NANOS, this::read);
                     } else {
                         read();
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
@@ -71,6 +71,14 @@
         assertEquals(List.of(0L, 1L, 2L), log.asked);
     }
 
+    @Test
+    void readsOnPastAPageOfWhichNothingIsLeft() {
+        log.page();
+        log.page(record("b", "b"));
+        start();
+        assertEquals(List.of("b"), learned);
+    }
+
     private void start() {
         CoreParts parts = new CoreParts(
                 member("self"),
@@ -119,8 +127,9 @@
         @Override
         public void read(String stream, long fromOffset, long waitMillis, Consumer<Read> taker) {
             asked.add(fromOffset);
-            List<LogRecord> page = fromOffset < pages.size() ? pages.get((int) fromOffset) : List.of();
-            taker.accept(new Read.Records(0, fromOffset + (page.isEmpty() ? 0 : 1), page));
+            boolean written = fromOffset < pages.size();
+            List<LogRecord> page = written ? pages.get((int) fromOffset) : List.of();
+            taker.accept(new Read.Records(0, fromOffset + (written ? 1 : 0), page));
         }
     }
 
