--- a/kernel/src/main/java/org/verbenadyke/kernel/error/ErrorCode.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/error/ErrorCode.java
@@ -31,6 +31,8 @@
     FRAME_TOO_LARGE("VD-1302"),
     /** A peer speaks another version of the protocol. */
     PROTOCOL_VERSION("VD-1303"),
+    /** A node's record or a datagram that can't be read. */
+    RECORD_UNREADABLE("VD-1304"),
     /** An intent names something unknown. */
     INTENT_UNKNOWN_TARGET("VD-1401"),
     /** An intent is out of bounds. */
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -51,7 +51,7 @@
      *
      * @param bytes its bytes
      * @return the message
-     * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
+     * @throws VerbenadykeException with {@link ErrorCode#RECORD_UNREADABLE}
      */
     public static GossipMessage decode(byte[] bytes) {
         return decode(bytes, why -> {});
@@ -63,13 +63,13 @@
      * @param bytes its bytes
      * @param skipped is told of each record that is left out what is wrong with it
      * @return the message
-     * @throws VerbenadykeException with {@link ErrorCode#FRAME_MALFORMED}
+     * @throws VerbenadykeException with {@link ErrorCode#RECORD_UNREADABLE}
      */
     public static GossipMessage decode(byte[] bytes, Consumer<String> skipped) {
         try (MessageUnpacker u = Buffers.unpacker(bytes)) {
             return unpack(u, new RecordList(bytes, skipped));
         } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
-            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "datagram");
+            throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, "its bytes are no datagram of a node");
         }
     }
 
@@ -122,7 +122,7 @@
             case RECORDS -> new GossipMessage.Records(records.unpack(u));
             case CONFIG_WANTED -> new GossipMessage.ConfigWanted(u.unpackString());
             case CONFIG_NEWS -> new GossipMessage.ConfigNews(ConfigCodec.unpackState(u));
-            default -> throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "datagram of type " + kind);
+            default -> throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, "datagram of type " + kind);
         };
     }
 
@@ -145,7 +145,7 @@
     private static List<Long> unpackDigests(MessageUnpacker u) throws IOException {
         int n = u.unpackArrayHeader();
         if (n != MemberTable.BUCKETS) {
-            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, n + " buckets");
+            throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, n + " buckets");
         }
         List<Long> digests = new ArrayList<>(n);
         for (int i = 0; i < n; i++) {
--- a/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/MemberCodec.java
@@ -56,7 +56,7 @@
         try (MessageUnpacker u = Buffers.unpacker(bytes)) {
             return unpack(u);
         } catch (IOException | MessagePackException | IndexOutOfBoundsException e) {
-            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "member record");
+            throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, "its bytes are no member record");
         }
     }
 
@@ -82,7 +82,8 @@
                 u.unpackLong(),
                 u.unpackInt());
         if (!usable(record)) {
-            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, "member record of '" + record.nodeId() + "'");
+            throw VerbenadykeException.of(
+                    ErrorCode.RECORD_UNREADABLE, "values out of range in that of '" + record.nodeId() + "'");
         }
         return record;
     }
--- a/wire/src/main/java/org/verbenadyke/wire/RecordList.java
+++ b/wire/src/main/java/org/verbenadyke/wire/RecordList.java
@@ -30,7 +30,7 @@
     List<MemberRecord> unpack(MessageUnpacker first) throws IOException {
         int n = first.unpackArrayHeader();
         if (n > RECORDS_MOST) {
-            throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, n + " records");
+            throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, n + " records");
         }
         List<MemberRecord> records = new ArrayList<>(n);
         MessageUnpacker in = first;
