Tests of filings needlessly told that they may have run, red

Cause: a seal and a refusal at the door leave only the claimed id; when their word is lost with the connection, the next question gets 'may have run' (CallServer.inquire). A link that is lost after the refusal came, while the node above is asked for a retry, makes 'not run' 'may have run' (Dispatch.lost). No mend here.

--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
@@ -0,0 +1,113 @@
+package org.verbenadyke.kernel.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.budget.ParentBudget;
+import org.verbenadyke.kernel.call.AnswerSink;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.RecordingLink;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Place;
+import org.verbenadyke.kernel.routing.Router;
+import org.verbenadyke.kernel.routing.TwoChoicesProvider;
+import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.time.VirtualTimerService;
+import org.verbenadyke.kernel.trace.DecisionLog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests a filing that was refused as not run and whose connection is lost while a retry is asked for further up. */
+final class RefusedThenLostTest {
+    private static final long MILLI = 1_000_000L;
+    private static final Place PLACE = new Place("r", "d");
+    private static final Message.Report CALM = new Message.Report(0, 10, 0, false);
+
+    private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
+    private final List<String> got = new ArrayList<>();
+    private final SplittableRandom random = new SplittableRandom(1);
+    private final Router router = Router.create("me", PLACE, 8, new TwoChoicesProvider().create(), () -> random, true);
+    private final ParentBudget budget = ParentBudget.of(new RecordingLink(), new CallId(1, 1));
+    private RecordingLink link = new RecordingLink();
+    private final Dispatcher dispatcher = Dispatcher.create(
+            new Dispatcher.Parts(
+                    9,
+                    clock,
+                    router,
+                    (endpoint, taker) -> taker.accept(Optional.of(link)),
+                    () -> random,
+                    Counters.create(),
+                    Ledger.off(),
+                    DecisionLog.none()),
+            DispatchSettings.standard());
+
+    @Test
+    void staysNotRun() {
+        router.update(List.of(new Upstream("u1", "s", new Endpoint("10.0.0.1", 1), PLACE)));
+        dispatcher.dispatch(request(), new Sink());
+        RecordingLink first = link;
+        Refusal refusal = Refusal.notRun(RefusalReason.UPSTREAM_REFUSED, 1);
+        dispatcher.received(first, new Message.Refused(first.calls().getFirst().id(), refusal, CALM));
+        link = new RecordingLink();
+        first.close();
+        dispatcher.linkLost(first);
+        budget.close();
+        assertEquals(List.of("NOT_RUN UPSTREAM_REFUSED"), got);
+    }
+
+    private Request request() {
+        return new Request(
+                new RequestId(9, 1),
+                "",
+                "s",
+                new Message.Content("POST", "/p", List.of(), new byte[0]),
+                Importance.NORMAL,
+                1,
+                clock.nanos() + 1_000 * MILLI,
+                clock.nanos() + 500 * MILLI,
+                false,
+                "",
+                false,
+                budget,
+                ChainObserver.none());
+    }
+
+    /** Notes what the caller gets. */
+    private final class Sink implements AnswerSink {
+        @Override
+        public void head(int status, List<HeaderField> headers) {
+            got.add("head " + status);
+        }
+
+        @Override
+        public void data(byte[] bytes) {
+            got.add("data");
+        }
+
+        @Override
+        public void end() {
+            got.add("end");
+        }
+
+        @Override
+        public void refused(Refusal r) {
+            got.add(r.state() + " " + r.reason());
+        }
+
+        @Override
+        public void aborted() {
+            got.add("aborted");
+        }
+    }
+}
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/KnownFateTest.java
@@ -0,0 +1,112 @@
+package org.verbenadyke.kernel.serve;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.admission.FixedLimit;
+import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.admission.GateSettings;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.RecordingLink;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.time.VirtualTimerService;
+import org.verbenadyke.kernel.trace.DecisionLog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests that a node which knows that an attempt did not run says so again when its first word was lost. */
+final class KnownFateTest {
+    private static final long MILLI = 1_000_000L;
+    private static final long TTL_MICROS = 1_000_000L;
+
+    private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
+    private final List<UpstreamPort.Listener> handed = new ArrayList<>();
+    private final RecordingLink link = new RecordingLink();
+    private final RecordingLink fresh = new RecordingLink();
+    private final CallServer server = CallServer.create(
+            new CallServer.Parts(
+                    1,
+                    clock,
+                    () -> new SplittableRandom(1),
+                    Counters.create(),
+                    Ledger.off(),
+                    KeyClaims.alone(),
+                    DecisionLog.none()),
+            ServeSettings.standard());
+    private final LocalUpstream local = LocalUpstream.of(
+            "u1",
+            "s",
+            (handOver, listener) -> {
+                handed.add(listener);
+                return null;
+            },
+            Gate.of(GateSettings.standard(), FixedLimit.of(1)),
+            KeyTable.keeping(60_000 * MILLI),
+            clock);
+
+    KnownFateTest() {
+        clock.advance(MILLI);
+        server.attach(local);
+    }
+
+    @Test
+    void aSealIsToldAgainWhenItsAnswerWasLost() {
+        Message.Call late = call("u1");
+        server.received(link, inquiry(late));
+        server.linkLost(link);
+        server.received(fresh, inquiry(late));
+        assertEquals(RunState.NOT_RUN, told());
+        assertEquals(List.of(), handed);
+    }
+
+    @Test
+    void aRefusalAtTheDoorIsToldAgainWhenItWasLost() {
+        local.drain(true);
+        Message.Call refused = call("u1");
+        server.received(link, refused);
+        server.linkLost(link);
+        server.received(fresh, inquiry(refused));
+        assertEquals(RunState.NOT_RUN, told());
+    }
+
+    /** As after a pause of the node, which goes on under a new id and finds the call in the old connection's buffer. */
+    @Test
+    void aRefusalOfACallForTheFormerIdIsToldAgain() {
+        server.attach(local.renamed("u1-renamed"));
+        Message.Call refused = call("u1");
+        server.received(link, refused);
+        server.received(fresh, inquiry(refused));
+        assertEquals(RunState.NOT_RUN, told());
+    }
+
+    private RunState told() {
+        return ((Message.Refused) fresh.sent().getLast()).refusal().state();
+    }
+
+    private static Message.Inquire inquiry(Message.Call call) {
+        return new Message.Inquire(call.id(), 1, call.receiverClock());
+    }
+
+    private Message.Call call(String upstream) {
+        return new Message.Call(
+                new CallId(5, 1),
+                new RequestId(5, 1),
+                new Message.Target("s", upstream),
+                Importance.NORMAL,
+                0,
+                TTL_MICROS,
+                TTL_MICROS / 2,
+                clock.nanos(),
+                false,
+                "",
+                new Message.Content("POST", "/p", List.of(), new byte[0]));
+    }
+}
