Take no answer to an earlier request for that to a filing

Cause: an answer was tied to a request by its id alone. A server that repeats its refusal of the first try of a filing, where the next answer is due, names the second try, too; a refusal without any id was believed of whatever ran; and bytes that came with the end of an answer became the answer to the request that was started on the connection at once. Each makes 'not run' of a filing that runs, hence a 503 or a second run. Class as before: the name of a request stands for one of its tries. The stand-in names the request in its refusals, as servers do. Not shown: that a server of the users ever repeats a refusal.

--- a/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
@@ -9,14 +9,16 @@
  */
 final class ClientCall implements HttpCall {
     private final HttpRequestMessage request;
+    private final String name;
     private final AnswerListener listener;
     private volatile ClientConnection connection;
     private volatile boolean over;
     private boolean throttled;
     private int wanted;
 
-    ClientCall(HttpRequestMessage request, AnswerListener listener) {
+    ClientCall(HttpRequestMessage request, String name, AnswerListener listener) {
         this.request = request;
+        this.name = name;
         this.listener = listener;
     }
 
@@ -51,6 +53,10 @@
         return request;
     }
 
+    String name() {
+        return name;
+    }
+
     boolean over() {
         return over;
     }
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -1,7 +1,9 @@
 package org.verbenadyke.node.http1;
 
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -27,8 +29,8 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * One connection of a pool. Bytes that come while no request is under way belong to nobody and end the connection; an
- * answer that its request does not recognise is skipped.
+ * One connection of a pool. Bytes that come while no request is under way belong to nobody and end the connection, also
+ * those that come with the end of an answer; an answer that its request does not recognise is skipped.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LogManager.getLogger("http");
@@ -38,9 +40,14 @@
     /** The part of the server's idle time after which a connection is not used again, to stay clear of its close. */
     private static final double IDLE_SHARE = 0.7;
 
+    /** Names that are remembered; a connection carries a handful in the time in which a request may come again. */
+    private static final int NAMES_MOST = 16;
+
     private final HttpPool pool;
+    private final Deque<String> names = new ConcurrentLinkedDeque<>();
     private ChannelHandlerContext context;
     private ClientCall call;
+    private ClientCall answered;
     private boolean failed;
     private boolean skipping;
     private boolean started;
@@ -78,10 +85,16 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ignored) {
+        settle();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closed = true;
         pool.ended(this);
+        settle();
         if (call != null) {
             finish().broken();
         }
@@ -110,6 +123,14 @@
         return !closed && context.channel().isActive() && now - idleSince < idleNanos;
     }
 
+    /**
+     * Tells whether a request of this name was sent here lately. The answer to it may be given a second time, which
+     * would be taken for the answer to the next of the name: a filing that ran was told as not run.
+     */
+    boolean carried(String name) {
+        return !name.isEmpty() && names.contains(name);
+    }
+
     void abandon(ClientCall given) {
         if (call == given) {
             call = null;
@@ -138,6 +159,7 @@
         skipping = false;
         started = false;
         next.bind(this);
+        remember(next.name());
         HttpRequestMessage m = next.message();
         HttpHeaders headers = HttpFields.headers(m.fields());
         if (m.body().length > 0 || !m.method().equals("GET")) {
@@ -152,7 +174,21 @@
                 EmptyHttpHeaders.INSTANCE));
     }
 
+    private void remember(String name) {
+        if (name.isEmpty()) {
+            return;
+        }
+        if (names.size() >= NAMES_MOST) {
+            names.removeFirst();
+        }
+        names.addLast(name);
+    }
+
     private void take(HttpObject message) {
+        if (answered != null) {
+            reusable = false;
+            return;
+        }
         if (call == null) {
             close();
             return;
@@ -197,12 +233,17 @@
             call.data(bytes);
         }
         if (ends && call != null) {
-            complete();
+            answered = finish();
         }
     }
 
-    private void complete() {
-        ClientCall done = finish();
+    /** Ends an answered request, once all that came with the answer has been seen. */
+    private void settle() {
+        if (answered == null) {
+            return;
+        }
+        ClientCall done = answered;
+        answered = null;
         reading(true);
         if (reusable && !closed && context.channel().isActive()) {
             idleSince = pool.timers().nanos();
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -53,15 +53,27 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request whose answer doesn't name it.
      *
      * @param request the request
      * @param listener takes its answer
      * @return the request under way
      */
     public HttpCall send(HttpRequestMessage request, AnswerListener listener) {
-        ClientCall call = new ClientCall(request, listener);
-        ClientConnection connection = fresh();
+        return send(request, "", listener);
+    }
+
+    /**
+     * Sends a request, over a connection that has not carried one of the same name lately.
+     *
+     * @param request the request
+     * @param name how its answer names it, empty if it doesn't
+     * @param listener takes its answer
+     * @return the request under way
+     */
+    public HttpCall send(HttpRequestMessage request, String name, AnswerListener listener) {
+        ClientCall call = new ClientCall(request, name, listener);
+        ClientConnection connection = fresh(name);
         if (connection != null) {
             connection.start(call);
             return call;
@@ -117,9 +129,12 @@
         idle.push(connection);
     }
 
-    private ClientConnection fresh() {
+    private ClientConnection fresh(String name) {
         long now = timers.nanos();
-        for (ClientConnection c = idle.poll(); c != null; c = idle.poll()) {
+        for (ClientConnection c : idle) {
+            if (c.carried(name) || !idle.remove(c)) {
+                continue;
+            }
             if (c.usable(now)) {
                 return c;
             }
--- a/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
@@ -37,7 +37,7 @@
     @Override
     public Exchange start(HandOver handOver, Listener listener) {
         Running running = new Running(handOver, listener);
-        running.call = pool.send(dialect.request(handOver), running);
+        running.call = pool.send(dialect.request(handOver), dialect.name(handOver), running);
         return running;
     }
 
--- a/node/src/main/java/org/verbenadyke/node/http1/UpstreamDialect.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/UpstreamDialect.java
@@ -17,6 +17,14 @@
      */
     HttpRequestMessage request(UpstreamPort.HandOver handOver);
 
+    /**
+     * Names a call as its answers name it.
+     *
+     * @param handOver the call
+     * @return the name, empty if it has none
+     */
+    String name(UpstreamPort.HandOver handOver);
+
     /**
      * Tells whether an answer belongs to a call.
      *
--- a/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
@@ -114,13 +114,14 @@
         HttpRequestMessage request = exchange.request();
         last = Optional.of(request);
         String requestId = request.field("x-request-id").orElse("");
+        HeaderField named = new HeaderField("x-request-id", requestId);
         if (!request.field("x-expected-instance").orElse(id).equals(id)) {
-            exchange.answer(OTHER_SERVER, List.of(new HeaderField("x-instance-id", id)), NOTHING);
+            exchange.answer(OTHER_SERVER, List.of(named, new HeaderField("x-instance-id", id)), NOTHING);
             return;
         }
         String word = request.target().substring(request.target().lastIndexOf('/') + 1);
         if (word.equals(SHED) || word.equals(SHED_ONCE) && refused.putIfAbsent(requestId, true) == null) {
-            exchange.answer(UNAVAILABLE, List.of(new HeaderField("x-not-executed", "1")), NOTHING);
+            exchange.answer(UNAVAILABLE, List.of(named, new HeaderField("x-not-executed", "1")), NOTHING);
             return;
         }
         runs.computeIfAbsent(requestId, r -> new AtomicInteger()).incrementAndGet();
