Keep ids whole while generations turn, and a refusal with its id

Causes and changes: - SeenCalls: two claims of one id could succeed while a generation began, one in each; a claim now also takes its place in the generation that began meanwhile. A generation's time was read before it took ids, so the memory seemed to reach further back than it did; it is read after. - A call refused at the door, or sealed, left only its id; asked again, the node said 'may have run'. The refusal is kept with the id. - A filing already refused became 'may have run' when its link was lost, or its deadline passed, while a retry was asked for further up. - Retries asked for over a link that was lost hung until the call ended; they are asked for again over the new link. - A voucher for a key left out an upstream that drains; one that was gone and announced itself again had forgotten its keys.

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -132,7 +132,7 @@
     @Benchmark
     public boolean claim() {
         if (++sequence % 10_000 == 0) {
-            seen.rotate(0);
+            seen.rotate(() -> 0);
         }
         return seen.claim(new CallId(1, sequence));
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/budget/ParentBudget.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/budget/ParentBudget.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.message.Link;
@@ -14,13 +15,13 @@
  * never answered counts as denied, and what was granted on a lost answer counts as spent.
  */
 public final class ParentBudget implements RetryBudget {
-    private final Link parent;
+    private final Supplier<Link> parent;
     private final CallId call;
     private final AtomicLong tickets = new AtomicLong();
     private final Map<Long, Consumer<Boolean>> open = new ConcurrentHashMap<>();
     private volatile boolean closed;
 
-    private ParentBudget(Link parent, CallId call) {
+    private ParentBudget(Supplier<Link> parent, CallId call) {
         this.parent = parent;
         this.call = call;
     }
@@ -28,11 +29,11 @@
     /**
      * Creates the budget of a received call.
      *
-     * @param parent the link the call came by
+     * @param parent the link to the node above, which may change while the call runs
      * @param call the call
      * @return the budget
      */
-    public static ParentBudget of(Link parent, CallId call) {
+    public static ParentBudget of(Supplier<Link> parent, CallId call) {
         return new ParentBudget(parent, call);
     }
 
@@ -40,12 +41,17 @@
     public void spend(Consumer<Boolean> decision) {
         long ticket = tickets.incrementAndGet();
         open.put(ticket, decision);
-        parent.send(new Message.Spend(call, ticket));
+        ask(ticket);
         if (closed) {
             granted(ticket, false);
         }
     }
 
+    /** Asks all open questions again, since the link that they went by is gone. */
+    public void askAgain() {
+        open.keySet().forEach(this::ask);
+    }
+
     /**
      * Takes the answer to a question.
      *
@@ -59,6 +65,10 @@
         }
     }
 
+    private void ask(long ticket) {
+        parent.get().send(new Message.Spend(call, ticket));
+    }
+
     /** Denies every open question and all later ones: the call above has ended. */
     public void close() {
         closed = true;
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -101,7 +101,7 @@
 
     void linkLost(Attempt attempt, Link link) {
         serial.run(() -> {
-            if (!done && attempt == current && attempt.link() == link) {
+            if (!done && attempt == current && attempt.link() == link && !attempt.concluded()) {
                 lost(attempt);
             }
         });
@@ -364,7 +364,7 @@
         if (done || committed) {
             return;
         }
-        if (current != null && current.sent()) {
+        if (current != null && current.sent() && !current.concluded()) {
             fate = RunState.MAY_HAVE_RUN;
         }
         refuse(RefusalReason.DEADLINE);
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -45,6 +45,7 @@
     private final Dispatcher dispatcher;
     private final CallServer server;
     private final KeyedBudgets keyedBudgets;
+    private final KeyTable keys;
     private final AtomicLong requests = new AtomicLong();
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
 
@@ -83,6 +84,7 @@
                         parts.decisions()),
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.keeping(policy.keyRetentionNanos());
+        this.keys = KeyTable.keeping(policy.keyRetentionNanos());
     }
 
     /**
@@ -209,7 +211,8 @@
     }
 
     /**
-     * Attaches the upstream that announced itself beside this node. Its keys stay when it announces itself again.
+     * Attaches the upstream that announced itself beside this node. The keys that ran here stay known, also while
+     * there is no upstream.
      *
      * @param id its id
      * @param service the service it serves
@@ -231,9 +234,6 @@
      */
     public LocalUpstream attach(String id, String service, UpstreamPort port, ConcurrencyLimit limit) {
         Gate gate = Gate.of(policy.gate(), limit);
-        KeyTable keys = server.upstream()
-                .map(LocalUpstream::keys)
-                .orElseGet(() -> KeyTable.keeping(policy.keyRetentionNanos()));
         LocalUpstream local = LocalUpstream.of(id, service, port, gate, keys, parts.timers());
         server.attach(local);
         return local;
--- a/kernel/src/main/java/org/verbenadyke/kernel/once/SeenCalls.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/once/SeenCalls.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
 
 import org.verbenadyke.kernel.call.CallId;
 
@@ -15,7 +16,8 @@
     private final AtomicReference<Generations> generations;
 
     private SeenCalls(long nowNanos) {
-        generations = new AtomicReference<>(Generations.startingAt(nowNanos));
+        generations = new AtomicReference<>(
+                new Generations(Generation.startingAt(nowNanos), Generation.startingAt(nowNanos)));
     }
 
     /**
@@ -36,7 +38,37 @@
      */
     public boolean claim(CallId id) {
         Generations g = generations.get();
-        return !g.previous().containsKey(id) && g.current().putIfAbsent(id, Boolean.TRUE) == null;
+        if (g.previous().knows(id) || !g.current().claim(id)) {
+            return false;
+        }
+        // A generation that began meanwhile may hold another claim on the id; only one of the two gets the place there.
+        for (Generations now = generations.get(); now != g; now = generations.get()) {
+            if (!now.current().claim(id)) {
+                return false;
+            }
+            g = now;
+        }
+        return true;
+    }
+
+    /**
+     * Notes that an id was refused or sealed and never runs.
+     *
+     * @param id the attempt
+     */
+    public void neverRuns(CallId id) {
+        generations.get().current().neverRuns(id);
+    }
+
+    /**
+     * Tells whether an id is known to be one that never runs.
+     *
+     * @param id the attempt
+     * @return whether it was refused or sealed
+     */
+    public boolean isNeverRun(CallId id) {
+        Generations g = generations.get();
+        return g.current().isNeverRun(id) || g.previous().isNeverRun(id);
     }
 
     /**
@@ -46,17 +78,18 @@
      * @return whether an id that isn't known has not arrived since then
      */
     public boolean reachesBackTo(long nanos) {
-        return nanos - generations.get().previousSince() >= 0;
+        return generations.get().previous().reachesBackTo(nanos);
     }
 
     /**
      * Starts a generation and forgets the one before the last; called by one thread at a time.
      *
-     * @param nowNanos the time, on the local clock
+     * @param clock reads the local clock, in nanoseconds; read when ids already go to the new generation
      */
-    public void rotate(long nowNanos) {
-        Generations g = generations.get();
-        generations.set(new Generations(g.current(), g.currentSince(), new ConcurrentHashMap<>(), nowNanos));
+    public void rotate(LongSupplier clock) {
+        Generation fresh = new Generation();
+        generations.set(new Generations(generations.get().current(), fresh));
+        fresh.begin(clock.getAsLong());
     }
 
     /**
@@ -70,17 +103,64 @@
     }
 
     /**
-     * Two generations of ids.
+     * What is known of an id.
+     */
+    private enum Fate {
+        /** It arrived. */
+        CLAIMED,
+        /** It was refused or sealed. */
+        NEVER_RUNS
+    }
+
+    /**
+     * The two generations that are kept.
      *
-     * @param previous the older, only read
-     * @param previousSince when the older began, in nanoseconds
+     * @param previous the older, which takes no claims
      * @param current the newer
-     * @param currentSince when the newer began, in nanoseconds
      */
-    private record Generations(
-            Map<CallId, Boolean> previous, long previousSince, Map<CallId, Boolean> current, long currentSince) {
-        static Generations startingAt(long nanos) {
-            return new Generations(new ConcurrentHashMap<>(), nanos, new ConcurrentHashMap<>(), nanos);
+    private record Generations(Generation previous, Generation current) {}
+
+    /**
+     * The ids of one generation.
+     */
+    private static final class Generation {
+        private final Map<CallId, Fate> ids = new ConcurrentHashMap<>();
+        private volatile boolean begun;
+        private volatile long sinceNanos;
+
+        static Generation startingAt(long nanos) {
+            Generation generation = new Generation();
+            generation.begin(nanos);
+            return generation;
+        }
+
+        void begin(long nanos) {
+            sinceNanos = nanos;
+            begun = true;
+        }
+
+        boolean reachesBackTo(long nanos) {
+            return begun && nanos - sinceNanos >= 0;
+        }
+
+        boolean claim(CallId id) {
+            return ids.putIfAbsent(id, Fate.CLAIMED) == null;
+        }
+
+        boolean knows(CallId id) {
+            return ids.containsKey(id);
+        }
+
+        void neverRuns(CallId id) {
+            ids.put(id, Fate.NEVER_RUNS);
+        }
+
+        boolean isNeverRun(CallId id) {
+            return ids.get(id) == Fate.NEVER_RUNS;
+        }
+
+        int size() {
+            return ids.size();
         }
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/owner/OwnerView.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/OwnerView.java
@@ -123,13 +123,15 @@
         return fresh || otherOwner(local, asker, key) || departedOwner(local.service(), local.id(), key);
     }
 
-    /** Tells whether, as this node sees it, the key was neither its own nor the asker's. */
+    /**
+     * Tells whether, as this node sees it, the key was neither its own nor the asker's. One that leaves counts: the
+     * asker may not have heard of it, and so not have asked it.
+     */
     private boolean otherOwner(LocalUpstream local, String asker, String key) {
         long mine = Rendezvous.hash(local.id(), key);
         return table.present().stream()
                 .filter(r -> r.service().equals(local.service()))
                 .filter(r -> !r.upstreamId().equals(asker) && !r.upstreamId().equals(local.id()))
-                .filter(r -> r.state().accepting() && !leaving.test(r))
                 .anyMatch(r -> Rendezvous.hash(r.upstreamId(), key) > mine);
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
 
 import org.verbenadyke.kernel.budget.ParentBudget;
 import org.verbenadyke.kernel.call.Importance;
@@ -23,7 +24,7 @@
     private final Map<String, Integer> levels = new ConcurrentHashMap<>();
     private volatile boolean childFailed;
 
-    private CallContext(String token, Message.Call call, long deadlineNanos, Link link) {
+    private CallContext(String token, Message.Call call, long deadlineNanos, Supplier<Link> link) {
         this.token = token;
         this.request = call.request();
         this.importance = call.importance();
@@ -38,10 +39,10 @@
      * @param token the token that names it
      * @param call the call
      * @param deadlineNanos when nobody waits for it any more, on the local clock
-     * @param link the link it came by
+     * @param link the link to the node above
      * @return the context
      */
-    public static CallContext of(String token, Message.Call call, long deadlineNanos, Link link) {
+    public static CallContext of(String token, Message.Call call, long deadlineNanos, Supplier<Link> link) {
         return new CallContext(token, call, deadlineNanos, link);
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -127,8 +127,8 @@
      * Forgets what is past its time; called at least every fence period, by one thread at a time.
      */
     public void sweep() {
+        seen.rotate(parts.timers::nanos);
         long now = parts.timers.nanos();
-        seen.rotate(now);
         calls.values().removeIf(c -> c.forgettable(now));
         upstream().ifPresent(u -> u.keys().expire(now));
     }
@@ -150,7 +150,7 @@
         return settings;
     }
 
-    CallContext openContext(Message.Call call, long deadline, Link link) {
+    CallContext openContext(Message.Call call, long deadline, Supplier<Link> link) {
         String token = Long.toHexString(parts.random.get().nextLong()) + "-" + tokens.incrementAndGet();
         CallContext context = CallContext.of(token, call, deadline, link);
         contexts.put(token, context);
@@ -229,22 +229,28 @@
         }
         LocalUpstream local = upstream;
         if (local == null || !local.id().equals(call.target().upstream())) {
-            refuse(link, call, notRun(RefusalReason.UPSTREAM_UNREACHABLE), 0);
+            turnAway(link, call, RefusalReason.UPSTREAM_UNREACHABLE);
             return;
         }
         if (local.draining()) {
-            refuse(link, call, notRun(RefusalReason.DRAINING), 0);
+            turnAway(link, call, RefusalReason.DRAINING);
             return;
         }
         IncomingCall incoming = new IncomingCall(this, local, call, link);
         if (incoming.stale()) {
-            refuse(link, call, notRun(RefusalReason.FENCED), 0);
+            turnAway(link, call, RefusalReason.FENCED);
             return;
         }
         calls.put(call.id(), incoming);
         incoming.start();
     }
 
+    /** Refuses a call of which nothing but its fate is kept. */
+    private void turnAway(Link link, Message.Call call, RefusalReason reason) {
+        seen.neverRuns(call.id());
+        refuse(link, call, notRun(reason), 0);
+    }
+
     private void inquire(Link link, Message.Inquire inquiry) {
         CallId id = inquiry.id();
         IncomingCall call = calls.get(id);
@@ -252,22 +258,31 @@
             call.rebind(link);
             return;
         }
-        Refusal fate = neverArrived(inquiry)
-                ? notRun(RefusalReason.SEALED)
-                : Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST);
+        Refusal fate =
+                neverRuns(inquiry) ? notRun(RefusalReason.SEALED) : Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST);
         parts.decisions.note(new Decision.FateTold(id, fate.state(), fate.reason(), parts.incarnation));
         refuse(link, id, fate, report(0));
     }
 
     /**
-     * Tells whether an attempt never arrived, and sees to it that it never will. An unknown id proves it only to the
-     * process that the attempt was sent to, and only while that process keeps ids of that age: a process that had
-     * started anew gave 2 filings a second run.
+     * Tells whether an attempt was turned away or never arrived, and sees to it that it never runs. An unknown id
+     * proves that it never arrived only to the process that the attempt was sent to, and only while that process keeps
+     * ids of that age. A process that had started anew would seal what the one before it ran, and so give it a second
+     * run.
      */
-    private boolean neverArrived(Message.Inquire inquiry) {
-        return inquiry.sentTo() == parts.incarnation
-                && seen.claim(inquiry.id())
-                && seen.reachesBackTo(inquiry.sentClock());
+    private boolean neverRuns(Message.Inquire inquiry) {
+        CallId id = inquiry.id();
+        if (inquiry.sentTo() != parts.incarnation) {
+            return false;
+        }
+        if (seen.isNeverRun(id)) {
+            return true;
+        }
+        boolean neverArrived = seen.claim(id) && seen.reachesBackTo(inquiry.sentClock());
+        if (neverArrived) {
+            seen.neverRuns(id);
+        }
+        return neverArrived;
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -144,6 +144,7 @@
                 newLink.send(new Message.Refused(
                         call.id(), new Refusal(RunState.RAN, RefusalReason.CONNECTION_LOST, 0), report()));
             }
+            Optional.ofNullable(context).ifPresent(c -> c.budget().askAgain());
         });
     }
 
@@ -293,7 +294,7 @@
         }
         phase = Phase.HANDED;
         server.noteHandOver(call, local, receivedNanos);
-        context = server.openContext(call, deadlineNanos, link);
+        context = server.openContext(call, deadlineNanos, this::link);
         exchange = local.port().start(server.handOver(call, context, deadlineNanos - handedNanos), this);
     }
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/once/SeenCallsRotationTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/once/SeenCallsRotationTest.java
@@ -20,7 +20,7 @@
 
     @Operation(nonParallelGroup = "sweep")
     public void rotate() {
-        shared.rotate(0);
+        shared.rotate(() -> 0);
     }
 
     /** A call that arrives and a question about it, on two threads, while the sweep runs on a third. */
@@ -36,13 +36,13 @@
                 .check(SeenCallsRotationTest.class);
     }
 
-    /** The sweep reads the clock at 100; an id arrives at 101, before the generation that begins takes ids. */
+    /** An id arrives at 101, right before the generation that begins takes ids; the clock is read after that. */
     @Test
     public void reachesBackNoFurtherThanTheFirstIdOfTheGeneration() {
         SeenCalls seen = SeenCalls.startingAt(0);
         seen.claim(ID);
-        seen.rotate(100);
-        seen.rotate(200);
+        seen.rotate(() -> 102);
+        seen.rotate(() -> 200);
         assertFalse(seen.claim(ID) && seen.reachesBackTo(101));
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/once/SeenCallsTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/once/SeenCallsTest.java
@@ -24,10 +24,10 @@
     public void remembersForOneGeneration() {
         SeenCalls seen = SeenCalls.startingAt(0);
         assertTrue(seen.claim(ID));
-        seen.rotate(1);
+        seen.rotate(() -> 1);
         assertFalse(seen.claim(ID));
-        seen.rotate(2);
-        seen.rotate(3);
+        seen.rotate(() -> 2);
+        seen.rotate(() -> 3);
         assertEquals(0, seen.size());
     }
 
@@ -36,9 +36,9 @@
         SeenCalls seen = SeenCalls.startingAt(10);
         assertFalse(seen.reachesBackTo(9));
         assertTrue(seen.reachesBackTo(10));
-        seen.rotate(20);
+        seen.rotate(() -> 20);
         assertTrue(seen.reachesBackTo(10));
-        seen.rotate(30);
+        seen.rotate(() -> 30);
         assertFalse(seen.reachesBackTo(19));
         assertTrue(seen.reachesBackTo(20));
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -130,6 +130,17 @@
         assertEquals(1, handed.size());
     }
 
+    @Test
+    void aRetryIsAskedForAgainOverANewConnection() {
+        Message.Call filing = call(false, "");
+        server.received(link, filing);
+        server.context(token).orElseThrow().budget().spend(granted -> {});
+        server.linkLost(link);
+        RecordingLink fresh = new RecordingLink();
+        server.received(fresh, new Message.Inquire(filing.id(), 1, filing.receiverClock()));
+        assertEquals(List.of(new Message.Spend(filing.id(), 1)), fresh.sent());
+    }
+
     @Test
     void aResendUnderTheSameKeyGetsTheFirstAnswer() {
         server.received(link, call(false, "k"));
