Crash nodes in series in the soak, and file without a key

Requests without a key ran twice after nodes crashed and started again at once; no randomised run had found it. Why each part missed it:

- All filings carried a key.
Without one they were never sent, neither in virtual time nor by the process soak.
- A filing counted only at its end (Effects.effect).
KILL takes the upstream with the node, so the first run died before it counted and the second was the only one.
- An upstream never outlived its node.
A killed node came back after 0.3 to 9.3 s, while a filing takes some 10 ms and its caller waits 0.4 to 3.4 s.
- A node was killed only while its service had two others ready, so never several at once, and nothing fell into the time that it was down.
- The ledger can't see it.
It is one to a process and, without a key, keyed by the attempt's id; the second run is another attempt at another node.

Now: series of crashes (CRASH_NODES, CRASH_SERVERS) kill any share of the nodes at the same moment and start them again at the same addresses after 5 to 805 ms, beside the upstreams that went on or new ones; rounds and series overlap, other nodes pause and connections are cut or go silent at the same moment, and filings are slow meanwhile so that some are under way. Half of the filings carry no key.

--- a/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
@@ -37,6 +37,9 @@
     @CommandLine.Option(names = "--processes", description = "Run real processes with real signals.")
     private boolean processes;
 
+    @CommandLine.Option(names = "--faults", defaultValue = "all", description = "all, keyed or crashes.")
+    private String faults;
+
     @CommandLine.Option(names = "--trace", description = "Print each fault.")
     private boolean trace;
 
@@ -61,7 +64,7 @@
         }
         int failed = 0;
         for (int i = 0; i < runs; i++) {
-            SoakReport report = Soak.run(SoakSettings.all(seed + i, seconds, rate));
+            SoakReport report = Soak.run(settings(seed + i));
             System.out.println("answers " + report.answers());
             System.out.println("faults " + report.faultKinds());
             if (trace) {
@@ -74,4 +77,12 @@
         }
         return failed == 0 ? 0 : 1;
     }
+
+    private SoakSettings settings(long oneSeed) {
+        return switch (faults) {
+            case "keyed" -> SoakSettings.keyed(oneSeed, seconds, rate);
+            case "crashes" -> SoakSettings.crashes(oneSeed, seconds, rate);
+            default -> SoakSettings.all(oneSeed, seconds, rate);
+        };
+    }
 }
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Effects.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Effects.java
@@ -10,6 +10,7 @@
  */
 final class Effects {
     private final Map<String, List<String>> runsOnce = new HashMap<>();
+    private final Map<String, List<String>> startsOnce = new HashMap<>();
     private final Map<String, Map<String, Integer>> runs = new HashMap<>();
 
     /** Notes the one effect of an operation that must have it at most once. */
@@ -17,6 +18,16 @@
         runsOnce.computeIfAbsent(id, i -> new ArrayList<>()).add(where);
     }
 
+    /** Notes that an upstream began to work on an operation that must run at most once. */
+    void started(String id, String where) {
+        startsOnce.computeIfAbsent(id, i -> new ArrayList<>()).add(where);
+    }
+
+    /** Returns where and when upstreams began to work on an operation that must run at most once. */
+    List<String> starts(String id) {
+        return startsOnce.getOrDefault(id, List.of());
+    }
+
     /** Notes that a service began to work on a request. */
     void run(String service, String id) {
         runs.computeIfAbsent(service, s -> new HashMap<>()).merge(id, 1, Integer::sum);
--- a/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Deque;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -85,14 +87,30 @@
         all.addAll(queue);
         active.clear();
         queue.clear();
-        all.forEach(w -> node.process().after(RUSH_NANOS, w.listener::broken));
+        all.forEach(w -> w.tell(w.listener::broken));
+    }
+
+    boolean killed() {
+        return process.killed();
+    }
+
+    /**
+     * Takes notice that the node beside it is gone: works on without anybody to answer to, and the calls that it made
+     * through the node have failed.
+     */
+    void nodeLost() {
+        queue.forEach(Work::abandon);
+        for (Work w : List.copyOf(active)) {
+            List.copyOf(w.calling).forEach(c -> process.after(RUSH_NANOS, c::aborted));
+            w.abandon();
+        }
     }
 
     @Override
     public Exchange start(HandOver handOver, Listener listener) {
         Work work = new Work(handOver, listener);
         if (process.killed()) {
-            node.process().after(RUSH_NANOS, listener::unreachable);
+            work.tell(listener::unreachable);
             return work;
         }
         process.after(RUSH_NANOS, () -> arrive(work));
@@ -123,6 +141,9 @@
             return;
         }
         effects.run(spec.name(), work.id());
+        if (work.operation.once()) {
+            effects.started(work.id(), work.whereAndWhen());
+        }
         if (random.nextDouble() < failShare) {
             process.after(time / 4, () -> work.answer(FAILED, ""));
             return;
@@ -142,11 +163,13 @@
      * One call at work.
      */
     private final class Work implements Exchange {
+        private final LabNode from = node;
         private final HandOver handOver;
         private final Listener listener;
         private final Operation operation;
         private final long deadline;
         private final List<CallHandle> below = new ArrayList<>();
+        private final Set<Collected> calling = new LinkedHashSet<>();
         private boolean holds;
         private boolean ended;
         private boolean abandoned;
@@ -166,6 +189,10 @@
             return path.substring(path.indexOf("id=") + 3);
         }
 
+        String whereAndWhen() {
+            return from.core().self().upstreamId() + " at " + process.nanos() / Lab.MILLI;
+        }
+
         void callBelow(int index, String before) {
             if (ended) {
                 return;
@@ -176,7 +203,7 @@
             }
             if (index == operation.calls().size()) {
                 if (operation.once()) {
-                    effects.effect(id(), node.core().self().upstreamId() + " at " + process.nanos() / Lab.MILLI);
+                    effects.effect(id(), whereAndWhen());
                 }
                 answer(OK, before);
                 return;
@@ -216,7 +243,12 @@
             String path = target.substring(target.indexOf('/')) + "?id=" + id();
             Inbound inbound = new Inbound(
                     service, new Message.Content("GET", path, List.of(), new byte[0]), "", Optional.empty());
-            Collected sink = new Collected(taker);
+            Collected sink = new Collected(this, taker);
+            calling.add(sink);
+            if (node.process().killed()) {
+                process.after(RUSH_NANOS, sink::aborted);
+                return;
+            }
             node.process()
                     .run(() -> node.core()
                             .engine()
@@ -236,7 +268,7 @@
             if (status == OK && operation.bytes() > 0) {
                 body = Arrays.copyOf(body, operation.bytes());
             }
-            if (abandoned) {
+            if (abandoned || from.process().killed()) {
                 finish();
                 return;
             }
@@ -295,7 +327,7 @@
         }
 
         private void tell(Runnable news) {
-            node.process().after(RUSH_NANOS, news);
+            from.process().after(RUSH_NANOS, news);
         }
     }
 
@@ -303,9 +335,11 @@
      * Collects the answer of a call below.
      */
     private final class Collected extends CollectingSink {
+        private final Work work;
         private final Consumer<Optional<String>> taker;
 
-        private Collected(Consumer<Optional<String>> taker) {
+        private Collected(Work work, Consumer<Optional<String>> taker) {
+            this.work = work;
             this.taker = taker;
         }
 
@@ -325,6 +359,9 @@
         }
 
         private void done(Optional<String> result) {
+            if (!work.calling.remove(this)) {
+                return;
+            }
             process.run(() -> taker.accept(result));
         }
     }
--- a/bench/src/main/java/org/verbenadyke/bench/lab/FaultKind.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FaultKind.java
@@ -32,6 +32,10 @@
     SLOW,
     /** An upstream fails many calls. */
     FAIL,
+    /** Many nodes crash at once and start again at once, at the same addresses; their upstreams go on. */
+    CRASH_NODES,
+    /** Many nodes crash at once, some with their upstreams, and start again at once at the same addresses. */
+    CRASH_SERVERS,
     /** The two regions lose each other. */
     PARTITION
 }
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
@@ -69,6 +69,24 @@
 
     /** Starts a server's processes with nothing kept. */
     void start(LabServer server) {
+        FakeUpstream upstream = new FakeUpstream(server.spec(), new NodeTimers(world), random, effects);
+        if (naive) {
+            upstream.naive();
+        }
+        startNode(server, upstream, MILLI);
+    }
+
+    /**
+     * Starts a server's node with nothing kept, beside the upstream that went on meanwhile or a new one in its place.
+     */
+    void restartNode(LabServer server, long announcedAfterNanos) {
+        FakeUpstream old = server.upstream();
+        boolean gone = old.killed();
+        FakeUpstream upstream = gone ? new FakeUpstream(server.spec(), new NodeTimers(world), random, effects) : old;
+        startNode(server, upstream, announcedAfterNanos);
+    }
+
+    private void startNode(LabServer server, FakeUpstream upstream, long announcedAfterNanos) {
         NodeTimers nodeProcess = new NodeTimers(world);
         Endpoint endpoint = server.endpoint();
         MemberRecord self = new MemberRecord(
@@ -83,20 +101,23 @@
                 world.wallMillis(),
                 0);
         LabNode node = LabNode.start(self, nodeProcess, net, log.seenBy(nodeProcess), random, settings, breaches::add);
-        FakeUpstream upstream = new FakeUpstream(server.spec(), new NodeTimers(world), random, effects);
         upstream.beside(node);
-        if (naive) {
-            upstream.naive();
-        }
         server.run(node, upstream, world.nanos());
-        nodeProcess.after(MILLI, () -> node.core().announce(server.spec().name(), upstream));
+        nodeProcess.after(
+                announcedAfterNanos, () -> node.core().announce(server.spec().name(), upstream));
     }
 
     /** Kills a server's node and upstream. */
     void kill(LabServer server) {
+        crashNode(server);
+        server.upstream().kill();
+    }
+
+    /** Kills a server's node; its upstream goes on. */
+    void crashNode(LabServer server) {
         server.node().process().kill();
         net.drop(server.endpoint());
-        server.upstream().kill();
+        server.upstream().nodeLost();
     }
 
     /** Starts an upstream in place of a killed one beside a node that went on. */
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Scenarios.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Scenarios.java
@@ -73,7 +73,7 @@
      */
     public static Map<String, Object> kill(String workload, long seed) {
         SoakReport report = Soak.run(new SoakSettings(
-                seed, KILL_SECONDS, KILL_RATE, Set.of(FaultKind.KILL, FaultKind.PAUSE, FaultKind.KILL_UPSTREAM)));
+                seed, KILL_SECONDS, KILL_RATE, Set.of(FaultKind.KILL, FaultKind.PAUSE, FaultKind.KILL_UPSTREAM), 0));
         Map<String, Object> figures = new LinkedHashMap<>();
         figures.put("requests", report.requests());
         figures.put("faults", report.faultKinds());
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Soak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Soak.java
@@ -25,7 +25,7 @@
         lab.advance(WARM_UP_NANOS);
         List<String> violations = new ArrayList<>();
         SoakOperators operators = new SoakOperators(lab);
-        SoakCallers callers = new SoakCallers(lab);
+        SoakCallers callers = new SoakCallers(lab, settings.unkeyedShare());
         SoakFaults faults = new SoakFaults(lab, settings.kinds(), operators, violations);
         long until = lab.world().nanos() + settings.seconds() * Lab.SECOND;
         callers.demand(settings.requestsPerSecond(), until);
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakCallers.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakCallers.java
@@ -13,7 +13,7 @@
 
 /**
  * The demand of a randomised run, and what each caller was told. Callers of filings send again under the same key, to
- * other nodes, during and after the first try.
+ * other nodes, during and after the first try; filings without a key are sent once.
  */
 final class SoakCallers {
     private static final int SENDS_MOST = 4;
@@ -25,13 +25,15 @@
 
     private final Lab lab;
     private final LabCaller caller;
+    private final double unkeyedShare;
     private final Map<String, Logical> logicals = new LinkedHashMap<>();
     private final Map<String, Integer> answers = new TreeMap<>();
     private final CRC32 digest = new CRC32();
     private long sent;
 
-    SoakCallers(Lab lab) {
+    SoakCallers(Lab lab, double unkeyedShare) {
         this.lab = lab;
+        this.unkeyedShare = unkeyedShare;
         this.caller = new LabCaller(lab);
     }
 
@@ -65,7 +67,7 @@
         sent++;
         long ttl = TTL_LEAST_NANOS + lab.random().nextLong(TTL_SPREAD_NANOS);
         caller.send(logical.kind, logical.id, logical.key, ttl, entry, answer -> answered(logical, send, answer));
-        boolean again = logical.kind.once() && logical.sends.size() < SENDS_MOST;
+        boolean again = !logical.key.isEmpty() && logical.sends.size() < SENDS_MOST;
         if (again && lab.random().nextDouble() < RESEND_SHARE) {
             lab.world().after(lab.random().nextLong(RESEND_SPREAD_NANOS), () -> send(logical));
         }
@@ -120,6 +122,9 @@
     }
 
     private String key() {
+        if (unkeyedShare > 0 && lab.random().nextDouble() < unkeyedShare) {
+            return "";
+        }
         if (lab.random().nextDouble() < PLAIN_KEY_SHARE) {
             return "plain-" + lab.random().nextLong();
         }
@@ -164,8 +169,12 @@
                 violations.add("ran " + ran + " times: " + id + " key " + key + " " + effects.places(id) + " sent at "
                         + sends.stream().map(s -> s.atMillis).toList());
             }
-            if (kind.once() && allNotRun && ran > 0) {
-                violations.add("refused as not run but ran: " + id);
+            List<String> starts = effects.starts(id);
+            if (key.isEmpty() && starts.size() > 1) {
+                violations.add("started " + starts.size() + " times without a key: " + id + " " + starts);
+            }
+            if (kind.once() && allNotRun && (ran > 0 || !starts.isEmpty())) {
+                violations.add("refused as not run but ran: " + id + " " + starts);
             }
         }
     }
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakFaults.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakFaults.java
@@ -24,6 +24,7 @@
     private final Lab lab;
     private final List<FaultKind> kinds;
     private final SoakOperators operators;
+    private final SoakCrashes crashes;
     private final List<String> violations;
     private final Map<String, Integer> counts = new TreeMap<>();
     private final List<String> trace = new ArrayList<>();
@@ -34,6 +35,7 @@
         this.kinds = List.copyOf(new TreeSet<>(kinds));
         this.lab = lab;
         this.operators = operators;
+        this.crashes = new SoakCrashes(lab);
         this.violations = violations;
     }
 
@@ -108,6 +110,8 @@
                     upstream.failShare(0.7);
                     lab.world().after(length, () -> upstream.failShare(0));
                 });
+            case CRASH_NODES -> crashes.series(0);
+            case CRASH_SERVERS -> crashes.series(lab.random().nextDouble());
             case PARTITION ->
                 healing(
                         length,
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakSettings.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakSettings.java
@@ -10,10 +10,13 @@
  * @param seconds how long demand and faults last, in virtual seconds
  * @param requestsPerSecond the mean demand
  * @param kinds the kinds of fault to provoke
+ * @param unkeyedShare the share of the filings that are sent without a key, 0 to 1
  */
-public record SoakSettings(long seed, int seconds, int requestsPerSecond, Set<FaultKind> kinds) {
+public record SoakSettings(long seed, int seconds, int requestsPerSecond, Set<FaultKind> kinds, double unkeyedShare) {
+    private static final double UNKEYED_SHARE = 0.5;
+
     /**
-     * Returns the settings with every kind of fault.
+     * Returns the settings with every kind of fault, and filings with and without keys.
      *
      * @param seed the seed
      * @param seconds the length in virtual seconds
@@ -21,6 +24,32 @@
      * @return the settings
      */
     public static SoakSettings all(long seed, int seconds, int requestsPerSecond) {
-        return new SoakSettings(seed, seconds, requestsPerSecond, EnumSet.allOf(FaultKind.class));
+        return new SoakSettings(seed, seconds, requestsPerSecond, EnumSet.allOf(FaultKind.class), UNKEYED_SHARE);
+    }
+
+    /**
+     * Returns the settings with a key on every filing and without series of crashes.
+     *
+     * @param seed the seed
+     * @param seconds the length in virtual seconds
+     * @param requestsPerSecond the mean demand
+     * @return the settings
+     */
+    public static SoakSettings keyed(long seed, int seconds, int requestsPerSecond) {
+        Set<FaultKind> kinds = EnumSet.complementOf(EnumSet.of(FaultKind.CRASH_NODES, FaultKind.CRASH_SERVERS));
+        return new SoakSettings(seed, seconds, requestsPerSecond, kinds, 0);
+    }
+
+    /**
+     * Returns the settings with nothing but series of crashes, and filings with and without keys.
+     *
+     * @param seed the seed
+     * @param seconds the length in virtual seconds
+     * @param requestsPerSecond the mean demand
+     * @return the settings
+     */
+    public static SoakSettings crashes(long seed, int seconds, int requestsPerSecond) {
+        Set<FaultKind> kinds = EnumSet.of(FaultKind.CRASH_NODES, FaultKind.CRASH_SERVERS);
+        return new SoakSettings(seed, seconds, requestsPerSecond, kinds, UNKEYED_SHARE);
     }
 }
--- a/bench/src/test/java/org/verbenadyke/bench/lab/SoakTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SoakTest.java
@@ -1,9 +1,12 @@
 package org.verbenadyke.bench.lab;
 
 import java.util.List;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,14 +15,31 @@
 final class SoakTest {
     private static final int SECONDS = 25;
     private static final int RATE = 80;
+    private static final int CRASH_RATE = 120;
+    private static final long[] CRASH_SEEDS = {1, 4, 11, 13};
+    private static final long[] MIXED_SEEDS = {1, 3, 4};
 
     @ParameterizedTest
     @ValueSource(longs = {2, 7, 11, 14, 19, 22, 115})
     void keepsEveryPromise(long seed) {
-        SoakReport report = Soak.run(SoakSettings.all(seed, SECONDS, RATE));
+        SoakReport report = Soak.run(SoakSettings.keyed(seed, SECONDS, RATE));
         assertEquals(List.of(), report.violations());
     }
 
+    @ParameterizedTest
+    @MethodSource("crashRuns")
+    void crashesRunNothingTwice(SoakSettings settings) {
+        SoakReport report = Soak.run(settings);
+        assertEquals(List.of(), report.violations());
+    }
+
+    static Stream<SoakSettings> crashRuns() {
+        Stream<SoakSettings> crashes =
+                LongStream.of(CRASH_SEEDS).mapToObj(s -> SoakSettings.crashes(s, SECONDS, CRASH_RATE));
+        Stream<SoakSettings> mixed = LongStream.of(MIXED_SEEDS).mapToObj(s -> SoakSettings.all(s, SECONDS, CRASH_RATE));
+        return Stream.concat(crashes, mixed);
+    }
+
     @Test
     void sameSeedGivesSameRun() {
         SoakSettings settings = SoakSettings.all(5, 8, RATE);
