Replay a load on a wide fleet: the most important requests starve (red)

A replay on the virtual clock with the real nodes, links and codecs: 45 nodes, lookups (least important) and filings (most) that each make eight calls of one service, as many requests a second at each node as on a fleet of 91. The filings alone need two thirds of that service. Not one lookup is refused by a level at the entry in any of them, with the level of the deep service's nodes up.

Cause as far as shown: an entry keeps a level for each upstream and kind of request, from that upstream's answers; it fades from 0.4 to 1 s. With nine lookups a second over twelve upstreams an answer of each comes every 1.3 s, and one upstream not heard of lately is enough to let a request in. Ruled out: too few places above (at 0.8 times the load all is served in time); levels that refuse filings at the entry (next to none is refused).

--- /dev/null
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/WideFleetTest.java
@@ -0,0 +1,31 @@
+package org.verbenadyke.bench.lab;
+
+import java.util.Map;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.verbenadyke.kernel.call.Importance;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests the request path on {@link WideFleet}. */
+final class WideFleetTest {
+    /** The most important requests alone ask for two thirds of the deepest service; all together for three times it. */
+    @ParameterizedTest
+    @CsvSource({"3, 1.7, 6", "4, 1.7, 6", "5, 2.04, 2", "6, 2.04, 12"})
+    void servesTheMostImportantFromTheFirstSecondOn(long seed, double times, long seconds) {
+        Map<Importance, WideFleet.Tally> tallies = WideFleet.play(seed, times, seconds * Lab.SECOND);
+        System.out.println("wide fleet, seed " + seed + ", " + times + " times, " + seconds + " s: " + tallies);
+        double filings = tallies.get(Importance.HIGH).share();
+        assertTrue(filings > 0.85, "filings in time: " + filings);
+    }
+
+    /** A load near what can be done must not be turned away. */
+    @ParameterizedTest
+    @CsvSource({"3, 0.8, 8"})
+    void servesEverythingBelowTheCapacity(long seed, double times, long seconds) {
+        Map<Importance, WideFleet.Tally> tallies = WideFleet.play(seed, times, seconds * Lab.SECOND);
+        System.out.println("wide fleet, seed " + seed + ", " + times + " times, " + seconds + " s: " + tallies);
+        tallies.values().forEach(t -> assertTrue(t.share() > 0.98, t.toString()));
+    }
+}
