Serve waiting calls by importance, within it by what is due first

Cause: a gate that queues by what is due first serves calls of all importances as they come. Importance decided only what is given up when the queue is full. With a full queue of two service times before the deepest service each of a filing's eight calls waited as long as a lookup's, and their deadlines passed together.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
@@ -25,8 +25,14 @@
     private static final Comparator<Entry> KEPT_FIRST =
             WORTH.thenComparingInt(e -> -e.rank()).thenComparingLong(Entry::order);
 
-    private static final Comparator<Entry> BY_DUE =
-            Comparator.<Entry>comparingLong(e -> e.call().dueNanos()).thenComparingLong(Entry::order);
+    /**
+     * Within an importance the one due first. Load pattern: more calls than fit, before the entry refuses enough. Calls
+     * that matter most would else wait behind all others and miss their deadlines with them.
+     */
+    private static final Comparator<Entry> BY_DUE = Comparator.<Entry>comparingInt(
+                    e -> -e.call().importance().ordinal())
+            .thenComparingLong(e -> e.call().dueNanos())
+            .thenComparingLong(Entry::order);
 
     private final ConcurrentSkipListSet<Entry> entries;
     private final ConcurrentSkipListSet<Entry> byRank = new ConcurrentSkipListSet<>(KEPT_FIRST);
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/QueueOrder.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/QueueOrder.java
@@ -6,6 +6,6 @@
 public enum QueueOrder {
     /** The most important, then the deepest in its chain, then the earliest. */
     IMPORTANCE,
-    /** The one whose target latency passes first; for calls whose importance is not known all along the chain. */
+    /** The most important, then the one whose target latency passes first. */
     DUE
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
@@ -49,6 +49,19 @@
         assertEquals(List.of("critical admitted"), log);
     }
 
+    @Test
+    void servesTheMostImportantThenTheOneDueFirst() {
+        Gate other = Gate.of(new GateSettings(true, 0, 8, 10, QueueOrder.DUE), FixedLimit.of(1));
+        other.offer(new Call("running", Importance.LOW, 1, FAR), 0);
+        other.offer(new Call("soon", Importance.LOW, 1, 1_000), 0);
+        other.offer(new Call("late", Importance.HIGH, 1, 9_000), 0);
+        other.offer(new Call("next", Importance.HIGH, 1, 5_000), 0);
+        for (int i = 0; i < 3; i++) {
+            other.release(10, 10, ConcurrencyLimit.Outcome.ANSWERED);
+        }
+        assertEquals(List.of("running admitted", "next admitted", "late admitted", "soon admitted"), log);
+    }
+
     @Test
     void dropsWhatCannotMeetItsDeadlineBeforeItCostsAnything() {
         offer("running", Importance.NORMAL, 0, FAR);
