--- a/bench/src/test/java/org/verbenadyke/bench/lab/WideFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/WideFleet.java
@@ -131,6 +131,11 @@
             return asked == 0 ? 1 : (double) inTime / asked;
         }
 
+        /** Returns the share that ran in part and came to nothing. */
+        double failed() {
+            return asked == 0 ? 0 : (double) ends.getOrDefault("failed", 0) / asked;
+        }
+
         @Override
         public String toString() {
             return inTime + " of " + asked + " in time, ends " + ends;
--- a/bench/src/test/java/org/verbenadyke/bench/lab/WideFleetTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/WideFleetTest.java
@@ -20,6 +20,16 @@
         assertTrue(filings > 0.85, "filings in time: " + filings);
     }
 
+    /** What can't be finished is to be turned away where it enters, before any work is done for it. */
+    @ParameterizedTest
+    @CsvSource({"3, 1.7, 6", "6, 2.04, 12"})
+    void turnsAwayWhatCannotBeFinishedWhereItEnters(long seed, double times, long seconds) {
+        WideFleet.Tally lookups =
+                WideFleet.play(seed, times, seconds * Lab.SECOND).get(Importance.LOW);
+        System.out.println("wide fleet, lookups, seed " + seed + ": " + lookups);
+        assertTrue(lookups.failed() < 0.25, "lookups that failed below: " + lookups);
+    }
+
     /** A load near what can be done must not be turned away. */
     @ParameterizedTest
     @CsvSource({"3, 0.8, 8"})
