Keep levels by the service that sets them, from any answer, with their age

Cause: an entry kept a level for each upstream and kind of request, and only that upstream's answers to that kind renewed it. It fades between 0.4 and 1 s. On a fleet of about ninety nodes such an answer comes every 1.3 s, and one upstream not heard of lately was enough to let a request in: nothing was refused at the entry while the deep service had nearly twice the load it can take. Besides, an answer told the lowest level of its own calls, the oldest of them a second back.

Now a report brings the node's own level and, apart, the service that refuses most of those called for the answer, its level and the age of that. A node keeps the youngest word on each service, whichever kind of answer brought it, and for a kind of request the names of the services it leads to. So the entry hears of the deep service with each call that its own server makes, some tens a second, each some tens of milliseconds old.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -121,7 +121,10 @@
     /** Takes the report of the node beside the upstream. */
     void learn(Request request, String pathClass, Message.Report report, long nowNanos) {
         candidate.reported(pathClass, report, nowNanos);
-        request.observer().level(request.service(), report.level());
+        request.observer().leadsTo(request.service());
+        if (!report.below().service().isEmpty()) {
+            request.observer().leadsTo(report.below().service());
+        }
     }
 
     /** Takes a refusal, which is the last word of the node beside the upstream. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
@@ -5,12 +5,11 @@
  */
 public interface ChainObserver {
     /**
-     * Takes the admission level of a path below.
+     * Takes notice of a service that the calls below lead to.
      *
-     * @param service the service called
-     * @param level the rank below which calls are refused there
+     * @param service the service
      */
-    void level(String service, int level);
+    void leadsTo(String service);
 
     /** Takes notice that a call below failed for good. */
     void childFailed();
@@ -23,7 +22,7 @@
     static ChainObserver none() {
         return new ChainObserver() {
             @Override
-            public void level(String service, int level) {
+            public void leadsTo(String service) {
                 // Nobody above is to be told.
             }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -140,7 +140,7 @@
         switch (parts.router().route(query, parts.timers().nanos())) {
             case Choice.To to -> open(dispatcher.open(this, to.candidate()));
             case Choice.Shed shed -> {
-                request.observer().level(request.service(), shed.level());
+                request.observer().leadsTo(request.service());
                 refuse(RefusalReason.SHED_EARLY);
             }
             case Choice.Nowhere n -> refuse(RefusalReason.NO_UPSTREAM);
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -80,6 +80,7 @@
                         parts.random(),
                         parts.counters(),
                         parts.ledger(),
+                        router.levels(),
                         parts.keyClaims(),
                         parts.decisions()),
                 policy.serve());
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -84,10 +84,32 @@
      *
      * @param inFlight calls handed to the upstream
      * @param limit how many may be handed to it
-     * @param level the admission level of the call's path from here down
+     * @param level the admission level of the node itself
      * @param draining whether the upstream is leaving
+     * @param below what it knows of the services that were called for the answer
      */
-    record Report(int inFlight, int limit, int level, boolean draining) {}
+    record Report(int inFlight, int limit, int level, boolean draining, Below below) {
+        /**
+         * Returns the level of the call's path from the node down.
+         *
+         * @return the rank below which calls are refused
+         */
+        public int pathLevel() {
+            return Math.max(level, below.level());
+        }
+    }
+
+    /**
+     * The service that refuses most among those that a call leads to.
+     *
+     * @param service the service, empty if none was called
+     * @param level the rank below which it refuses calls
+     * @param ageMillis how long ago that was so, in milliseconds
+     */
+    record Below(String service, int level, int ageMillis) {
+        /** No service was called. */
+        public static final Below NOTHING = new Below("", 0, 0);
+    }
 
     /**
      * The head of an answer.
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -1,8 +1,6 @@
 package org.verbenadyke.kernel.routing;
 
-import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.verbenadyke.kernel.message.Message;
@@ -12,8 +10,6 @@
  */
 public final class Candidate {
     private static final double SMOOTHING = 0.2;
-    private static final long LEVEL_FRESH_NANOS = 400_000_000L;
-    private static final long LEVEL_DECAY_NANOS = 600_000_000L;
     private static final double ERROR_WEIGHT = 10;
 
     /** How much a filled upstream counts as slower than an empty one, before calls wait. */
@@ -49,7 +45,8 @@
     private final AtomicInteger sentSinceReport = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger failuresInRow = new AtomicInteger();
-    private final Map<String, Level> levels = new ConcurrentHashMap<>();
+    private final ServiceLevels levels;
+    private volatile SeenLevel level = SeenLevel.NONE;
     private volatile double latencyNanos;
     private volatile double errorRate;
     private volatile double reportedLoad = -1;
@@ -60,9 +57,10 @@
     private volatile double shedRate;
     private volatile long shedNanos;
 
-    private Candidate(Upstream upstream, boolean near) {
+    private Candidate(Upstream upstream, boolean near, ServiceLevels levels) {
         this.upstream = upstream;
         this.near = near;
+        this.levels = levels;
     }
 
     /**
@@ -73,7 +71,12 @@
      * @return the candidate
      */
     public static Candidate of(Upstream upstream, boolean near) {
-        return new Candidate(upstream, near);
+        return new Candidate(upstream, near, ServiceLevels.unknown());
+    }
+
+    /** Creates a candidate that passes on what its node reports of the levels of services. */
+    static Candidate telling(Upstream upstream, boolean near, ServiceLevels levels) {
+        return new Candidate(upstream, near, levels);
     }
 
     /**
@@ -164,20 +167,18 @@
         sentSinceReport.set(0);
         reportedLimit = report.limit();
         draining |= report.draining();
-        levels.put(pathClass, new Level(report.level(), nowNanos));
+        level = new SeenLevel(report.level(), nowNanos);
+        levels.heard(upstream, pathClass, report, nowNanos);
     }
 
     /**
-     * Returns the admission level reported for a class of calls; it fades when no news comes.
+     * Returns the admission level that the upstream's node reported of itself; it fades when no news comes.
      *
-     * @param pathClass the class
      * @param nowNanos the time
      * @return the rank below which a call would be refused
      */
-    public int level(String pathClass, long nowNanos) {
-        return Optional.ofNullable(levels.get(pathClass))
-                .map(l -> l.faded(nowNanos))
-                .orElse(0);
+    public int level(long nowNanos) {
+        return level.faded(nowNanos);
     }
 
     /**
@@ -264,20 +265,4 @@
     private double penalty() {
         return 1 + ERROR_WEIGHT * (errorRate + shedRate);
     }
-
-    /**
-     * A reported level.
-     *
-     * @param rank the rank below which calls are refused
-     * @param at when it was reported, in nanoseconds
-     */
-    private record Level(int rank, long at) {
-        int faded(long now) {
-            long old = now - at - LEVEL_FRESH_NANOS;
-            if (old <= 0) {
-                return rank;
-            }
-            return old >= LEVEL_DECAY_NANOS ? 0 : (int) (rank * (1 - (double) old / LEVEL_DECAY_NANOS));
-        }
-    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -28,6 +28,7 @@
     private final Chooser chooser;
     private final Supplier<RandomGenerator> random;
     private final boolean sheds;
+    private final ServiceLevels levels = ServiceLevels.unknown();
     private final AtomicReference<Map<String, Routes>> table = new AtomicReference<>(Map.of());
 
     private Router(
@@ -119,6 +120,15 @@
                 .toList();
     }
 
+    /**
+     * Returns what was heard of the levels of services.
+     *
+     * @return the levels
+     */
+    public ServiceLevels levels() {
+        return levels;
+    }
+
     private Choice toOwner(Routes routes, RouteQuery query, long now) {
         List<String> ids = routes.all.values().stream()
                 .filter(Candidate::accepting)
@@ -128,7 +138,7 @@
         if (owner.isEmpty()) {
             return new Choice.Nowhere();
         }
-        int level = owner.get().level(query.pathClass(), now);
+        int level = Math.max(owner.get().level(now), levels.below(query.service(), query.pathClass(), now));
         if (sheds && query.rank() < level) {
             return new Choice.Shed(level);
         }
@@ -137,9 +147,10 @@
 
     private Choice amongFit(List<Candidate> fit, RouteQuery query, long now) {
         int lowest = Integer.MAX_VALUE;
+        int below = levels.below(query.service(), query.pathClass(), now);
         List<Candidate> open = new ArrayList<>(fit.size());
         for (Candidate c : fit) {
-            int level = c.level(query.pathClass(), now);
+            int level = Math.max(c.level(now), below);
             lowest = Math.min(lowest, level);
             if (query.rank() >= level) {
                 open.add(c);
@@ -188,7 +199,7 @@
                     u.id(),
                     known != null && known.upstream().equals(u)
                             ? known
-                            : Candidate.of(u, u.place().equals(place)));
+                            : Candidate.telling(u, u.place().equals(place), levels));
         }
         List<Candidate> subset = Rendezvous.subset(upstreams, self, this::weight, subsetSize).stream()
                 .map(u -> all.get(u.id()))
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
@@ -1,6 +1,6 @@
 package org.verbenadyke.kernel.serve;
 
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
@@ -21,7 +21,7 @@
     private final int depth;
     private final long deadlineNanos;
     private final ParentBudget budget;
-    private final Map<String, Integer> levels = new ConcurrentHashMap<>();
+    private final Set<String> services = ConcurrentHashMap.newKeySet();
     private volatile boolean childFailed;
 
     private CallContext(String token, Message.Call call, long deadlineNanos, Supplier<Link> link) {
@@ -110,22 +110,17 @@
     }
 
     /**
-     * Returns the admission level seen below: of each service the lowest that its answers brought, since an upstream
-     * with room can take what the others can't; of the services the highest, since the request needs them all.
+     * Returns the services that the calls below led to.
      *
-     * @return the rank
+     * @return their names
      */
-    public int levelBelow() {
-        int highest = 0;
-        for (int level : levels.values()) {
-            highest = Math.max(highest, level);
-        }
-        return highest;
+    public Set<String> services() {
+        return services;
     }
 
     @Override
-    public void level(String service, int seen) {
-        levels.merge(service, seen, Math::min);
+    public void leadsTo(String service) {
+        services.add(service);
     }
 
     @Override
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -18,6 +18,7 @@
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.SeenCalls;
+import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.kernel.trace.Decision;
 import org.verbenadyke.kernel.trace.DecisionLog;
@@ -166,8 +167,8 @@
         calls.remove(call.id(), call);
     }
 
-    void refuse(Link link, Message.Call call, Refusal refusal, int level) {
-        Message.Report report = report(level);
+    void refuse(Link link, Message.Call call, Refusal refusal, Optional<CallContext> context) {
+        Message.Report report = report(context);
         parts.decisions.note(new Decision.TurnedAway(
                 call.request(),
                 call.target().upstream(),
@@ -175,7 +176,7 @@
                 refusal.reason(),
                 report.inFlight(),
                 report.limit(),
-                report.level()));
+                report.pathLevel()));
         refuse(link, call.id(), refusal, report);
     }
 
@@ -190,14 +191,15 @@
         return Refusal.notRun(reason, after);
     }
 
-    Message.Report report(int levelBelow) {
+    Message.Report report(Optional<CallContext> context) {
+        Message.Below below = context.map(c -> parts.levels.highest(c.services(), parts.timers.nanos()))
+                .orElse(Message.Below.NOTHING);
         LocalUpstream local = upstream;
         if (local == null) {
-            return new Message.Report(0, 0, levelBelow, false);
+            return new Message.Report(0, 0, 0, false, below);
         }
         Gate gate = local.gate();
-        return new Message.Report(
-                gate.inFlight() + gate.queued(), gate.limit(), Math.max(gate.level(), levelBelow), local.draining());
+        return new Message.Report(gate.inFlight() + gate.queued(), gate.limit(), gate.level(), local.draining(), below);
     }
 
     UpstreamPort.HandOver handOver(Message.Call call, CallContext context, long remainingNanos) {
@@ -248,7 +250,7 @@
     /** Refuses a call of which nothing but its fate is kept. */
     private void turnAway(Link link, Message.Call call, RefusalReason reason) {
         seen.neverRuns(call.id());
-        refuse(link, call, notRun(reason), 0);
+        refuse(link, call, notRun(reason), Optional.empty());
     }
 
     private void inquire(Link link, Message.Inquire inquiry) {
@@ -261,7 +263,7 @@
         Refusal fate =
                 neverRuns(inquiry) ? notRun(RefusalReason.SEALED) : Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST);
         parts.decisions.note(new Decision.FateTold(id, fate.state(), fate.reason(), parts.incarnation));
-        refuse(link, id, fate, report(0));
+        refuse(link, id, fate, report(Optional.empty()));
     }
 
     /**
@@ -293,6 +295,7 @@
      * @param random where each thread's randomness comes from
      * @param counters where refusals are counted
      * @param ledger checks the promises
+     * @param levels what is known of the levels of the services below
      * @param keys decides and asks about the owners of keys
      * @param decisions takes what is to be explained later
      */
@@ -302,6 +305,7 @@
             Supplier<RandomGenerator> random,
             Counters counters,
             Ledger ledger,
+            ServiceLevels levels,
             KeyClaims keys,
             DecisionLog decisions) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -370,7 +370,7 @@
     }
 
     private void tellAbove(Refusal refusal) {
-        server.refuse(link, call, refusal, context == null ? 0 : context.levelBelow());
+        server.refuse(link, call, refusal, Optional.ofNullable(context));
     }
 
     private void finish(ConcurrencyLimit.Outcome outcome) {
@@ -395,6 +395,6 @@
     }
 
     private Message.Report report() {
-        return server.report(context == null ? 0 : context.levelBelow());
+        return server.report(Optional.ofNullable(context));
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -20,6 +20,7 @@
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 import org.verbenadyke.kernel.trace.DecisionLog;
 
@@ -45,6 +46,7 @@
                     () -> new SplittableRandom(1),
                     counters,
                     Ledger.watching(breaches::add),
+                    ServiceLevels.unknown(),
                     KeyClaims.alone(),
                     DecisionLog.none()),
             ServeSettings.standard());
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/KnownFateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/KnownFateTest.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 import org.verbenadyke.kernel.trace.DecisionLog;
 
@@ -38,6 +39,7 @@
                     () -> new SplittableRandom(1),
                     Counters.create(),
                     Ledger.off(),
+                    ServiceLevels.unknown(),
                     KeyClaims.alone(),
                     DecisionLog.none()),
             ServeSettings.standard());
