--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
@@ -99,9 +99,8 @@
         if (current.start().equals(beat.start())) {
             return beat.sequence() <= current.sequence();
         }
-        // Another id that is older, or that leaves open how old it is, has to wait until the current start is silent;
-        // it
-        // isn't kept out for ever, since the clock of its machine may have been set back.
+        // Another id that is older, or that leaves open how old it is, has to wait until the current start is silent.
+        // It isn't kept out for ever, since the clock of its machine may have been set back.
         boolean mustYield = beat.id().equals(current.id()) || !silent();
         return mustYield && (beat.start().bornBefore(current.start()) || hidesItsBirth(beat));
     }
