Give each port of the stand-ins once, below the system's own range

Cause: the system may give a port again that was given and let go a moment before, and gives the same ones to outgoing connections. NodePorts counts up from a random start between 15,000 and 30,000 and tries whether the port can be bound. NodePortsTest failed before (a port given twice among 2,000), passes now.

--- a/standins/src/main/java/org/verbenadyke/standins/platform/NodePorts.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/NodePorts.java
@@ -1,10 +1,11 @@
 package org.verbenadyke.standins.platform;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.verbenadyke.kernel.routing.Endpoint;
 
@@ -19,6 +20,15 @@
 public record NodePorts(Endpoint entry, Endpoint ready, Endpoint announcements, Endpoint peers) {
     private static final String LOOPBACK = "127.0.0.1";
 
+    /** The ports that are tried: below those that the system gives to outgoing connections, from 32,768 on. */
+    private static final int FIRST = 15_000;
+
+    private static final int RANGE = 15_000;
+
+    /** Begins anywhere, so that processes which run at once seldom try the same. */
+    private static final AtomicInteger NEXT =
+            new AtomicInteger(ThreadLocalRandom.current().nextInt(RANGE));
+
     /**
      * Finds ports that are free at the moment.
      *
@@ -29,16 +39,26 @@
     }
 
     /**
-     * Finds one port that is free at the moment.
+     * Finds one port that is free at the moment, and that this process has not given before.
      *
      * @return its address
      */
     public static Endpoint freeEndpoint() {
+        for (int tries = 0; tries < RANGE; tries++) {
+            int port = FIRST + Math.floorMod(NEXT.getAndIncrement(), RANGE);
+            if (free(port)) {
+                return new Endpoint(LOOPBACK, port);
+            }
+        }
+        throw new IllegalStateException("no port is free from " + FIRST + " on");
+    }
+
+    private static boolean free(int port) {
         try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
-            return new Endpoint(LOOPBACK, socket.getLocalPort());
+            socket.bind(new InetSocketAddress(InetAddress.getByName(LOOPBACK), port));
+            return true;
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            return false;
         }
     }
 }
