Take the end before the newest records in the store's stand-in

Cause: it listed the newest records and then took the topic's end; a record written between the two was in neither the list nor what is read from that end on. 1 of 1,400 repeats of WholePathTest's first case failed so: the node waited 4 s at its long read for a configuration that lay before it. The store of the platform answers linearizably; only the stand-in had the gap.

--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -148,6 +148,8 @@
     }
 
     private static byte[] newest(KeyedTopic topic) {
+        // Taken first: a record that is written meanwhile is then read again, and none is passed over.
+        long end = topic.end();
         ObjectNode root = JSON.createObjectNode();
         ArrayNode items = root.putArray("items");
         for (KeyedTopic.Entry e : topic.newest()) {
@@ -156,7 +158,7 @@
                     .put("value", Base64.getEncoder().encodeToString(e.value()))
                     .put("offset", e.offset());
         }
-        root.put("more", false).put("end", topic.end());
+        root.put("more", false).put("end", end);
         return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 
