Crash many node processes at once in the process soak; file without a key

The process soak had the same gaps as the one in virtual time: a key on every filing, one server at a time, the upstream killed with its node and started again after 0.5 to 6.5 s, and an effect written at the end of a filing only. Now half of the filings carry no key and wait 9 s (5 s were too short for several nodes that started together here); half of the faults are series in which a share of the node processes is killed at the same moment and started again at the same address at once, while the upstreams go on slowly and callers file more. The stand-in upstream writes the effect when it begins the work.

Not shown: that this finds the doubled filings.

--- a/bench/src/main/java/org/verbenadyke/bench/real/ProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/ProcessSoak.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -27,36 +28,45 @@
 import io.servicetalk.http.netty.HttpClients;
 
 /**
- * A randomised run of real processes with real signals: kills, pauses past every patience, planned restarts, outages
- * and slowness of the log. Callers send filings again under the same key through other nodes. The faults are the same
- * for a seed; the timing of a real machine is not.
+ * A randomised run of real processes with real signals: kills, crashes of many nodes that start again at once, pauses
+ * past every patience, planned restarts, outages and slowness of the log. Callers send filings again under the same key
+ * through other nodes, and others once without a key. The faults are the same for a seed; the timing of a real machine
+ * is not.
  */
 public final class ProcessSoak {
     private static final long GAP_MILLIS = 10;
     private static final long DEADLINE_MILLIS = 2_500;
+    /** Longer than a crashed node takes to start again beside others, so that a filing may outlast the crash. */
+    private static final long UNKEYED_DEADLINE_MILLIS = 9_000;
+
     private static final long SETTLE_MILLIS = 14_000;
     private static final int FAULT_MOST_MILLIS = 6_000;
     private static final double RESEND_SHARE = 0.5;
+    private static final double UNKEYED_SHARE = 0.5;
+    private static final int CRASHES_IN_TEN = 5;
     private static final long RESEND_MILLIS = 1_500;
     private static final int READY_TRIES = 200;
 
     private final Workload workload;
     private final Fleet fleet;
     private final Random random;
+    private final Random faultRandom;
     private final Map<String, List<CallerOutcome>> filings = new ConcurrentHashMap<>();
     private final Map<String, Integer> answers = new ConcurrentSkipListMap<>();
     private final Map<String, Integer> faults = new TreeMap<>();
-    private final List<String> violations = new ArrayList<>();
+    private final List<String> violations = Collections.synchronizedList(new ArrayList<>());
     private final List<Pending> resends = new ArrayList<>();
     private final AtomicInteger sent = new AtomicInteger();
     private Caller caller;
+    private volatile boolean crashing;
     private Runnable cure = () -> {};
     private long cureAt = Long.MAX_VALUE;
 
     private ProcessSoak(Workload workload, Fleet fleet, long seed) {
         this.workload = workload;
         this.fleet = fleet;
-        this.random = new Random(seed);
+        this.random = new Random(~seed);
+        this.faultRandom = new Random(seed);
     }
 
     /**
@@ -114,13 +124,16 @@
             if (now >= cureAt) {
                 cureAt = Long.MAX_VALUE;
                 cure.run();
-                next = now + random.nextInt(FAULT_MOST_MILLIS);
+                next = now + faultRandom.nextInt(FAULT_MOST_MILLIS);
             }
             if (now >= next && cureAt == Long.MAX_VALUE) {
                 provoke();
                 next = Long.MAX_VALUE;
             }
             sendOne();
+            if (crashing) {
+                sendUnkeyed();
+            }
             sendAgain(now);
             TimeUnit.MILLISECONDS.sleep(GAP_MILLIS);
         }
@@ -131,13 +144,22 @@
         Workload.RequestKind kind =
                 workload.requests().get(random.nextInt(workload.requests().size()));
         String id = kind.name() + "-" + sent.incrementAndGet();
-        String key = kind.once() ? UuidV7.at(System.currentTimeMillis(), random).toString() : "";
+        boolean keyed = kind.once() && random.nextDouble() >= UNKEYED_SHARE;
+        String key = keyed ? UuidV7.at(System.currentTimeMillis(), random).toString() : "";
         send(kind, id, key);
-        if (kind.once() && random.nextDouble() < RESEND_SHARE) {
+        if (keyed && random.nextDouble() < RESEND_SHARE) {
             resends.add(new Pending(kind, id, key, System.currentTimeMillis() + RESEND_MILLIS));
         }
     }
 
+    /** Sends one more filing without a key, so that many are under way when nodes crash. */
+    private void sendUnkeyed() {
+        workload.requests().stream()
+                .filter(Workload.RequestKind::once)
+                .findFirst()
+                .ifPresent(k -> send(k, k.name() + "-" + sent.incrementAndGet(), ""));
+    }
+
     private void sendAgain(long now) {
         List<Pending> due = resends.stream().filter(p -> p.at() <= now).toList();
         resends.removeAll(due);
@@ -148,7 +170,8 @@
         if (kind.once()) {
             filings.computeIfAbsent(id, i -> new CopyOnWriteArrayList<>());
         }
-        caller.send(kind, id, key, DEADLINE_MILLIS, outcome -> {
+        long deadline = kind.once() && key.isEmpty() ? UNKEYED_DEADLINE_MILLIS : DEADLINE_MILLIS;
+        caller.send(kind, id, key, deadline, outcome -> {
             answers.merge(label(outcome), 1, Integer::sum);
             if (kind.once()) {
                 filings.get(id).add(outcome);
@@ -160,9 +183,13 @@
 
     private void provoke() throws IOException {
         List<Server> all = fleet.servers();
-        Server server = all.get(random.nextInt(all.size()));
-        long length = 500 + random.nextInt(FAULT_MOST_MILLIS);
-        int kind = random.nextInt(5);
+        Server server = all.get(faultRandom.nextInt(all.size()));
+        long length = 500 + faultRandom.nextInt(FAULT_MOST_MILLIS);
+        if (faultRandom.nextInt(10) < CRASHES_IN_TEN) {
+            crash(length);
+            return;
+        }
+        int kind = faultRandom.nextInt(5);
         switch (kind) {
             case 0 -> fault("kill", length, () -> destroy(server, true), () -> restart(server));
             case 1 -> fault("pause", length, () -> signal(server, "-STOP"), () -> signal(server, "-CONT"));
@@ -172,6 +199,33 @@
         }
     }
 
+    private void crash(long length) {
+        NodeCrashes crashes = NodeCrashes.draw(fleet, faultRandom);
+        Thread[] series = new Thread[1];
+        fault("crash", length, () -> series[0] = Thread.startVirtualThread(() -> run(crashes)), () -> join(series[0]));
+    }
+
+    private void run(NodeCrashes crashes) {
+        crashing = true;
+        try {
+            crashes.run();
+        } catch (IOException | IllegalStateException e) {
+            violations.add("a series of crashes failed: " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            crashing = false;
+        }
+    }
+
+    private static void join(Thread thread) {
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void fault(String name, long length, Runnable provoke, Runnable heal) {
         faults.merge(name, 1, Integer::sum);
         provoke.run();
--- a/standins/src/main/java/org/verbenadyke/standins/run/Fleet.java
+++ b/standins/src/main/java/org/verbenadyke/standins/run/Fleet.java
@@ -103,6 +103,18 @@
         server.start(launch(server.id() + "-node", nodeCommand(server)), upstreamProcess(server));
     }
 
+    /**
+     * Starts a server's node again, with nothing kept, beside the upstream that goes on.
+     *
+     * @param server the server
+     * @throws IOException when the process can't be started
+     */
+    public void restartNode(Server server) throws IOException {
+        server.start(
+                launch(server.id() + "-node", nodeCommand(server)),
+                server.upstream().orElseThrow());
+    }
+
     private void startAll() throws IOException {
         int count = workload.services().values().stream()
                 .mapToInt(Workload.Service::servers)
--- a/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
@@ -166,12 +166,11 @@
         Completable effect = operation.equals("filing") || operation.equals("flag")
                 ? effects.record(settings.service() + " " + id)
                 : Completable.completed();
-        return executor.timer(Duration.ofMillis(behaviour.serviceMillis()))
+        return effect.concat(executor.timer(Duration.ofMillis(behaviour.serviceMillis())))
                 .concat(Single.defer(() -> below(request, operation, id)))
-                .flatMap(below -> below.isEmpty()
-                        ? Single.succeeded(answers.newResponse(BELOW_FAILED))
-                        : effect.concat(Single.defer(
-                                () -> Single.succeeded(answer(request, answers, operation, id, below.get())))));
+                .map(below -> below.isEmpty()
+                        ? answers.newResponse(BELOW_FAILED)
+                        : answer(request, answers, operation, id, below.get()));
     }
 
     /** Calls the services below one after the other; empty when one of them failed. */
