Share one noting sink among the tests of dispatch

Three tests noted what a caller gets in a class of their own each, and one test forwarded messages by a link of its own where a noting link does.

--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/call/RecordingSink.java
@@ -0,0 +1,36 @@
+package org.verbenadyke.kernel.call;
+
+import java.util.List;
+
+/**
+ * Notes what a caller gets: {@code head 200}, {@code data hello}, {@code end}, {@code aborted}, or {@code refused} with
+ * run state, reason and when to come back.
+ *
+ * @param got where it is noted
+ */
+public record RecordingSink(List<String> got) implements AnswerSink {
+    @Override
+    public void head(int status, List<HeaderField> headers) {
+        got.add("head " + status);
+    }
+
+    @Override
+    public void data(byte[] bytes) {
+        got.add("data " + new String(bytes));
+    }
+
+    @Override
+    public void end() {
+        got.add("end");
+    }
+
+    @Override
+    public void refused(Refusal r) {
+        got.add("refused " + r.state() + " " + r.reason() + " " + r.retryAfterMillis());
+    }
+
+    @Override
+    public void aborted() {
+        got.add("aborted");
+    }
+}
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -7,10 +7,9 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.budget.RootBudget;
-import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.CallId;
-import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RecordingSink;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
@@ -227,7 +226,7 @@
                 false,
                 RootBudget.of(budget),
                 ChainObserver.none());
-        dispatcher.dispatch(request, new Sink());
+        dispatcher.dispatch(request, new RecordingSink(got));
     }
 
     private void answer(int call, int status, String body) {
@@ -246,32 +245,4 @@
     private static Refusal notRun(RefusalReason reason) {
         return Refusal.notRun(reason, 1);
     }
-
-    /** Notes what the caller gets. */
-    private final class Sink implements AnswerSink {
-        @Override
-        public void head(int status, List<HeaderField> headers) {
-            got.add("head " + status);
-        }
-
-        @Override
-        public void data(byte[] bytes) {
-            got.add("data " + new String(bytes));
-        }
-
-        @Override
-        public void end() {
-            got.add("end");
-        }
-
-        @Override
-        public void refused(Refusal r) {
-            got.add("refused " + r.state() + " " + r.reason() + " " + r.retryAfterMillis());
-        }
-
-        @Override
-        public void aborted() {
-            got.add("aborted");
-        }
-    }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
@@ -7,10 +7,9 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.budget.ParentBudget;
-import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.CallId;
-import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RecordingSink;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
@@ -55,7 +54,7 @@
     @Test
     void staysNotRun() {
         router.update(List.of(new Upstream("u1", "s", new Endpoint("10.0.0.1", 1), PLACE)));
-        dispatcher.dispatch(request(), new Sink());
+        dispatcher.dispatch(request(), new RecordingSink(got));
         RecordingLink first = link;
         Refusal refusal = Refusal.notRun(RefusalReason.UPSTREAM_REFUSED, 1);
         dispatcher.received(first, new Message.Refused(first.calls().getFirst().id(), refusal, CALM));
@@ -63,7 +62,7 @@
         first.close();
         dispatcher.linkLost(first);
         budget.close();
-        assertEquals(List.of("NOT_RUN UPSTREAM_REFUSED"), got);
+        assertEquals(List.of("refused NOT_RUN UPSTREAM_REFUSED 1"), got);
     }
 
     private Request request() {
@@ -82,32 +81,4 @@
                 budget,
                 ChainObserver.none());
     }
-
-    /** Notes what the caller gets. */
-    private final class Sink implements AnswerSink {
-        @Override
-        public void head(int status, List<HeaderField> headers) {
-            got.add("head " + status);
-        }
-
-        @Override
-        public void data(byte[] bytes) {
-            got.add("data");
-        }
-
-        @Override
-        public void end() {
-            got.add("end");
-        }
-
-        @Override
-        public void refused(Refusal r) {
-            got.add(r.state() + " " + r.reason());
-        }
-
-        @Override
-        public void aborted() {
-            got.add("aborted");
-        }
-    }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ForgottenFilingTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ForgottenFilingTest.java
@@ -8,9 +8,7 @@
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
-import org.verbenadyke.kernel.call.AnswerSink;
-import org.verbenadyke.kernel.call.HeaderField;
-import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RecordingSink;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
@@ -68,7 +66,7 @@
         start(first, 3);
         entryClock.advance(300 * MILLI);
         assertEquals(List.of(first), runs);
-        assertEquals(List.of("refused MAY_HAVE_RUN CONNECTION_LOST"), got);
+        assertEquals(List.of("refused MAY_HAVE_RUN CONNECTION_LOST 0"), got);
     }
 
     @Test
@@ -81,7 +79,7 @@
         net.resumeOpeners();
         entryClock.advance(300 * MILLI);
         assertEquals(List.of(first), runs);
-        assertEquals(List.of("refused MAY_HAVE_RUN CONNECTION_LOST"), got);
+        assertEquals(List.of("refused MAY_HAVE_RUN CONNECTION_LOST 0"), got);
     }
 
     @Test
@@ -129,7 +127,7 @@
 
     private void send(String method) {
         Message.Content content = new Message.Content(method, "/p", List.of(), new byte[0]);
-        entry.enter(new Inbound("s", content, "", Optional.of(TTL)), new Sink());
+        entry.enter(new Inbound("s", content, "", Optional.of(TTL)), new RecordingSink(got));
     }
 
     private void answer(Endpoint server) {
@@ -149,32 +147,4 @@
             // The run goes on.
         }
     }
-
-    /** Notes what the caller gets. */
-    private final class Sink implements AnswerSink {
-        @Override
-        public void head(int status, List<HeaderField> headers) {
-            got.add("head " + status);
-        }
-
-        @Override
-        public void data(byte[] bytes) {
-            got.add("data " + bytes.length);
-        }
-
-        @Override
-        public void end() {
-            got.add("end");
-        }
-
-        @Override
-        public void refused(Refusal r) {
-            got.add("refused " + r.state() + " " + r.reason());
-        }
-
-        @Override
-        public void aborted() {
-            got.add("aborted");
-        }
-    }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/owner/KeyOwnersTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/owner/KeyOwnersTest.java
@@ -1,7 +1,5 @@
 package org.verbenadyke.kernel.owner;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -12,8 +10,6 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.membership.MemberTable;
-import org.verbenadyke.kernel.message.Link;
-import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -65,11 +61,12 @@
 
     private void claimAsking(LocalUpstream asked) {
         KeyOwners answering = owners(MemberTable.empty());
+        RecordingLink there = new RecordingLink();
         RecordingLink back = new RecordingLink();
-        asking.connectThrough((endpoint, taker) -> taker.accept(Optional.of(new Forwarding(answering, back, asked))));
+        asking.connectThrough((endpoint, taker) -> taker.accept(Optional.of(there)));
         asking.claim(owner, KEY, 1, outcome::set);
-        List<Message> told = new ArrayList<>(back.sent());
-        told.forEach(m -> asking.received(back, m, Optional.of(owner)));
+        there.sent().forEach(m -> answering.received(back, m, Optional.of(asked)));
+        back.sent().forEach(m -> asking.received(back, m, Optional.of(owner)));
     }
 
     private KeyOwners owners(MemberTable members) {
@@ -87,37 +84,4 @@
         Place place = new Place("r", "d");
         return new MemberRecord(name, incarnation, 0, MemberState.ALIVE, endpoint, endpoint, place, "s", 0, 0);
     }
-
-    /** Hands what is sent on it to another node, which answers over a link that notes the answer. */
-    private record Forwarding(KeyOwners to, RecordingLink back, LocalUpstream asked) implements Link {
-        @Override
-        public void send(Message message) {
-            to.received(back, message, Optional.of(asked));
-        }
-
-        @Override
-        public void close() {
-            // Stays open.
-        }
-
-        @Override
-        public long peerClock() {
-            return 1;
-        }
-
-        @Override
-        public long peerIncarnation() {
-            return 1;
-        }
-
-        @Override
-        public void awaiting(int more) {
-            // Nobody looks at it in tests.
-        }
-
-        @Override
-        public boolean closed() {
-            return false;
-        }
-    }
 }
