Let a few nodes of each data centre read the store, and the others learn from them

Cause: each node held a long read of the operators' record, repeated it after each change, and asked each second while the store turned it away; at its start it wrote its record and read the others' until nothing was new.

Now two nodes of each data centre read, by rendezvous hashing. How long ago some node was known to read travels with gossip; when that grows old, three nodes at a turn step in, others at each turn. Members are listed by some nodes only; a node that finds five listed costs one call. A node that starts gets its routes from the first peer that hears of it.

Ruled out: one reader a data centre (late when it is cut off); a flag in the member record for nodes that are turned away (a change of the record for each node in an outage of the whole store).

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
@@ -13,11 +13,23 @@
  * @param config how the configuration's stream is read and written
  * @param owner how long doubts about a key's owner last
  * @param rewriteNanos how often a node writes its record to the log again, in nanoseconds
+ * @param spreadNanos over how long nodes that start together spread their first reading of the members, in nanoseconds
  */
 public record CoreSettings(
-        Policy policy, GossipSettings gossip, ConfigSettings config, OwnerSettings owner, long rewriteNanos) {
+        Policy policy,
+        GossipSettings gossip,
+        ConfigSettings config,
+        OwnerSettings owner,
+        long rewriteNanos,
+        long spreadNanos) {
     private static final long DEFAULT_REWRITE_NANOS = 3_600_000_000_000L;
 
+    /**
+     * The spread at the fleet's very first start, when nobody is listed yet: twice the 200 ms in which 96 nodes came up
+     * on a busy machine, so that all but the first few find enough others listed and list themselves no more.
+     */
+    private static final long FIRST_SPREAD_NANOS = 400_000_000L;
+
     /**
      * Returns the settings in use unless others are given.
      *
@@ -30,7 +42,8 @@
                 GossipSettings.standard(),
                 ConfigSettings.standard(),
                 OwnerSettings.keeping(policy.keyRetentionNanos()),
-                DEFAULT_REWRITE_NANOS);
+                DEFAULT_REWRITE_NANOS,
+                0);
     }
 
     /**
@@ -41,6 +54,15 @@
      */
     public static CoreSettings withoutConfigLog(Policy policy) {
         CoreSettings s = with(policy);
-        return new CoreSettings(policy, s.gossip, ConfigSettings.unfollowed(), s.owner, s.rewriteNanos);
+        return new CoreSettings(policy, s.gossip, ConfigSettings.unfollowed(), s.owner, s.rewriteNanos, 0);
+    }
+
+    /**
+     * Returns the settings of a node that starts together with all others for the first time.
+     *
+     * @return the settings
+     */
+    public CoreSettings firstStart() {
+        return new CoreSettings(policy, gossip, config, owner, rewriteNanos, FIRST_SPREAD_NANOS);
     }
 }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/ListedNode.java
@@ -0,0 +1,38 @@
+package org.verbenadyke.kernel.core;
+
+import org.verbenadyke.kernel.follow.FollowDuty;
+import org.verbenadyke.kernel.membership.Gossip;
+import org.verbenadyke.kernel.membership.MemberRecord;
+
+/**
+ * The node as the members' stream sees it.
+ *
+ * @param gossip knows the members
+ * @param follow knows who reads the operators' record
+ */
+record ListedNode(Gossip gossip, FollowDuty follow) implements MemberLog.Host {
+    @Override
+    public MemberRecord self() {
+        return gossip.self();
+    }
+
+    @Override
+    public void learn(MemberRecord member) {
+        gossip.merge(member);
+    }
+
+    @Override
+    public boolean heardAny() {
+        return gossip.heardAny();
+    }
+
+    @Override
+    public boolean reader() {
+        return follow.reader();
+    }
+
+    @Override
+    public void listed() {
+        follow.listed();
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -1,83 +1,179 @@
 package org.verbenadyke.kernel.core;
 
-import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.HashSet;
+import java.util.Set;
 
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.log.LogService;
 import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.trace.Decision;
 
 /**
- * The members' stream: each node writes its record at its start and again before the log may drop it, and reads the
- * others' at its start, so that a node without seeds finds the rest.
+ * The members' stream, by which a node without seeds finds the rest. Every node reads it at its start; only some are
+ * listed there, and gossip leads from these to the others.
+ *
+ * <p>Load pattern: all nodes of a fleet start within some tenths of a second, and each call to the log is paid for. By
+ * a record of each node, and each reading until nothing is new, a start of 96 nodes took six calls a node; now it takes
+ * one and some. A node lists itself when it finds few others listed, when none of them answers, and when it becomes one
+ * of those that read the operators' record: these see to it that some listed nodes live.
+ *
+ * <p>A node that lists itself reads again afterwards. Of two such nodes the later one then sees the other, whatever the
+ * order of their calls, so that no two groups stay apart.
  */
 final class MemberLog {
     static final String STREAM = "members";
 
+    /** Others that must be listed for a node not to list itself: one of them lives but after rare disasters. */
+    static final int LISTED_ENOUGH = 5;
+
     private static final long RETRY_NANOS = 1_000_000_000L;
     private static final long AGAIN_NANOS = 30_000_000_000L;
 
+    /** How often is looked whether any node answers, and whether this one must be listed: two rounds of gossip. */
+    private static final long LOOK_NANOS = 500_000_000L;
+
     private final CoreParts parts;
-    private final Supplier<MemberRecord> self;
-    private final Consumer<MemberRecord> taker;
+    private final Host host;
+    private final Set<String> others = new HashSet<>();
     private long nextOffset;
+    private boolean reading;
+    private boolean read;
+    private boolean written;
+    private boolean foundSelf;
+    private long quietUntil;
     private volatile boolean stopped;
 
-    MemberLog(CoreParts parts, Supplier<MemberRecord> self, Consumer<MemberRecord> taker) {
+    MemberLog(CoreParts parts, Host host) {
         this.parts = parts;
-        this.self = self;
-        this.taker = taker;
+        this.host = host;
     }
 
-    void start(long rewriteNanos) {
-        write();
-        read();
+    /** Reads who is listed, soon, and looks after this node's own record from then on. */
+    synchronized void start(long rewriteNanos, long spreadNanos) {
+        if (spreadNanos > 0) {
+            parts.timers().after(parts.random().get().nextLong(spreadNanos), this::read);
+        } else {
+            read();
+        }
+        parts.timers().every(LOOK_NANOS, this::look);
         long jitter = parts.random().get().nextLong(rewriteNanos);
-        parts.timers().after(jitter, () -> parts.timers().every(rewriteNanos, this::write));
+        parts.timers().after(jitter, () -> parts.timers().every(rewriteNanos, this::rewrite));
     }
 
     void stop() {
         stopped = true;
     }
 
-    void write() {
+    /** Lists this node, or brings its record up to date. */
+    synchronized void write() {
         if (stopped) {
             return;
         }
-        parts.log().append(STREAM, self.get().nodeId(), parts.members().encode(self.get()), result -> {
-            boolean appended = result instanceof LogService.Appended.At;
-            parts.counters().count(appended ? Event.LOG_APPENDED : Event.LOG_FAILED);
-            if (!appended) {
-                later(AGAIN_NANOS, this::write);
-            }
+        written = true;
+        MemberRecord self = host.self();
+        parts.log().append(STREAM, self.nodeId(), parts.members().encode(self), this::appended);
+    }
+
+    /** Says on the log that this node has left, if it is listed there. */
+    synchronized void leave() {
+        if (written) {
+            write();
+        }
+        stop();
+    }
+
+    private synchronized void rewrite() {
+        if (written) {
+            write();
+        }
+    }
+
+    private void appended(LogService.Appended result) {
+        boolean done = result instanceof LogService.Appended.At;
+        parts.counters().count(done ? Event.LOG_APPENDED : Event.LOG_FAILED);
+        if (!done) {
+            later(AGAIN_NANOS, this::write);
+        }
+    }
+
+    private synchronized void look() {
+        if (stopped || !read || parts.timers().nanos() - quietUntil < 0) {
+            return;
+        }
+        boolean alone = !host.heardAny() && !others.isEmpty();
+        boolean missing = host.reader() && !written;
+        if (alone || missing) {
+            quietUntil =
+                    parts.timers().nanos() + RETRY_NANOS + parts.random().get().nextLong(RETRY_NANOS);
+            list();
+        }
+    }
+
+    /** Lists this node, and once that is done reads who listed itself before. */
+    private void list() {
+        written = true;
+        host.listed();
+        MemberRecord self = host.self();
+        parts.log().append(STREAM, self.nodeId(), parts.members().encode(self), result -> {
+            appended(result);
+            read();
         });
     }
 
-    private void read() {
-        if (stopped) {
+    private synchronized void read() {
+        if (stopped || reading) {
             return;
         }
-        parts.log().read(STREAM, nextOffset, 0, result -> {
-            switch (result) {
-                case LogService.Read.Records r -> {
-                    r.records().forEach(this::take);
-                    // A page may have been read of which no record is left; only one that leads nowhere is the end.
-                    boolean atEnd = r.records().isEmpty() && r.nextOffset() <= nextOffset;
-                    nextOffset = r.nextOffset();
-                    if (atEnd) {
-                        later(AGAIN_NANOS, this::read);
-                    } else {
-                        read();
-                    }
-                }
-                case LogService.Read.Failed f -> {
-                    parts.counters().count(Event.LOG_FAILED);
-                    later(RETRY_NANOS, this::read);
+        reading = true;
+        parts.log().read(STREAM, nextOffset, 0, this::answered);
+    }
+
+    private synchronized void answered(LogService.Read result) {
+        reading = false;
+        switch (result) {
+            case LogService.Read.Records r -> {
+                r.records().forEach(this::take);
+                // A page may have been read of which no record is left; only one that leads nowhere is the end.
+                boolean atEnd = r.complete() || r.records().isEmpty() && r.nextOffset() <= nextOffset;
+                nextOffset = r.nextOffset();
+                if (atEnd) {
+                    readAll();
+                } else {
+                    read();
                 }
             }
-        });
+            case LogService.Read.Failed f -> {
+                parts.counters().count(Event.LOG_FAILED);
+                // Whoever has been found by others needs no list.
+                later(host.heardAny() ? AGAIN_NANOS : RETRY_NANOS, this::read);
+            }
+        }
+    }
+
+    private void readAll() {
+        later(AGAIN_NANOS, this::readAgain);
+        if (read) {
+            return;
+        }
+        read = true;
+        if (foundSelf) {
+            // Others find this start by the record of an earlier one at the same address.
+            written = true;
+            host.listed();
+        } else if (others.size() < LISTED_ENOUGH) {
+            list();
+        }
+    }
+
+    /** Looks for groups of nodes that know nothing of this one, on behalf of the others. */
+    private synchronized void readAgain() {
+        if (host.reader()) {
+            read();
+        } else {
+            later(AGAIN_NANOS, this::readAgain);
+        }
     }
 
     /** Takes one record; an odd one names nobody and must not end the reading of the others. */
@@ -93,7 +189,20 @@
             skip(record, "it names " + member.nodeId());
             return;
         }
-        taker.accept(member);
+        note(member);
+        host.learn(member);
+    }
+
+    private void note(MemberRecord member) {
+        MemberRecord self = host.self();
+        boolean alive = member.state() == MemberState.ALIVE;
+        if (member.nodeId().equals(self.nodeId())) {
+            foundSelf = alive && member.endpoint().equals(self.endpoint());
+        } else if (alive) {
+            others.add(member.nodeId());
+        } else {
+            others.remove(member.nodeId());
+        }
     }
 
     private void skip(LogService.LogRecord record, String why) {
@@ -105,4 +214,24 @@
     private void later(long nanos, Runnable step) {
         parts.timers().after(nanos / 2 + parts.random().get().nextLong(nanos), step);
     }
+
+    /**
+     * The node whose record is looked after.
+     */
+    interface Host {
+        /** Returns the node's newest record. */
+        MemberRecord self();
+
+        /** Takes the record of a member. */
+        void learn(MemberRecord member);
+
+        /** Tells whether another node was heard since the start. */
+        boolean heardAny();
+
+        /** Tells whether this node is one of those that read the operators' record. */
+        boolean reader();
+
+        /** Takes notice that this node is listed. */
+        void listed();
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -10,6 +10,9 @@
 import org.verbenadyke.kernel.config.Configuration;
 import org.verbenadyke.kernel.engine.Engine;
 import org.verbenadyke.kernel.engine.EngineParts;
+import org.verbenadyke.kernel.follow.FollowDuty;
+import org.verbenadyke.kernel.follow.FollowSettings;
+import org.verbenadyke.kernel.follow.MemberRank;
 import org.verbenadyke.kernel.membership.Gossip;
 import org.verbenadyke.kernel.membership.GossipMessage;
 import org.verbenadyke.kernel.membership.MemberRecord;
@@ -21,7 +24,6 @@
 import org.verbenadyke.kernel.owner.KeyOwners;
 import org.verbenadyke.kernel.owner.OwnerView;
 import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.kernel.routing.Rendezvous;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
@@ -45,6 +47,7 @@
     private final Gossip gossip;
     private final ConfigKeeper config;
     private final MemberLog memberLog;
+    private final FollowDuty follow;
     private final AtomicBoolean refreshing = new AtomicBoolean();
     private volatile boolean selfDraining;
     private volatile long tickNanos;
@@ -57,6 +60,12 @@
         this.owners = KeyOwners.create(view, settings.owner(), parts.timers(), this::isolated);
         this.engine = Engine.create(engineParts(), settings.policy());
         owners.connectThrough(engine.links());
+        this.follow = FollowDuty.of(
+                parts.timers(),
+                FollowSettings.standard(),
+                this::self,
+                table,
+                () -> parts.plans().plan().isPresent());
         this.gossip = Gossip.start(
                 new Gossip.Parts(
                         parts.timers(), parts.datagrams(), parts.random().get(), parts.counters(), table),
@@ -74,7 +83,7 @@
                         this::tailing,
                         this::inForce),
                 settings.config());
-        this.memberLog = new MemberLog(parts, gossip::self, gossip::merge);
+        this.memberLog = new MemberLog(parts, new ListedNode(gossip, follow));
     }
 
     /**
@@ -87,7 +96,7 @@
     public static NodeCore start(CoreParts parts, CoreSettings settings) {
         NodeCore core = new NodeCore(parts, settings);
         core.refresh();
-        core.memberLog.start(settings.rewriteNanos());
+        core.memberLog.start(settings.rewriteNanos(), settings.spreadNanos());
         parts.timers().every(TICK_NANOS, core::tick);
         return core;
     }
@@ -144,8 +153,7 @@
     public void leave() {
         engine.server().upstream().ifPresent(u -> owners.handOn(u, heirs(u)));
         gossip.change(MemberState.LEFT, gossip.self().service());
-        memberLog.write();
-        memberLog.stop();
+        memberLog.leave();
     }
 
     /** Stops all gossip. */
@@ -197,7 +205,16 @@
      * @return the newest
      */
     public MemberRecord self() {
-        return gossip.self();
+        return gossip == null ? parts.self() : gossip.self();
+    }
+
+    /**
+     * Returns the duty to read the operators' record.
+     *
+     * @return the duty
+     */
+    public FollowDuty follow() {
+        return follow;
     }
 
     /**
@@ -219,13 +236,13 @@
      * @return whether it is
      */
     public boolean tailing() {
-        MemberRecord me = gossip == null ? parts.self() : gossip.self();
-        long mine = Rendezvous.hash(me.nodeId(), ConfigKeeper.STREAM);
-        long above = table.present().stream()
-                .filter(r -> r.place().equals(me.place()) && !r.nodeId().equals(me.nodeId()))
-                .filter(r -> Rendezvous.hash(r.nodeId(), ConfigKeeper.STREAM) > mine)
-                .count();
-        return above < TAILERS;
+        MemberRecord me = self();
+        int rank = MemberRank.of(
+                me.nodeId(),
+                ConfigKeeper.STREAM,
+                table.present(),
+                r -> r.place().equals(me.place()));
+        return rank < TAILERS;
     }
 
     private EngineParts engineParts() {
@@ -356,6 +373,16 @@
             engine.links().acquire(node, link -> link.ifPresent(l -> l.send(new Message.PlanWanted())));
         }
 
+        @Override
+        public int followedMillis() {
+            return follow.ageMillis();
+        }
+
+        @Override
+        public void followedHeard(int ageMillis) {
+            follow.heard(ageMillis);
+        }
+
         @Override
         public Optional<ConfigState> config() {
             return config == null ? Optional.empty() : config.state();
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowSettings.java
@@ -0,0 +1,49 @@
+package org.verbenadyke.kernel.follow;
+
+/**
+ * How many nodes read the operators' record, and when others step in.
+ *
+ * @param readers how many nodes of each data centre read while all is well
+ * @param settleNanos how long a node that has just started leaves the reading to others, in nanoseconds
+ * @param patienceNanos how old the last sign of a reader may be before others step in, in nanoseconds
+ * @param firstPatienceNanos the same for a node that knows no routes yet, in nanoseconds
+ * @param turnNanos how long those that stepped in have before the next ones do, in nanoseconds
+ * @param vanguard how many nodes step in at a turn
+ */
+public record FollowSettings(
+        int readers, long settleNanos, long patienceNanos, long firstPatienceNanos, long turnNanos, int vanguard) {
+    private static final long MILLI = 1_000_000L;
+
+    /** Two, so that one that is cut off or stopped is covered before anyone has noticed. */
+    private static final int DEFAULT_READERS = 2;
+
+    /** Members are known to all some 300 ms after a start of 96 nodes (virtual clock); later by slow ones. */
+    private static final long DEFAULT_SETTLE_MILLIS = 1_000;
+
+    /** A sign of a reader takes up to four rounds of 250 ms to reach 96 nodes (virtual clock), and two to spare. */
+    private static final long DEFAULT_PATIENCE_MILLIS = 1_500;
+
+    /** A plan comes from a neighbour in some 50 ms; callers are turned away meanwhile. */
+    private static final long DEFAULT_FIRST_PATIENCE_MILLIS = 500;
+
+    /** An answer of the store takes milliseconds, its news another 300 ms to be everywhere. */
+    private static final long DEFAULT_TURN_MILLIS = 500;
+
+    /** With a third of the nodes turned away, three of them all fail in 4 of 100 turns. */
+    private static final int DEFAULT_VANGUARD = 3;
+
+    /**
+     * Returns the settings in use unless others are given.
+     *
+     * @return the settings
+     */
+    public static FollowSettings standard() {
+        return new FollowSettings(
+                DEFAULT_READERS,
+                DEFAULT_SETTLE_MILLIS * MILLI,
+                DEFAULT_PATIENCE_MILLIS * MILLI,
+                DEFAULT_FIRST_PATIENCE_MILLIS * MILLI,
+                DEFAULT_TURN_MILLIS * MILLI,
+                DEFAULT_VANGUARD);
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
@@ -64,8 +64,20 @@
          * @param firstOffset the oldest offset that the log still keeps
          * @param nextOffset where to read on
          * @param records the records in order
+         * @param complete whether nothing more stood on the log when it was read; false if that isn't known
          */
-        record Records(long firstOffset, long nextOffset, List<LogRecord> records) implements Read {}
+        record Records(long firstOffset, long nextOffset, List<LogRecord> records, boolean complete) implements Read {
+            /**
+             * Creates a page of which isn't known whether it is the last.
+             *
+             * @param firstOffset the oldest offset that the log still keeps
+             * @param nextOffset where to read on
+             * @param records the records in order
+             */
+            public Records(long firstOffset, long nextOffset, List<LogRecord> records) {
+                this(firstOffset, nextOffset, records, false);
+            }
+        }
 
         /**
          * Nothing could be read.
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -25,7 +25,6 @@
 public final class Gossip {
     private static final int NEWS_MOST = 8;
     private static final int REPEATS = 6;
-    private static final long COMPARE_NANOS = 1_000_000_000L;
     private static final long TICKET_NONE = 0;
 
     private final Self self;
@@ -37,12 +36,13 @@
     private final PeerChoice peers;
     private final MemberTable table;
     private final FailureDetector detector;
+    private final TableDifferences differences;
     private final Serial serial = Serial.create();
     private final Map<String, Integer> hot = new HashMap<>();
     private final Set<Endpoint> seeds = new HashSet<>();
-    private long comparedNanos;
     private boolean pushing;
     private volatile long heardNanos;
+    private volatile boolean heardAny;
     private volatile boolean stopped;
 
     private Gossip(Parts parts, GossipSettings settings, MemberRecord start, Listener listener) {
@@ -55,7 +55,7 @@
         this.self = new Self(start, timers);
         this.peers = new PeerChoice(start.nodeId(), start.place(), parts.random());
         this.detector = new FailureDetector(timers, settings, serial, table, peers, new Host());
-        this.comparedNanos = timers.nanos() - COMPARE_NANOS;
+        this.differences = new TableDifferences(start.nodeId(), timers, table, this::send);
         this.heardNanos = timers.nanos();
     }
 
@@ -97,6 +97,15 @@
         return heardNanos;
     }
 
+    /**
+     * Tells whether any other node was heard since the start.
+     *
+     * @return whether one was
+     */
+    public boolean heardAny() {
+        return heardAny;
+    }
+
     /**
      * Changes this node's record and spreads it.
      *
@@ -158,6 +167,7 @@
     public void received(Endpoint from, GossipMessage message) {
         counters.count(Event.GOSSIP_RECEIVED);
         heardNanos = timers.nanos();
+        heardAny = true;
         serial.run(() -> take(from, message));
     }
 
@@ -167,6 +177,9 @@
                 m.news().forEach(this::learn);
                 if (m.ticket() != TICKET_NONE) {
                     send(from, new GossipMessage.Ack(self().nodeId(), m.ticket(), view(), news()));
+                } else if (m.view().planVersion() < listener.planVersion()) {
+                    // A node that starts has its routes in a round trip, not at the next round 250 ms later.
+                    send(from, rumor(TICKET_NONE));
                 }
                 compare(from, m.view());
             }
@@ -177,7 +190,7 @@
             }
             case GossipMessage.Probe m -> detector.probe(m);
             case GossipMessage.ProbeAck m -> detector.answered(m.ticket());
-            case GossipMessage.Buckets m -> exchange(from, m);
+            case GossipMessage.Buckets m -> differences.exchange(from, m);
             case GossipMessage.Records m -> m.records().forEach(this::learn);
             case GossipMessage.ConfigWanted m ->
                 listener.config().ifPresent(s -> send(from, new GossipMessage.ConfigNews(s)));
@@ -242,7 +255,10 @@
 
     private GossipMessage.View view() {
         return new GossipMessage.View(
-                table.digest(), listener.config().map(ConfigState::version).orElse(-1L), listener.planVersion());
+                table.digest(),
+                listener.config().map(ConfigState::version).orElse(-1L),
+                listener.planVersion(),
+                listener.followedMillis());
     }
 
     private List<MemberRecord> news() {
@@ -259,44 +275,14 @@
     }
 
     private void compare(Endpoint from, GossipMessage.View theirs) {
+        listener.followedHeard(theirs.followedMillis());
         if (theirs.configVersion() > listener.config().map(ConfigState::version).orElse(-1L)) {
             send(from, new GossipMessage.ConfigWanted(self().nodeId()));
         }
         if (theirs.planVersion() > listener.planVersion()) {
             listener.newerPlanAt(from);
         }
-        long now = timers.nanos();
-        if (theirs.digest() != table.digest() && now - comparedNanos >= COMPARE_NANOS) {
-            comparedNanos = now;
-            send(from, buckets(true));
-        }
-    }
-
-    private GossipMessage.Buckets buckets(boolean answer) {
-        List<Long> digests = new ArrayList<>(MemberTable.BUCKETS);
-        for (long d : table.bucketDigests()) {
-            digests.add(d);
-        }
-        return new GossipMessage.Buckets(self().nodeId(), answer, digests);
-    }
-
-    private void exchange(Endpoint from, GossipMessage.Buckets theirs) {
-        long[] mine = table.bucketDigests();
-        List<MemberRecord> differing = new ArrayList<>();
-        for (MemberRecord r : table.compared()) {
-            int bucket = MemberTable.bucket(r.nodeId());
-            if (bucket < theirs.digests().size()
-                    && mine[bucket] != theirs.digests().get(bucket)) {
-                differing.add(r);
-            }
-        }
-        for (int i = 0; i < differing.size(); i += NEWS_MOST) {
-            List<MemberRecord> part = differing.subList(i, Math.min(differing.size(), i + NEWS_MOST));
-            send(from, new GossipMessage.Records(List.copyOf(part)));
-        }
-        if (theirs.answer()) {
-            send(from, buckets(false));
-        }
+        differences.seen(from, theirs.digest());
     }
 
     private void send(Endpoint to, GossipMessage message) {
@@ -378,6 +364,20 @@
          */
         void newerPlanAt(Endpoint node);
 
+        /**
+         * Returns how long ago some node was known to read the operators' record.
+         *
+         * @return the time since, in milliseconds
+         */
+        int followedMillis();
+
+        /**
+         * Takes another node's word on that.
+         *
+         * @param ageMillis the time since, in milliseconds
+         */
+        void followedHeard(int ageMillis);
+
         /**
          * Returns the configuration to tell others of.
          *
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
@@ -82,6 +82,7 @@
      * @param digest a hash of its member table
      * @param configVersion the version of its configuration
      * @param planVersion the version of its routes, -1 if it has none
+     * @param followedMillis how long ago some node was known to read the operators' record, in milliseconds
      */
-    record View(long digest, long configVersion, long planVersion) {}
+    record View(long digest, long configVersion, long planVersion, int followedMillis) {}
 }
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -128,10 +128,11 @@
 
     private static void packView(MessagePacker p, GossipMessage.View view) throws IOException {
         p.packLong(view.digest()).packLong(view.configVersion()).packLong(view.planVersion());
+        p.packInt(view.followedMillis());
     }
 
     private static GossipMessage.View unpackView(MessageUnpacker u) throws IOException {
-        return new GossipMessage.View(u.unpackLong(), u.unpackLong(), u.unpackLong());
+        return new GossipMessage.View(u.unpackLong(), u.unpackLong(), u.unpackLong(), u.unpackInt());
     }
 
     private static void packEndpoint(MessagePacker p, Endpoint endpoint) throws IOException {
