Send a request on when the level of one upstream refuses it

Cause: a direct request to the deepest service passes two filters, the level that its entry knows and the one beside the upstream, which is newer; what the second refused was sent on only as far as the retry budget went, though it had never come to an upstream. Calls of chains pass only the first.

Now it goes to another upstream that has room for its rank, up to three times, as after any refusal that says it never came further than the node.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -258,12 +258,12 @@
                 attempt.candidate().drain();
                 reroute(attempt, refusal.reason());
             }
-            case SEALED, FENCED, KEY_NOT_OWNER -> reroute(attempt, refusal.reason());
+            case SEALED, FENCED, KEY_NOT_OWNER, SHED_LEVEL -> reroute(attempt, refusal.reason());
             case UPSTREAM_UNREACHABLE -> {
                 attempt.failed(parts);
                 reroute(attempt, refusal.reason());
             }
-            case SHED_LEVEL, SHED_QUEUE, UPSTREAM_REFUSED -> askRetry(RetryReason.SHED, () -> give(refusal));
+            case SHED_QUEUE, UPSTREAM_REFUSED -> askRetry(RetryReason.SHED, () -> give(refusal));
             case UPSTREAM_BROKEN, CONNECTION_LOST -> {
                 attempt.failed(parts);
                 retryIfIdempotent(refusal);
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -29,6 +29,7 @@
 import org.verbenadyke.kernel.trace.DecisionLog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests {@link Dispatcher} and the requests it sends. */
@@ -187,6 +188,17 @@
         assertTrue(got.get(1).startsWith("refused NOT_RUN SHED_EARLY"), got.toString());
     }
 
+    /** It never came to the upstream, so that it is no retry; another one may have room for its rank. */
+    @Test
+    void goesToAnotherUpstreamWhenTheLevelOfOneRefusesIt() {
+        send(false, 0);
+        String first = calls().getFirst().target().upstream();
+        Message.Report full = new Message.Report(10, 10, Importance.RANKS, false, Message.Below.NOTHING);
+        dispatcher.received(link, new Message.Refused(calls().getFirst().id(), notRun(RefusalReason.SHED_LEVEL), full));
+        assertEquals(2, calls().size());
+        assertNotEquals(first, calls().get(1).target().upstream());
+    }
+
     @Test
     void avoidsAnUpstreamThatShedsOnItsOwn() {
         send(true, 0);
