--- a/node/src/main/java/org/verbenadyke/node/time/LoopTimerService.java
+++ b/node/src/main/java/org/verbenadyke/node/time/LoopTimerService.java
@@ -20,6 +20,7 @@
 
     private final EventExecutor loop;
     private final Runnable forget = () -> read = false;
+    private final long origin = System.nanoTime();
     private boolean read;
     private long now;
 
@@ -61,6 +62,15 @@
         return () -> future.cancel(false);
     }
 
+    /**
+     * Runs a task at each multiple of its period from this process's start. Load pattern: many nodes with little to do
+     * on one machine, in which each wake-up is paid for; periods that divide each other then share their wake-ups.
+     */
+    @Override
+    public Subscription every(long periodNanos, Runnable task) {
+        return AlignedTask.start(this, origin, periodNanos, task);
+    }
+
     private static void run(Runnable task) {
         try {
             task.run();
