Refuse direct requests by the room they take where calls wait for a deeper service

Cause: log-archive's places are held by manifests that wait for survey-view, so that its level refuses downloads of the same importance, which never go there and need few of its places.

The level for requests that come from callers is now a share of the service's: how long one holds a place beside the mean call, squared, as a request of a chain makes several calls there.

Ruled out: downloads late in the queue (63 of 850; 646 were refused).

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -111,7 +111,7 @@
     @Benchmark
     public void admission() {
         gate.offer(call, 1);
-        gate.release(1, 1, ConcurrencyLimit.Outcome.ANSWERED);
+        gate.release(1, 1, ConcurrencyLimit.Outcome.ANSWERED, 0);
     }
 
     /**
--- a/bench/src/test/java/org/verbenadyke/bench/lab/WideFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/WideFleet.java
@@ -40,6 +40,7 @@
     private static final double LOOKUPS = 413;
     private static final double FILINGS = 157;
     private static final double READS = 118;
+    private static final double DOWNLOADS = 77;
 
     private static final FleetOperation GEO = FleetOperation.of("geo", "survey-view", 110, 300, 700);
     private static final FleetOperation MANIFEST =
@@ -51,10 +52,12 @@
     private static final FleetOperation FILING = FleetOperation.of("filing", "permit-desk", 580, 2_500, 3_000)
             .calling(2, MANIFEST, true)
             .atMostOnce();
+    private static final FleetOperation DOWNLOAD = FleetOperation.of("download", "log-archive", 361, 1_204, 5_000);
     private static final FleetOperation READ = FleetOperation.of("read", "survey-view", 180, 600, 1_200);
 
     private final Lab lab;
     private final Map<Importance, Tally> tallies = new EnumMap<>(Importance.class);
+    private final Tally downloads = new Tally();
     private final double times;
     private long numbers;
 
@@ -70,7 +73,7 @@
         lab.add(ServiceSpec.of("survey-view", 3, DEEP_SLOTS, 1), PLACES);
         lab.startAll();
         lab.advance(Lab.SECOND);
-        Map<String, FleetOperation> operations = Stream.of(GEO, MANIFEST, STATUS, LOOKUP, FILING, READ)
+        Map<String, FleetOperation> operations = Stream.of(GEO, MANIFEST, STATUS, LOOKUP, FILING, READ, DOWNLOAD)
                 .collect(Collectors.toMap(FleetOperation::name, Function.identity()));
         int at = 0;
         for (LabServer s : lab.servers()) {
@@ -84,14 +87,28 @@
     /** Lets a load, a multiple of the usual one, begin at once on a fleet that is at rest. */
     static Map<Importance, Tally> play(long seed, double times, long nanos) {
         WideFleet fleet = new WideFleet(seed, times);
-        long end = fleet.lab.world().nanos() + nanos;
-        fleet.arrive(LOOKUP, Importance.LOW, LOOKUPS, end);
-        fleet.arrive(READ, Importance.NORMAL, READS, end);
-        fleet.arrive(FILING, Importance.HIGH, FILINGS, end);
-        fleet.lab.advance(nanos + 5 * Lab.SECOND);
+        fleet.load(nanos, 0);
         return fleet.tallies;
     }
 
+    /** The same with downloads of the least importance, which make no calls; returns what became of them. */
+    static Tally downloads(long seed, double times, long nanos) {
+        WideFleet fleet = new WideFleet(seed, times);
+        fleet.load(nanos, DOWNLOADS);
+        return fleet.downloads;
+    }
+
+    private void load(long nanos, double downloadsPerSecond) {
+        long end = lab.world().nanos() + nanos;
+        arrive(LOOKUP, Importance.LOW, tallies.get(Importance.LOW), LOOKUPS, end);
+        arrive(READ, Importance.NORMAL, tallies.get(Importance.NORMAL), READS, end);
+        arrive(FILING, Importance.HIGH, tallies.get(Importance.HIGH), FILINGS, end);
+        if (downloadsPerSecond > 0) {
+            arrive(DOWNLOAD, Importance.LOW, downloads, downloadsPerSecond, end);
+        }
+        lab.advance(nanos + 5 * Lab.SECOND);
+    }
+
     /** As a node on few places with far more callers than it can serve decides. */
     private static Policy policy() {
         Policy s = Policy.standard();
@@ -109,12 +126,12 @@
                 s.link());
     }
 
-    private void arrive(FleetOperation operation, Importance importance, double perSecond, long end) {
+    private void arrive(FleetOperation operation, Importance importance, Tally tally, double perSecond, long end) {
         long gap = (long) (-Math.log(1 - lab.random().nextDouble()) * Lab.SECOND / (perSecond * times));
         lab.world().after(gap, () -> {
             if (lab.world().nanos() < end) {
-                new Asked(operation, importance).send(false);
-                arrive(operation, importance, perSecond, end);
+                new Asked(operation, importance, tally).send(false);
+                arrive(operation, importance, tally, perSecond, end);
             }
         });
     }
@@ -155,10 +172,10 @@
         private final List<Integer> statuses = new ArrayList<>();
         private boolean back;
 
-        private Asked(FleetOperation operation, Importance importance) {
+        private Asked(FleetOperation operation, Importance importance, Tally tally) {
             this.operation = operation;
             this.importance = importance;
-            this.tally = tallies.get(importance);
+            this.tally = tally;
             tally.asked++;
         }
 
--- a/bench/src/test/java/org/verbenadyke/bench/lab/WideFleetTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/WideFleetTest.java
@@ -30,6 +30,15 @@
         assertTrue(lookups.failed() < 0.25, "lookups that failed below: " + lookups);
     }
 
+    /** Calls that wait for the deepest service fill the one that downloads go to, of which these need few places. */
+    @ParameterizedTest
+    @CsvSource({"3, 1.7, 6", "6, 2.04, 12"})
+    void servesDownloadsThatNeverGoToTheServiceThatIsShort(long seed, double times, long seconds) {
+        WideFleet.Tally downloads = WideFleet.downloads(seed, times, seconds * Lab.SECOND);
+        System.out.println("wide fleet, downloads, seed " + seed + ": " + downloads);
+        assertTrue(downloads.share() > 0.65, "downloads in time: " + downloads);
+    }
+
     /** At 0.7 times the load 85 % of the deepest service are asked for, at 0.8 times 97 %: more than is aimed at. */
     @ParameterizedTest
     @CsvSource({"3, 0.7, 8, 0.99", "3, 0.8, 8, 0.95"})
--- a/examples/src/main/java/org/verbenadyke/examples/EmbeddedGate.java
+++ b/examples/src/main/java/org/verbenadyke/examples/EmbeddedGate.java
@@ -85,7 +85,7 @@
         public void admitted() {
             long start = System.nanoTime();
             work.run();
-            gate.release(System.nanoTime(), System.nanoTime() - start, ConcurrencyLimit.Outcome.ANSWERED);
+            gate.release(System.nanoTime(), System.nanoTime() - start, ConcurrencyLimit.Outcome.ANSWERED, 0);
         }
 
         @Override
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -17,6 +17,7 @@
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ServiceTime serviceTime = ServiceTime.unknown();
     private final HoldTime holdTime = HoldTime.unknown();
+    private final HoldTime directHoldTime = HoldTime.unknown();
 
     private Gate(GateSettings settings, ConcurrencyLimit limit) {
         this.settings = settings;
@@ -80,8 +81,9 @@
      * @param nowNanos the time
      * @param latencyNanos how long the upstream took
      * @param outcome how the call ended
+     * @param depth how many calls lie above it
      */
-    public void release(long nowNanos, long latencyNanos, ConcurrencyLimit.Outcome outcome) {
+    public void release(long nowNanos, long latencyNanos, ConcurrencyLimit.Outcome outcome, int depth) {
         limit.finished(nowNanos, latencyNanos, inFlight.get(), outcome);
         inFlight.decrementAndGet();
         switch (outcome) {
@@ -89,6 +91,9 @@
                 level.finished();
                 serviceTime.observe(nowNanos, latencyNanos);
                 holdTime.observe(latencyNanos);
+                if (depth == 0) {
+                    directHoldTime.observe(latencyNanos);
+                }
             }
             case SHED -> level.overloaded();
             case IGNORED -> level.finished();
@@ -106,7 +111,8 @@
 
     /** Ends a window of the admission level; called every {@link AdmissionLevel#WINDOW_NANOS}. */
     public void endWindow() {
-        level.endWindow(new GateLoad(limit.current(), inFlight.get(), queue.size(), holdTime.nanos()));
+        level.endWindow(
+                new GateLoad(limit.current(), inFlight.get(), queue.size(), holdTime.nanos(), directHoldTime.nanos()));
     }
 
     /**
@@ -118,6 +124,15 @@
         return level.current();
     }
 
+    /**
+     * Returns the admission level for requests that come from callers and not from another upstream.
+     *
+     * @return the rank below which they are refused
+     */
+    public int directLevel() {
+        return level.direct();
+    }
+
     /**
      * Returns the calls in flight.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/GateLoad.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/GateLoad.java
@@ -7,5 +7,6 @@
  * @param inFlight how many are
  * @param queued how many wait
  * @param serviceNanos how long a call holds its place in flight, smoothed, in nanoseconds; 0 if unknown
+ * @param directNanos the same of requests that come from callers and not from another upstream; 0 if unknown
  */
-public record GateLoad(int limit, int inFlight, int queued, long serviceNanos) {}
+public record GateLoad(int limit, int inFlight, int queued, long serviceNanos, long directNanos) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LevelControl.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LevelControl.java
@@ -11,6 +11,15 @@
      */
     int current();
 
+    /**
+     * Returns the rank below which requests are refused that come from callers and not from another upstream.
+     *
+     * @return the rank, at most {@link #current()}
+     */
+    default int direct() {
+        return current();
+    }
+
     /**
      * Notes an arriving call, admitted or not.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -15,6 +15,11 @@
  * The power, and a period about half as long as a change takes to show, keep the level from answering the same overload
  * several times over.
  *
+ * <p>Requests that come here from callers are refused by a share of the level, if they hold a place for a shorter time
+ * than the calls that fill it. Load pattern: calls that wait for a deeper service hold the places of this one; refusing
+ * what never goes there frees few of them. In a replay of 45 nodes at 2.04 times the usual load 71 % of the
+ * downloads from such a service came in time, 13 % without this.
+ *
  * <p>Calls inside a chain are never refused by the level, since work was done for them; nor is the most important band.
  */
 public final class LoadLevel implements LevelControl {
@@ -55,6 +60,7 @@
     private int band;
     private double letIn = 1;
     private volatile int level;
+    private volatile int direct;
 
     private LoadLevel() {}
 
@@ -72,9 +78,14 @@
         return level;
     }
 
+    @Override
+    public int direct() {
+        return direct;
+    }
+
     @Override
     public boolean arrive(int rank, int depth) {
-        if (depth == 0 && rank < level) {
+        if (depth == 0 && rank < direct) {
             return false;
         }
         arrivals.incrementAndGet(Math.min(rank / RequestId.BUCKETS, BANDS));
@@ -106,6 +117,20 @@
         double offered = (arrived + load.queued()) * (double) load.serviceNanos();
         double able = (double) load.limit() * PERIOD_WINDOWS * AdmissionLevel.WINDOW_NANOS;
         adjust(offered / able, (double) inBand / Math.max(1, arrived));
+        direct = (int) Math.round(level * directShare(load));
+    }
+
+    /**
+     * The share of the level that direct requests are refused by: the room of one beside a mean call's, squared,
+     * since a request of a chain makes several calls here. Unsquared, 38 % of those downloads came in time.
+     */
+    private static double directShare(GateLoad load) {
+        boolean known = load.directNanos() > 0 && load.serviceNanos() > 0;
+        if (!known) {
+            return 1;
+        }
+        double room = (double) load.directNanos() / load.serviceNanos();
+        return Math.min(1, room * room);
     }
 
     private void adjust(double load, double arrivedInBand) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -85,10 +85,11 @@
      * @param inFlight calls handed to the upstream
      * @param limit how many may be handed to it
      * @param level the admission level of the node itself
+     * @param directLevel the same for requests that come from callers and not from another upstream
      * @param draining whether the upstream is leaving
      * @param below what it knows of the services that were called for the answer
      */
-    record Report(int inFlight, int limit, int level, boolean draining, Below below) {
+    record Report(int inFlight, int limit, int level, int directLevel, boolean draining, Below below) {
         /**
          * Returns the level of the call's path from the node down.
          *
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -176,12 +176,13 @@
         sentSinceReport.set(0);
         reportedLimit = report.limit();
         draining |= report.draining();
-        level = new SeenLevel(report.level(), nowNanos);
+        level = new SeenLevel(report.directLevel(), nowNanos);
         levels.heard(upstream, pathClass, report, nowNanos);
     }
 
     /**
-     * Returns the admission level that the upstream's node reported of itself; it fades when no news comes.
+     * Returns the admission level that the upstream's node reported of itself, for requests that come to it from
+     * callers; it fades when no news comes.
      *
      * @param nowNanos the time
      * @return the rank below which a call would be refused
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -196,10 +196,16 @@
                 .orElse(Message.Below.NOTHING);
         LocalUpstream local = upstream;
         if (local == null) {
-            return new Message.Report(0, 0, 0, false, below);
+            return new Message.Report(0, 0, 0, 0, false, below);
         }
         Gate gate = local.gate();
-        return new Message.Report(gate.inFlight() + gate.queued(), gate.limit(), gate.level(), local.draining(), below);
+        return new Message.Report(
+                gate.inFlight() + gate.queued(),
+                gate.limit(),
+                gate.level(),
+                gate.directLevel(),
+                local.draining(),
+                below);
     }
 
     UpstreamPort.HandOver handOver(Message.Call call, CallContext context, long remainingNanos) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -282,14 +282,14 @@
 
     private void handOver() {
         if (phase != Phase.WAITING) {
-            local.gate().release(server.parts().timers().nanos(), 0, ConcurrencyLimit.Outcome.IGNORED);
+            local.gate().release(server.parts().timers().nanos(), 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
             return;
         }
         handedNanos = server.parts().timers().nanos();
         boolean late = handedNanos >= deadlineNanos;
         if (late || stale()) {
             refuseNotRun(late ? RefusalReason.DEADLINE : RefusalReason.FENCED);
-            local.gate().release(handedNanos, 0, ConcurrencyLimit.Outcome.IGNORED);
+            local.gate().release(handedNanos, 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
             return;
         }
         phase = Phase.HANDED;
@@ -383,7 +383,7 @@
         }
         server.closeContext(context);
         conclude();
-        local.gate().release(now, latency, outcome);
+        local.gate().release(now, latency, outcome, call.depth());
     }
 
     private void conclude() {
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
@@ -57,7 +57,7 @@
         other.offer(new Call("late", Importance.HIGH, 1, 9_000), 0);
         other.offer(new Call("next", Importance.HIGH, 1, 5_000), 0);
         for (int i = 0; i < 3; i++) {
-            other.release(10, 10, ConcurrencyLimit.Outcome.ANSWERED);
+            other.release(10, 10, ConcurrencyLimit.Outcome.ANSWERED, 0);
         }
         assertEquals(List.of("running admitted", "next admitted", "late admitted", "soon admitted"), log);
     }
@@ -65,17 +65,17 @@
     @Test
     void dropsWhatCannotMeetItsDeadlineBeforeItCostsAnything() {
         offer("running", Importance.NORMAL, 0, FAR);
-        gate.release(1_000, 500, ConcurrencyLimit.Outcome.ANSWERED);
-        gate.release(2_000_000_000L, 500, ConcurrencyLimit.Outcome.ANSWERED);
+        gate.release(1_000, 500, ConcurrencyLimit.Outcome.ANSWERED, 0);
+        gate.release(2_000_000_000L, 500, ConcurrencyLimit.Outcome.ANSWERED, 0);
         log.clear();
         Gate other = Gate.of(new GateSettings(true, 0, 2, 10, QueueOrder.IMPORTANCE), FixedLimit.of(1));
         other.offer(new Call("first", Importance.NORMAL, 0, FAR), 0);
-        other.release(100, 100, ConcurrencyLimit.Outcome.ANSWERED);
+        other.release(100, 100, ConcurrencyLimit.Outcome.ANSWERED, 0);
         other.offer(new Call("second", Importance.NORMAL, 0, FAR), 1_100_000_000L);
-        other.release(1_100_000_100L, 100, ConcurrencyLimit.Outcome.ANSWERED);
+        other.release(1_100_000_100L, 100, ConcurrencyLimit.Outcome.ANSWERED, 0);
         other.offer(new Call("third", Importance.NORMAL, 0, FAR), 1_100_000_200L);
         other.offer(new Call("late", Importance.NORMAL, 0, 1_100_000_300L), 1_100_000_200L);
-        other.release(1_100_000_250L, 100, ConcurrencyLimit.Outcome.ANSWERED);
+        other.release(1_100_000_250L, 100, ConcurrencyLimit.Outcome.ANSWERED, 0);
         assertTrue(log.contains("late DEADLINE"), log.toString());
     }
 
@@ -100,7 +100,7 @@
     }
 
     private void release() {
-        gate.release(0, 0, ConcurrencyLimit.Outcome.ANSWERED);
+        gate.release(0, 0, ConcurrencyLimit.Outcome.ANSWERED, 0);
     }
 
     /** A call that notes what became of it. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelReplayTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelReplayTest.java
@@ -258,7 +258,7 @@
         public void admitted() {
             long nanos = (long) (serviceNanos[at] * (0.5 + random.nextDouble()));
             clock.after(nanos, () -> {
-                gates.get(at).release(clock.nanos(), nanos, ConcurrencyLimit.Outcome.ANSWERED);
+                gates.get(at).release(clock.nanos(), nanos, ConcurrencyLimit.Outcome.ANSWERED, depth);
                 request.answered(more);
             });
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/routing/ServiceLevelsTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/routing/ServiceLevelsTest.java
@@ -72,7 +72,7 @@
     }
 
     private void heard(String id, String service, String path, int level, Message.Below below, long millis) {
-        Message.Report report = new Message.Report(1, 10, level, false, below);
+        Message.Report report = new Message.Report(1, 10, level, level, false, below);
         levels.heard(new Upstream(id, service, AT, PLACE), path, report, millis * MILLI);
     }
 
@@ -81,7 +81,7 @@
                 .filter(c -> c.upstream().id().equals(id))
                 .findFirst()
                 .orElseThrow();
-        from.reported(path, new Message.Report(1, 10, 0, false, below), millis * MILLI);
+        from.reported(path, new Message.Report(1, 10, 0, 0, false, below), millis * MILLI);
     }
 
     private static Choice route(Router router, int rank, long millis) {
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -210,14 +210,19 @@
     }
 
     private static void packReport(MessageBufferPacker p, Message.Report r) throws IOException {
-        p.packInt(r.inFlight()).packInt(r.limit()).packInt(r.level()).packBoolean(r.draining());
+        p.packInt(r.inFlight())
+                .packInt(r.limit())
+                .packInt(r.level())
+                .packInt(r.directLevel())
+                .packBoolean(r.draining());
         p.packString(r.below().service())
                 .packInt(r.below().level())
                 .packInt(r.below().ageMillis());
     }
 
     private static Message.Report unpackReport(MessageUnpacker u) throws IOException {
-        return new Message.Report(u.unpackInt(), u.unpackInt(), u.unpackInt(), u.unpackBoolean(), unpackBelow(u));
+        return new Message.Report(
+                u.unpackInt(), u.unpackInt(), u.unpackInt(), u.unpackInt(), u.unpackBoolean(), unpackBelow(u));
     }
 
     private static Message.Below unpackBelow(MessageUnpacker u) throws IOException {
