Let one class run periodic tasks; start the members' pause from the node's clock

AlignedTask repeated PeriodicTask, which now takes the delay to its next run from outside. MemberLog's first look compared with 0, so that a clock that starts below 0 would never have let it list the node; by reading, it has not been seen.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -48,6 +48,7 @@
     MemberLog(CoreParts parts, Host host) {
         this.parts = parts;
         this.host = host;
+        this.quietUntil = parts.timers().nanos();
     }
 
     /** Reads who is listed, soon, and looks after this node's own record from then on. */
@@ -62,10 +63,6 @@
         parts.timers().after(jitter, () -> parts.timers().every(rewriteNanos, this::rewrite));
     }
 
-    void stop() {
-        stopped = true;
-    }
-
     /** Lists this node, or brings its record up to date. */
     synchronized void write() {
         if (stopped) {
@@ -81,7 +78,7 @@
         if (written) {
             write();
         }
-        stop();
+        stopped = true;
     }
 
     private synchronized void rewrite() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/time/PeriodicTask.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/time/PeriodicTask.java
@@ -1,25 +1,40 @@
 package org.verbenadyke.kernel.time;
 
+import java.util.function.LongSupplier;
+
 /**
  * Re-subscribes a task after each of its runs until it is cancelled.
  */
-final class PeriodicTask implements Subscription, Runnable {
+public final class PeriodicTask implements Subscription, Runnable {
     private final TimerService timers;
-    private final long periodNanos;
+    private final LongSupplier delayNanos;
     private final Runnable task;
     private volatile boolean cancelled;
     private volatile Subscription next;
 
-    private PeriodicTask(TimerService timers, long periodNanos, Runnable task) {
+    private PeriodicTask(TimerService timers, LongSupplier delayNanos, Runnable task) {
         this.timers = timers;
-        this.periodNanos = periodNanos;
+        this.delayNanos = delayNanos;
         this.task = task;
     }
 
+    /** Runs a task a period after each of its runs. */
     static PeriodicTask start(TimerService timers, long periodNanos, Runnable task) {
-        PeriodicTask periodic = new PeriodicTask(timers, periodNanos, task);
-        periodic.next = timers.after(periodNanos, periodic);
-        return periodic;
+        return subscribe(new PeriodicTask(timers, () -> periodNanos, task));
+    }
+
+    /**
+     * Runs a task at the multiples of its period; those that passed meanwhile are left out.
+     *
+     * @param timers the time
+     * @param originNanos the time that the multiples count from
+     * @param periodNanos the period, in nanoseconds
+     * @param task the task
+     * @return cancels it
+     */
+    public static Subscription aligned(TimerService timers, long originNanos, long periodNanos, Runnable task) {
+        LongSupplier rest = () -> periodNanos - Math.floorMod(timers.nanos() - originNanos, periodNanos);
+        return subscribe(new PeriodicTask(timers, rest, task));
     }
 
     @Override
@@ -30,7 +45,7 @@
         try {
             task.run();
         } finally {
-            next = timers.after(periodNanos, this);
+            subscribe(this);
         }
     }
 
@@ -39,4 +54,9 @@
         cancelled = true;
         next.cancel();
     }
+
+    private static PeriodicTask subscribe(PeriodicTask periodic) {
+        periodic.next = periodic.timers.after(periodic.delayNanos.getAsLong(), periodic);
+        return periodic;
+    }
 }
--- a/node/src/test/java/org/verbenadyke/node/time/AlignedTaskTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/time/PeriodicTaskTest.java
@@ -1,38 +1,37 @@
-package org.verbenadyke.node.time;
+package org.verbenadyke.kernel.time;
 
 import java.util.ArrayList;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
-import org.verbenadyke.kernel.time.VirtualTimerService;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Tests {@link AlignedTask}. */
-final class AlignedTaskTest {
+/** Tests {@link PeriodicTask}. */
+final class PeriodicTaskTest {
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final List<Long> runs = new ArrayList<>();
 
     @Test
     void runsAtTheMultiplesWheneverItBegan() {
         clock.advance(130);
-        AlignedTask.start(clock, 0, 100, () -> runs.add(clock.nanos()));
+        PeriodicTask.aligned(clock, 0, 100, () -> runs.add(clock.nanos()));
         clock.advance(300);
         assertEquals(List.of(200L, 300L, 400L), runs);
     }
 
     @Test
     void sharesItsWakeUpsWithATaskWhosePeriodDividesItsOwn() {
-        AlignedTask.start(clock, 0, 50, () -> runs.add(clock.nanos()));
+        PeriodicTask.aligned(clock, 0, 50, () -> runs.add(clock.nanos()));
         clock.advance(70);
-        AlignedTask.start(clock, 0, 100, () -> runs.add(clock.nanos()));
+        PeriodicTask.aligned(clock, 0, 100, () -> runs.add(clock.nanos()));
         clock.advance(130);
         assertEquals(List.of(50L, 100L, 100L, 150L, 200L, 200L), runs);
     }
 
     @Test
     void endsWhenItIsCancelled() {
-        AlignedTask task = AlignedTask.start(clock, 0, 100, () -> runs.add(clock.nanos()));
+        Subscription task = PeriodicTask.aligned(clock, 0, 100, () -> runs.add(clock.nanos()));
         clock.advance(100);
         task.cancel();
         clock.advance(500);
@@ -41,7 +40,7 @@
 
     @Test
     void goesOnAfterAFailure() {
-        AlignedTask.start(clock, 0, 100, () -> {
+        PeriodicTask.aligned(clock, 0, 100, () -> {
             runs.add(clock.nanos());
             throw new IllegalStateException("once");
         });
--- a/node/src/main/java/org/verbenadyke/node/time/LoopTimerService.java
+++ b/node/src/main/java/org/verbenadyke/node/time/LoopTimerService.java
@@ -5,6 +5,7 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.verbenadyke.kernel.time.PeriodicTask;
 import org.verbenadyke.kernel.time.Subscription;
 import org.verbenadyke.kernel.time.TimerService;
 
@@ -68,7 +69,7 @@
      */
     @Override
     public Subscription every(long periodNanos, Runnable task) {
-        return AlignedTask.start(this, origin, periodNanos, task);
+        return PeriodicTask.aligned(this, origin, periodNanos, task);
     }
 
     private static void run(Runnable task) {
