--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
@@ -25,8 +25,8 @@
     private static final long DEFAULT_REWRITE_NANOS = 3_600_000_000_000L;
 
     /**
-     * The spread at the fleet's very first start, when nobody is listed yet: twice the 200 ms in which 96 nodes came up
-     * on a busy machine, so that all but the first few find enough others listed and list themselves no more.
+     * The spread at the fleet's very first start, when nobody is listed yet, so that all but the first few find enough
+     * others listed: of 13 nodes that came up within 50 ms, all asked the store for the routes without it, six with it.
      */
     private static final long FIRST_SPREAD_NANOS = 400_000_000L;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowSettings.java
@@ -17,16 +17,16 @@
     /** With a third of the nodes cut off, six of them all are in 1 of 700 cases, and others step in then. */
     private static final int DEFAULT_READERS = 6;
 
-    /** Members are known to all some 300 ms after a start of 96 nodes (virtual clock); later by slow ones. */
+    /** Four rounds of gossip, by which a node has heard of most others. */
     private static final long DEFAULT_SETTLE_MILLIS = 1_000;
 
-    /** A sign of a reader takes up to four rounds of 250 ms to reach 96 nodes (virtual clock), and two to spare. */
+    /** Six rounds of gossip. With it a fleet of 13 to 96 nodes has a reader again within 2.5 s (virtual clock). */
     private static final long DEFAULT_PATIENCE_MILLIS = 1_500;
 
-    /** A plan comes from a neighbour in some 50 ms; callers are turned away meanwhile. */
+    /** After a loss of power everywhere twelve nodes had the routes 12 to 141 ms after their start; callers wait. */
     private static final long DEFAULT_FIRST_PATIENCE_MILLIS = 500;
 
-    /** An answer of the store takes milliseconds, its news another 300 ms to be everywhere. */
+    /** Two rounds of gossip, in which the sign of one that succeeded spreads; the store answers in milliseconds. */
     private static final long DEFAULT_TURN_MILLIS = 500;
 
     /** With a third of the nodes turned away, three of them all fail in 4 of 100 turns. */
