Tell a server that ended from a broken connection, and what it had

Callers saw 502s in bursts while the logs showed exchanges that broke, five lines a second, each under a chain that is new with every try: neither which request was there each time nor whether the server had ended. A broken exchange is now followed by one shared connection attempt: refused means that the server ended (upstream-ended, 502), taken means that only the connection broke. Each call that the ended server had gets a line with a digest of what it asks for, the same for every try, entry and repeat; up to 64 lines a second. No decision depends on it yet.

ServerEndTest: 2 tests, over real connections.

--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -40,6 +40,8 @@
     UPSTREAM_UNREACHABLE(503),
     /** The upstream broke its connection off. */
     UPSTREAM_BROKEN(502),
+    /** The upstream ended while it had the call. */
+    UPSTREAM_ENDED(502),
     /** The call's id was sealed: it never ran and never will. */
     SEALED(503),
     /** The call waited unseen for longer than its time to live, as after a pause of the process. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -264,7 +264,7 @@
                 reroute(attempt, refusal.reason());
             }
             case SHED_QUEUE, UPSTREAM_REFUSED -> askRetry(RetryReason.SHED, () -> give(refusal));
-            case UPSTREAM_BROKEN, CONNECTION_LOST -> {
+            case UPSTREAM_BROKEN, UPSTREAM_ENDED, CONNECTION_LOST -> {
                 attempt.failed(parts);
                 retryIfIdempotent(refusal);
             }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/RequestDigest.java
@@ -0,0 +1,81 @@
+package org.verbenadyke.kernel.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Locale;
+import java.util.Set;
+
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.message.Message;
+
+/**
+ * Names what a request asks for, whichever try, entry or caller's repeat it is: method, host, path with query, body,
+ * and the credentials that name its caller. All other header fields differ from one try to the next, or may.
+ *
+ * <p>128 bits of SHA-256: with a shorter or unkeyed fast hash a caller could find a request of its own that bears the
+ * digest of another caller's and get that one refused.
+ *
+ * @param target a short hash of the path, to rule out most requests without reading their bodies
+ * @param high the upper half of the digest
+ * @param low the lower half of the digest
+ */
+public record RequestDigest(int target, long high, long low) {
+    /** The fields that tell whom and for whom a request asks. */
+    private static final Set<String> IDENTITY = Set.of("host", "authorization", "api-key", "cookie");
+
+    /**
+     * Digests a request.
+     *
+     * @param content the request
+     * @return its digest
+     */
+    public static RequestDigest of(Message.Content content) {
+        MessageDigest sha = sha256();
+        part(sha, content.method().getBytes(StandardCharsets.UTF_8));
+        part(sha, content.path().getBytes(StandardCharsets.UTF_8));
+        content.headers().stream()
+                .filter(f -> IDENTITY.contains(f.name().toLowerCase(Locale.ROOT)))
+                .map(RequestDigest::line)
+                .sorted()
+                .forEach(line -> part(sha, line.getBytes(StandardCharsets.UTF_8)));
+        part(sha, content.body());
+        ByteBuffer digest = ByteBuffer.wrap(sha.digest());
+        return new RequestDigest(targetOf(content), digest.getLong(), digest.getLong());
+    }
+
+    /**
+     * Hashes the path of a request.
+     *
+     * @param content the request
+     * @return the hash that its digest holds
+     */
+    public static int targetOf(Message.Content content) {
+        return content.path().hashCode();
+    }
+
+    /** Takes a part with its length, so that no two requests run together to the same bytes. */
+    private static void part(MessageDigest sha, byte[] bytes) {
+        sha.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+        sha.update(bytes);
+    }
+
+    private static String line(HeaderField field) {
+        return field.name().toLowerCase(Locale.ROOT) + ":" + field.value();
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return HexFormat.of().toHexDigits(high) + HexFormat.of().toHexDigits(low);
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -18,6 +18,7 @@
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.SeenCalls;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.kernel.trace.Decision;
@@ -221,6 +222,14 @@
         }
     }
 
+    /** Notes what an upstream had when it ended. One that was leaving ends as planned, with whatever it still has. */
+    void noteEnded(Message.Call call, LocalUpstream local) {
+        if (!local.draining()) {
+            RequestDigest digest = RequestDigest.of(call.content());
+            parts.decisions.note(new Decision.EndedUnder(call.request(), local.id(), digest));
+        }
+    }
+
     private Optional<IncomingCall> find(CallId id) {
         Optional<IncomingCall> call = Optional.ofNullable(calls.get(id));
         if (call.isEmpty()) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -22,16 +22,13 @@
  * One call received from a node above. Everything happens inside a serial runner; only the link is read from elsewhere.
  */
 final class IncomingCall implements Waiting, UpstreamPort.Listener, KeyedTry.Host {
-    private static final long NANOS_PER_MICRO = 1_000L;
     private static final int UNAVAILABLE = 503;
-    private static final int ONCE_EXTRA_TTLS = 2;
 
     private final CallServer server;
     private final LocalUpstream local;
     private final Message.Call call;
     private final Serial serial = Serial.create();
-    private final long receivedNanos;
-    private final long deadlineNanos;
+    private final CallTimes times;
     private final AnswerWriter answer;
     private volatile Link link;
     private volatile Phase phase = Phase.WAITING;
@@ -40,22 +37,19 @@
     private UpstreamPort.Exchange exchange;
     private long handedNanos;
     private long headNanos;
-    private long progressNanos;
     private int status;
     private boolean keyClaimed;
     private boolean deadlinePassed;
     private Refusal lastRefusal;
     private Subscription timer;
+    private IdleTimeout idle;
 
     IncomingCall(CallServer server, LocalUpstream local, Message.Call call, Link link) {
         this.server = server;
         this.local = local;
         this.call = call;
         this.link = link;
-        this.receivedNanos = server.parts().timers().nanos();
-        long ttl =
-                Math.min(call.ttlMicros() * NANOS_PER_MICRO, server.settings().maxTtlNanos());
-        this.deadlineNanos = receivedNanos + ttl;
+        this.times = CallTimes.receivedNow(call, server.parts().timers(), server.settings());
         this.answer = new AnswerWriter(call.id(), server.settings(), !call.idempotent());
     }
 
@@ -75,17 +69,17 @@
         return finished() && now - finishedNanos > server.sweepNanos();
     }
 
-    /** Tells whether the call may have waited unseen for longer than its time to live. */
     boolean stale() {
-        return Freshness.stale(
-                call, server.parts().timers().nanos(), server.settings().fenceGraceNanos());
+        return times.stale();
     }
 
     void start() {
         serial.run(() -> {
-            timer = server.parts().timers().after(deadlineNanos - receivedNanos, () -> serial.run(this::onDeadline));
+            timer = server.parts()
+                    .timers()
+                    .after(times.deadline() - times.received(), () -> serial.run(this::onDeadline));
             if (call.idempotent() || call.key().isEmpty()) {
-                local.gate().offer(this, receivedNanos);
+                local.gate().offer(this, times.received());
                 return;
             }
             KeyedTry.begin(server, local, call, serial, this);
@@ -113,8 +107,7 @@
                 refuseNotRun(RefusalReason.CANCELLED);
             } else if (phase == Phase.HANDED && call.idempotent()) {
                 server.parts().counters().refused(RunState.MAY_HAVE_RUN, RefusalReason.CANCELLED);
-                exchange.cancel();
-                finish(ConcurrencyLimit.Outcome.IGNORED);
+                breakOff();
             }
         });
     }
@@ -127,8 +120,7 @@
             if (phase == Phase.WAITING) {
                 refuseNotRun(RefusalReason.SEALED);
             } else if (phase == Phase.HANDED && call.idempotent()) {
-                exchange.cancel();
-                finish(ConcurrencyLimit.Outcome.IGNORED);
+                breakOff();
             }
         });
     }
@@ -165,12 +157,12 @@
 
     @Override
     public long deadlineNanos() {
-        return deadlineNanos;
+        return times.deadline();
     }
 
     @Override
     public long dueNanos() {
-        return receivedNanos + call.dueMicros() * NANOS_PER_MICRO;
+        return times.due();
     }
 
     @Override
@@ -204,10 +196,11 @@
                 return;
             }
             status = newStatus;
-            headNanos = server.parts().timers().nanos();
-            progressNanos = headNanos;
+            headNanos = times.now();
             timer.cancel();
-            armIdleTimer(server.settings().idleNanos());
+            idle = IdleTimeout.start(
+                    server.parts().timers(), server.settings().idleNanos(), serial, answer::wantsMore, this::onIdle);
+            timer = idle;
             Message.Head head = new Message.Head(call.id(), newStatus, headers, context.hasFailedChild(), report());
             answer.head(head, link);
             requestMore();
@@ -220,7 +213,7 @@
             if (phase != Phase.HANDED) {
                 return;
             }
-            progressNanos = server.parts().timers().nanos();
+            idle.progressed();
             answer.data(bytes, link);
             requestMore();
         });
@@ -242,6 +235,16 @@
         serial.run(() -> fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED));
     }
 
+    @Override
+    public void upstreamEnded() {
+        serial.run(() -> {
+            if (phase == Phase.HANDED) {
+                server.noteEnded(call, local);
+                fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_ENDED), ConcurrencyLimit.Outcome.IGNORED);
+            }
+        });
+    }
+
     private void neverRan(RefusalReason reason, ConcurrencyLimit.Outcome outcome) {
         serial.run(() -> {
             server.parts().ledger().neverReached(call.id());
@@ -264,7 +267,7 @@
     @Override
     public void ownsKey() {
         keyClaimed = true;
-        local.gate().offer(this, server.parts().timers().nanos());
+        local.gate().offer(this, times.now());
     }
 
     @Override
@@ -282,20 +285,20 @@
 
     private void handOver() {
         if (phase != Phase.WAITING) {
-            local.gate().release(server.parts().timers().nanos(), 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
+            local.gate().release(times.now(), 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
             return;
         }
-        handedNanos = server.parts().timers().nanos();
-        boolean late = handedNanos >= deadlineNanos;
+        handedNanos = times.now();
+        boolean late = handedNanos >= times.deadline();
         if (late || stale()) {
             refuseNotRun(late ? RefusalReason.DEADLINE : RefusalReason.FENCED);
             local.gate().release(handedNanos, 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
             return;
         }
         phase = Phase.HANDED;
-        server.noteHandOver(call, local, receivedNanos);
-        context = server.openContext(call, deadlineNanos, this::link);
-        exchange = local.port().start(server.handOver(call, context, deadlineNanos - handedNanos), this);
+        server.noteHandOver(call, local, times.received());
+        context = server.openContext(call, times.deadline(), this::link);
+        exchange = local.port().start(server.handOver(call, context, times.deadline() - handedNanos), this);
     }
 
     private void requestMore() {
@@ -304,22 +307,16 @@
         }
     }
 
-    private void armIdleTimer(long nanos) {
-        timer = server.parts().timers().after(nanos, () -> serial.run(this::onIdle));
-    }
-
     private void onIdle() {
-        if (phase != Phase.HANDED) {
-            return;
-        }
-        long idle = server.parts().timers().nanos() - progressNanos;
-        long most = server.settings().idleNanos();
-        if (idle < most || !answer.wantsMore()) {
-            armIdleTimer(idle < most ? most - idle : most);
-            return;
+        if (phase == Phase.HANDED) {
+            exchange.cancel();
+            fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED);
         }
+    }
+
+    private void breakOff() {
         exchange.cancel();
-        fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED);
+        finish(ConcurrencyLimit.Outcome.IGNORED);
     }
 
     private void onDeadline() {
@@ -327,26 +324,20 @@
             refuseNotRun(RefusalReason.DEADLINE);
             return;
         }
-        if (phase != Phase.HANDED || deadlinePassed && !call.idempotent() && !expiredForGood()) {
+        if (phase != Phase.HANDED || deadlinePassed && !call.idempotent() && !times.expiredForGood()) {
             return;
         }
         if (!deadlinePassed) {
             deadlinePassed = true;
             tellAbove(Refusal.mayHaveRun(RefusalReason.DEADLINE));
         }
-        if (call.idempotent() || expiredForGood()) {
+        if (call.idempotent() || times.expiredForGood()) {
             exchange.cancel();
             lastRefusal = Refusal.mayHaveRun(RefusalReason.DEADLINE);
             finish(ConcurrencyLimit.Outcome.IGNORED);
             return;
         }
-        long rest = server.settings().maxTtlNanos() * ONCE_EXTRA_TTLS;
-        timer = server.parts().timers().after(rest, () -> serial.run(this::onDeadline));
-    }
-
-    private boolean expiredForGood() {
-        return server.parts().timers().nanos() - deadlineNanos
-                >= server.settings().maxTtlNanos() * ONCE_EXTRA_TTLS;
+        timer = server.parts().timers().after(times.afterDeadline(), () -> serial.run(this::onDeadline));
     }
 
     private void refuseNotRun(RefusalReason reason) {
@@ -375,7 +366,7 @@
 
     private void finish(ConcurrencyLimit.Outcome outcome) {
         phase = Phase.FINISHED;
-        long now = server.parts().timers().nanos();
+        long now = times.now();
         long latency = headNanos == 0 ? now - handedNanos : headNanos - handedNanos;
         if (keyClaimed) {
             Optional<Refusal> refusal = Optional.ofNullable(lastRefusal);
@@ -387,7 +378,7 @@
     }
 
     private void conclude() {
-        finishedNanos = server.parts().timers().nanos();
+        finishedNanos = times.now();
         timer.cancel();
         if (call.idempotent()) {
             server.forget(this);
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
@@ -78,5 +78,10 @@
 
         /** Takes notice that the exchange broke after the hand-over. */
         void broken();
+
+        /** Takes notice that the exchange broke since the upstream ended: nothing listens any more where it did. */
+        default void upstreamEnded() {
+            broken();
+        }
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -5,6 +5,7 @@
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
 
 /**
  * A decision that an operator may want to understand later, with what decided it.
@@ -104,6 +105,15 @@
      */
     record FateTold(CallId attempt, RunState state, RefusalReason reason, long incarnation) implements Decision {}
 
+    /**
+     * An upstream ended while it had a call.
+     *
+     * @param chain the request that the call belongs to
+     * @param upstream the upstream
+     * @param digest what the call asked for; the same for every try and repeat of it
+     */
+    record EndedUnder(RequestId chain, String upstream, RequestDigest digest) implements Decision {}
+
     /**
      * An upstream was taken out of the choice for a while.
      *
--- a/node/src/main/java/org/verbenadyke/node/http1/AnswerListener.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/AnswerListener.java
@@ -40,4 +40,9 @@
 
     /** Takes notice that the connection ended, or brought what is no answer, after the request was sent. */
     void broken();
+
+    /** Takes notice that the server closed or reset the connection after the request was sent. */
+    default void closed() {
+        broken();
+    }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
@@ -105,4 +105,11 @@
             listener.broken();
         }
     }
+
+    void closed() {
+        if (!over) {
+            over = true;
+            listener.closed();
+        }
+    }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -96,7 +96,7 @@
         pool.ended(this);
         settle();
         if (call != null) {
-            finish().broken();
+            finish().closed();
         }
     }
 
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
@@ -30,6 +31,7 @@
     private final PoolSettings settings;
     private final Deque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
+    private final ServerPresence presence;
     private volatile boolean closed;
 
     private HttpPool(Endpoint server, Loops loops, TimerService timers, PoolSettings settings) {
@@ -37,6 +39,7 @@
         this.loops = loops;
         this.timers = timers;
         this.settings = settings;
+        this.presence = ServerPresence.of(server, loops);
     }
 
     /**
@@ -112,6 +115,16 @@
         return settings;
     }
 
+    /**
+     * Asks whether the server listens, by a new connection. A server that ended refuses it at once; one that only
+     * closed a connection takes it. Questions that come while one is open are answered together.
+     *
+     * @param taker is told once; also that it listens when that can't be told
+     */
+    public void listening(Consumer<Boolean> taker) {
+        presence.ask(taker);
+    }
+
     void opened(ClientConnection connection) {
         open.add(connection);
     }
--- a/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
@@ -137,6 +137,22 @@
             listener.broken();
         }
 
+        @Override
+        public void closed() {
+            if (verdict == UpstreamDialect.Verdict.NOT_RUN) {
+                broken();
+                return;
+            }
+            dialect.ended(handOver);
+            pool.listening(alive -> {
+                if (alive) {
+                    listener.broken();
+                } else {
+                    listener.upstreamEnded();
+                }
+            });
+        }
+
         private void ended() {
             if (whole != null) {
                 listener.head(status, fields);
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -24,17 +24,28 @@
     /** The field with an attempt's id; it joins the lines of the node that sent it and the node that took it. */
     public static final String ATTEMPT = "attempt";
 
+    /** The field that names what a request asks for, the same for every try and repeat of it. */
+    public static final String DIGEST = "digest";
+
     private static final Logger LOG = LogManager.getLogger("decision");
 
     /** Lines of each kind in a second: a few hundred bytes each, some kilobytes a second under the worst load. */
     private static final int LINES_MOST = 5;
 
+    /**
+     * Lines in a second on what upstreams had when they ended: all that one of some hundred places has at a common
+     * load, about 20 KB. The call that ended it may be any of them.
+     */
+    private static final int ENDED_LINES_MOST = 64;
+
     private static final int FIELDS = 10;
 
     private final LineBudget budget;
+    private final LineBudget endedBudget;
 
-    private DecisionLogger(LineBudget budget) {
+    private DecisionLogger(LineBudget budget, LineBudget endedBudget) {
         this.budget = budget;
+        this.endedBudget = endedBudget;
     }
 
     /**
@@ -44,13 +55,13 @@
      * @return the logger
      */
     public static DecisionLogger on(TimerService timers) {
-        return new DecisionLogger(LineBudget.of(timers, LINES_MOST));
+        return new DecisionLogger(LineBudget.of(timers, LINES_MOST), LineBudget.of(timers, ENDED_LINES_MOST));
     }
 
     @Override
     public void note(Decision decision) {
         String kind = kind(decision);
-        int leftOut = budget.take(kind);
+        int leftOut = (decision instanceof Decision.EndedUnder ? endedBudget : budget).take(kind);
         if (leftOut < 0) {
             return;
         }
@@ -71,6 +82,7 @@
             case Decision.Rerouted d -> "rerouted-" + d.reason().label();
             case Decision.FateAsked d -> "fate-asked";
             case Decision.FateTold d -> "fate-told";
+            case Decision.EndedUnder d -> "upstream-ended-under";
             case Decision.Ejected d -> "upstream-ejected";
             case Decision.Member d -> "member";
             case Decision.RecordSkipped d -> "record-skipped";
@@ -119,6 +131,8 @@
                         .with("runState", d.state().label())
                         .with("reason", d.reason().label())
                         .with("incarnation", d.incarnation());
+            case Decision.EndedUnder d ->
+                line.with(CHAIN, d.chain()).with("upstream", d.upstream()).with(DIGEST, d.digest());
             case Decision.Ejected d -> line.with(CHAIN, d.chain()).with("upstream", d.upstream());
             case Decision.Member d ->
                 line.with("node", d.node())
--- /dev/null
+++ b/node/src/test/java/org/verbenadyke/node/http1/ServerEndTest.java
@@ -0,0 +1,168 @@
+package org.verbenadyke.node.http1;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.serve.UpstreamPort;
+import org.verbenadyke.node.time.LoopTimerService;
+import org.verbenadyke.node.transport.Loops;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests that a server which ends under its requests is told from one that closes a connection. */
+final class ServerEndTest {
+    private static final long PATIENCE_SECONDS = 20;
+
+    private final Loops loops = Loops.nio(1);
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final ServerSocket server = listen();
+    private final PooledUpstream upstream = PooledUpstream.over(
+            HttpPool.to(
+                    new Endpoint("127.0.0.1", server.getLocalPort()),
+                    loops,
+                    LoopTimerService.on(loops.group().next()),
+                    PoolSettings.standard()),
+            new Plain());
+
+    @AfterEach
+    void stop() throws IOException {
+        upstream.close();
+        server.close();
+        loops.group().shutdownGracefully();
+    }
+
+    @Test
+    void tellsAnEndWhenNothingListensAnyMore() throws Exception {
+        send();
+        send();
+        try (Socket first = accept();
+                Socket second = accept()) {
+            server.close();
+            reset(first);
+            reset(second);
+        }
+        assertEquals("ended", next());
+        assertEquals("ended", next());
+    }
+
+    @Test
+    void tellsABrokenExchangeWhenTheServerStillListens() throws Exception {
+        send();
+        try (Socket connection = accept()) {
+            reset(connection);
+        }
+        assertEquals("broken", next());
+    }
+
+    private void send() {
+        Message.Content content = new Message.Content("GET", "/p", List.of(), new byte[0]);
+        upstream.start(
+                new UpstreamPort.HandOver(content, "t", new RequestId(1, 1), Importance.NORMAL, 1_000_000_000L),
+                new Told());
+    }
+
+    private String next() throws InterruptedException {
+        return String.valueOf(told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** Takes a connection and the first byte of its request. */
+    private Socket accept() throws IOException {
+        Socket connection = server.accept();
+        connection.getInputStream().read();
+        return connection;
+    }
+
+    /** Closes with unread bytes, which resets, as the end of a process does. */
+    private static void reset(Socket connection) throws IOException {
+        connection.setSoLinger(true, 0);
+        connection.close();
+    }
+
+    private static ServerSocket listen() {
+        try {
+            return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Notes how an exchange ends. */
+    private final class Told implements UpstreamPort.Listener {
+        @Override
+        public void notRun() {
+            told.add("not run");
+        }
+
+        @Override
+        public void unreachable() {
+            told.add("unreachable");
+        }
+
+        @Override
+        public void head(int status, List<HeaderField> headers) {
+            told.add("head");
+        }
+
+        @Override
+        public void data(byte[] bytes) {
+            told.add("data");
+        }
+
+        @Override
+        public void end() {
+            told.add("end");
+        }
+
+        @Override
+        public void broken() {
+            told.add("broken");
+        }
+
+        @Override
+        public void upstreamEnded() {
+            told.add("ended");
+        }
+    }
+
+    /** Speaks plain HTTP. */
+    private static final class Plain implements UpstreamDialect {
+        @Override
+        public HttpRequestMessage request(UpstreamPort.HandOver handOver) {
+            Message.Content c = handOver.content();
+            return new HttpRequestMessage(c.method(), c.path(), c.headers(), c.body());
+        }
+
+        @Override
+        public String name(UpstreamPort.HandOver handOver) {
+            return "";
+        }
+
+        @Override
+        public boolean matches(UpstreamPort.HandOver handOver, List<HeaderField> fields) {
+            return true;
+        }
+
+        @Override
+        public Verdict verdict(int status, List<HeaderField> fields) {
+            return Verdict.ANSWER;
+        }
+
+        @Override
+        public void ended(UpstreamPort.HandOver handOver) {
+            // Nothing is kept of it.
+        }
+    }
+}
