--- /dev/null
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/EndingRequestTest.java
@@ -0,0 +1,83 @@
+package org.verbenadyke.bench.lab;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Tests a request that ends each upstream which begins to run it and that comes again at any node.
+ *
+ * <p>A lookup ended twenty servers in fifteen seconds. It ended the first at 8.175 s and, tried again at once, the
+ * second at 8.297 s; its caller came back at another node 1.2 s later, and the third and the last server of the service
+ * ended at 9.542 s and 9.662 s. Servers that had started again ended within their first second. Each try was judged as
+ * if it were the first: the 54 retries that nodes granted after a lost connection belonged to 54 different requests, as
+ * the nodes saw it, and no node knew what a server had been running when it ended. From 15 to 17 s three of 952 lookups
+ * were answered in time.
+ */
+final class EndingRequestTest {
+    private static final int SERVERS = 4;
+    private static final double LOOKUPS = 300;
+    private static final long EVERY = 1_200 * Lab.MILLI;
+
+    /** How often a request that has ended three upstreams may still reach one, in all the time after that. */
+    private static final int RUNS_MOST = 3;
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void isHeldBackEverywhereOnceItHasEndedThreeUpstreams(long seed) {
+        EndingFleet fleet = EndingFleet.start(seed, SERVERS, LOOKUPS);
+        fleet.sendBad(45 * Lab.SECOND, EVERY);
+        fleet.advance(48 * Lab.SECOND);
+        System.out.println("ending fleet, seed " + seed + ": " + fleet);
+        assertTrue(fleet.ends() >= RUNS_MOST, fleet.toString());
+        assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void isHeldBackThoughTheNodesThatSawItDieToo(long seed) {
+        EndingFleet fleet = EndingFleet.start(seed, SERVERS, LOOKUPS);
+        fleet.killNodesBesideEndedUpstreams(30 * Lab.MILLI);
+        fleet.sendBad(45 * Lab.SECOND, EVERY);
+        fleet.advance(48 * Lab.SECOND);
+        System.out.println("ending fleet, nodes killed, seed " + seed + ": " + fleet);
+        assertTrue(fleet.lateRunsAnywhere() <= RUNS_MOST, fleet.toString());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void isHeldBackByNodesThatStartedLater(long seed) {
+        EndingFleet fleet = EndingFleet.start(seed, SERVERS, LOOKUPS);
+        fleet.sendBad(45 * Lab.SECOND, EVERY);
+        fleet.advance(2 * Lab.SECOND);
+        fleet.killNodes(40 * Lab.SECOND, 700 * Lab.MILLI);
+        fleet.advance(46 * Lab.SECOND);
+        System.out.println("ending fleet, nodes killed in turn, seed " + seed + ": " + fleet);
+        assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void isHeldBackByNodesThatWereCutOffMeanwhile(long seed) {
+        EndingFleet fleet = EndingFleet.start(seed, SERVERS, LOOKUPS);
+        fleet.cut(3, 8 * Lab.SECOND);
+        fleet.sendBad(30 * Lab.SECOND, EVERY);
+        fleet.advance(33 * Lab.SECOND);
+        System.out.println("ending fleet, three cut off, seed " + seed + ": " + fleet);
+        assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
+    }
+
+    /** Upstreams that end for another reason, in series, must not get the lookups refused that they had. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void holdsNothingBackWhenUpstreamsEndByThemselves(long seed) {
+        EndingFleet fleet = EndingFleet.start(seed, SERVERS, LOOKUPS);
+        fleet.endUpstreams(12, 600 * Lab.MILLI);
+        fleet.advance(15 * Lab.SECOND);
+        System.out.println("ending fleet, ends of its own, seed " + seed + ": " + fleet);
+        assertEquals(0, fleet.heldLookups(), fleet.toString());
+        assertTrue(fleet.answeredShare() > 0.5, fleet.toString());
+    }
+}
--- a/bench/src/test/java/org/verbenadyke/bench/lab/WideFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/WideFleet.java
@@ -110,7 +110,7 @@
     }
 
     /** As a node on few places with far more callers than it can serve decides. */
-    private static Policy policy() {
+    static Policy policy() {
         Policy s = Policy.standard();
         return new Policy(
                 "expected-finish",
