--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -58,6 +58,8 @@
     KEY_OWNER_CHANGED(409),
     /** The key belongs to another node. */
     KEY_NOT_OWNER(503),
+    /** Upstreams ended, one after the other, while they had the same request. */
+    QUARANTINED(503),
     /** A fault inside the node. */
     INTERNAL(500);
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RetryReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RetryReason.java
@@ -12,6 +12,8 @@
     SHED,
     /** The connection was lost while an idempotent call was under way. */
     CONNECTION_LOST,
+    /** The upstream ended while it had an idempotent call. */
+    UPSTREAM_ENDED,
     /** The try took too long, where a policy bounds single tries. */
     TIMED_OUT,
     /** The call was not run since the upstream leaves or can't be reached; sent elsewhere without a retry. */
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberDuties.java
@@ -0,0 +1,59 @@
+package org.verbenadyke.kernel.core;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import org.verbenadyke.kernel.config.ConfigKeeper;
+import org.verbenadyke.kernel.follow.MemberRank;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberTable;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
+import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.serve.LocalUpstream;
+
+/**
+ * What falls to this node among the members it knows. All nodes that know the same members agree without asking.
+ */
+final class MemberDuties {
+    private static final int TAILERS = 3;
+
+    private final Supplier<MemberRecord> self;
+    private final MemberTable table;
+
+    private MemberDuties(Supplier<MemberRecord> self, MemberTable table) {
+        this.self = self;
+        this.table = table;
+    }
+
+    static MemberDuties of(Supplier<MemberRecord> self, MemberTable table) {
+        return new MemberDuties(self, table);
+    }
+
+    /** Tells whether this node is one of those that follow the log closely for their data centre. */
+    boolean tailing() {
+        MemberRecord me = self.get();
+        int rank = MemberRank.of(
+                me.nodeId(),
+                ConfigKeeper.STREAM,
+                table.present(),
+                r -> r.place().equals(me.place()));
+        return rank < TAILERS;
+    }
+
+    /** Counts the nodes beside upstreams of the same service that try a request which is held back before this one. */
+    int trialTurn(RequestDigest request) {
+        MemberRecord me = self.get();
+        return MemberRank.of(
+                me.nodeId(),
+                request.toString(),
+                table.present(),
+                r -> r.service().equals(me.service()));
+    }
+
+    /** Lists the upstreams that may take over what one of this node leaves behind. */
+    List<Upstream> heirs(LocalUpstream local) {
+        return table.accepting().stream()
+                .filter(u -> u.service().equals(local.service()) && !u.id().equals(local.id()))
+                .toList();
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -12,7 +12,6 @@
 import org.verbenadyke.kernel.engine.EngineParts;
 import org.verbenadyke.kernel.follow.FollowDuty;
 import org.verbenadyke.kernel.follow.FollowSettings;
-import org.verbenadyke.kernel.follow.MemberRank;
 import org.verbenadyke.kernel.membership.Gossip;
 import org.verbenadyke.kernel.membership.GossipMessage;
 import org.verbenadyke.kernel.membership.MemberRecord;
@@ -23,6 +22,8 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.owner.KeyOwners;
 import org.verbenadyke.kernel.owner.OwnerView;
+import org.verbenadyke.kernel.quarantine.Quarantine;
+import org.verbenadyke.kernel.quarantine.QuarantineSettings;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.LocalUpstream;
@@ -37,11 +38,12 @@
     private static final long TICK_NANOS = 100_000_000L;
     private static final long PAUSE_NANOS = 2_000_000_000L;
     private static final long REFRESH_NANOS = 5_000_000L;
-    private static final int TAILERS = 3;
 
     private final CoreParts parts;
     private final CoreSettings settings;
     private final MemberTable table = MemberTable.empty();
+    private final MemberDuties duties = MemberDuties.of(this::self, table);
+    private final Quarantine quarantine;
     private final KeyOwners owners;
     private final Engine engine;
     private final Gossip gossip;
@@ -57,6 +59,8 @@
         this.settings = settings;
         this.tickNanos = parts.timers().nanos();
         OwnerView view = OwnerView.of(table, parts.timers(), settings.owner(), this::leaving);
+        this.quarantine = Quarantine.create(
+                parts.timers(), QuarantineSettings.standard(), parts.counters(), parts.decisions(), duties::trialTurn);
         this.owners = KeyOwners.create(view, settings.owner(), parts.timers(), this::isolated);
         this.engine = Engine.create(engineParts(), settings.policy());
         owners.connectThrough(engine.links());
@@ -68,7 +72,7 @@
                 () -> parts.plans().plan().isPresent());
         this.gossip = Gossip.start(
                 new Gossip.Parts(
-                        parts.timers(), parts.datagrams(), parts.random().get(), parts.counters(), table),
+                        parts.timers(), parts.datagrams(), parts.random().get(), parts.counters(), table, quarantine),
                 settings.gossip(),
                 parts.self(),
                 parts.seeds(),
@@ -151,7 +155,7 @@
 
     /** Hands the keys on and says that the node stops as planned; called when nothing is in flight any more. */
     public void leave() {
-        engine.server().upstream().ifPresent(u -> owners.handOn(u, heirs(u)));
+        engine.server().upstream().ifPresent(u -> owners.handOn(u, duties.heirs(u)));
         gossip.change(MemberState.LEFT, gossip.self().service());
         memberLog.leave();
     }
@@ -236,13 +240,7 @@
      * @return whether it is
      */
     public boolean tailing() {
-        MemberRecord me = self();
-        int rank = MemberRank.of(
-                me.nodeId(),
-                ConfigKeeper.STREAM,
-                table.present(),
-                r -> r.place().equals(me.place()));
-        return rank < TAILERS;
+        return duties.tailing();
     }
 
     private EngineParts engineParts() {
@@ -256,6 +254,7 @@
                 parts.counters(),
                 parts.ledger(),
                 parts.decisions(),
+                quarantine,
                 owners,
                 (link, m) -> owners.received(link, m, upstream()),
                 this::planMessage);
@@ -288,12 +287,6 @@
                         > settings.owner().isolatedNanos();
     }
 
-    private List<Upstream> heirs(LocalUpstream local) {
-        return table.accepting().stream()
-                .filter(u -> u.service().equals(local.service()) && !u.id().equals(local.id()))
-                .toList();
-    }
-
     private void inForce(Configuration configuration) {
         engine.configure(configuration);
         if (gossip != null) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -136,6 +136,22 @@
         }
     }
 
+    /** Tells the node beside the upstream that nobody waits any more, unless the attempt is over. */
+    void cancel() {
+        if (sent() && !concluded && !link.closed()) {
+            link.send(new Message.Cancel(id));
+        }
+    }
+
+    /**
+     * Notes that the upstream ended. The node beside it notes the same end and may die with it; whichever is left tells
+     * the others.
+     */
+    void ended(Dispatcher.Parts parts, Request request) {
+        parts.quarantine().ended(request.content(), candidate.upstream().id());
+        failed(parts);
+    }
+
     /** Notes that the upstream failed, which may take it out of the choice for a while. */
     void failed(Dispatcher.Parts parts) {
         if (candidate.failed(parts.timers().nanos())) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -15,6 +15,7 @@
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.quarantine.Standing;
 import org.verbenadyke.kernel.routing.Candidate;
 import org.verbenadyke.kernel.routing.Choice;
 import org.verbenadyke.kernel.routing.RouteQuery;
@@ -26,7 +27,6 @@
  */
 final class Dispatch implements CallHandle {
     private static final int REROUTES_MOST = 3;
-    private static final int CREDIT_LEAST = 64 * 1024;
     private static final int FAILED = 500;
     private static final int UNAVAILABLE = 503;
 
@@ -42,7 +42,7 @@
     private boolean committed;
     private boolean asking;
     private int reroutes;
-    private int owedCredit;
+    private final OwedCredit credit = new OwedCredit();
     private RunState fate = RunState.NOT_RUN;
     private Subscription deadline;
 
@@ -63,17 +63,16 @@
         serial.run(() -> {
             long left = request.deadlineNanos() - parts.timers().nanos();
             deadline = parts.timers().after(left, () -> serial.run(this::deadlinePassed));
-            next();
+            next(current);
         });
     }
 
     @Override
     public void credit(int bytes) {
         serial.run(() -> {
-            owedCredit += bytes;
-            if (!done && current != null && current.sent() && owedCredit >= CREDIT_LEAST) {
-                current.link().send(new Message.Credit(current.id(), owedCredit));
-                owedCredit = 0;
+            credit.add(bytes);
+            if (!done) {
+                credit.pay(current);
             }
         });
     }
@@ -123,10 +122,6 @@
         }
     }
 
-    private void next() {
-        next(current);
-    }
-
     private void next(Attempt after) {
         if (done || after != current) {
             return;
@@ -149,6 +144,10 @@
 
     private void open(Attempt attempt) {
         current = attempt;
+        if (parts.quarantine().atEntry(request.content()) instanceof Standing.Held held) {
+            give(parts.quarantine().refusal(request.id(), request.content(), held));
+            return;
+        }
         parts.links().acquire(attempt.candidate().upstream().node(), link -> serial.run(() -> send(attempt, link)));
     }
 
@@ -264,20 +263,24 @@
                 reroute(attempt, refusal.reason());
             }
             case SHED_QUEUE, UPSTREAM_REFUSED -> askRetry(RetryReason.SHED, () -> give(refusal));
-            case UPSTREAM_BROKEN, UPSTREAM_ENDED, CONNECTION_LOST -> {
+            case UPSTREAM_ENDED -> {
+                attempt.ended(parts, request);
+                retryIfIdempotent(RetryReason.UPSTREAM_ENDED, refusal);
+            }
+            case UPSTREAM_BROKEN, CONNECTION_LOST -> {
                 attempt.failed(parts);
-                retryIfIdempotent(refusal);
+                retryIfIdempotent(RetryReason.CONNECTION_LOST, refusal);
             }
             default -> give(refusal);
         }
     }
 
-    private void retryIfIdempotent(Refusal refusal) {
+    private void retryIfIdempotent(RetryReason reason, Refusal refusal) {
         if (!request.idempotent()) {
             give(refusal);
             return;
         }
-        askRetry(RetryReason.CONNECTION_LOST, () -> give(refusal));
+        askRetry(reason, () -> give(refusal));
     }
 
     private void lost(Attempt attempt) {
@@ -294,7 +297,7 @@
         if (asking) {
             return;
         }
-        retryIfIdempotent(Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST));
+        retryIfIdempotent(RetryReason.CONNECTION_LOST, Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST));
     }
 
     private void inquire(Attempt attempt) {
@@ -315,7 +318,7 @@
             dispatcher.afterPause(serial, () -> next(null));
             return;
         }
-        next();
+        next(current);
     }
 
     private void askRetry(RetryReason reason, Runnable otherwise) {
@@ -336,7 +339,7 @@
             if (reason == RetryReason.CONNECTION_LOST && same.accepting()) {
                 open(dispatcher.open(this, same));
             } else {
-                next();
+                next(current);
             }
             return;
         }
@@ -354,9 +357,7 @@
     }
 
     private void close(Attempt attempt) {
-        if (attempt.sent() && !attempt.concluded() && !attempt.link().closed()) {
-            attempt.link().send(new Message.Cancel(attempt.id()));
-        }
+        attempt.cancel();
         dispatcher.close(attempt);
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -20,6 +20,7 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Candidate;
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.time.TimerService;
@@ -183,6 +184,7 @@
      * @param counters where refusals and retries are counted
      * @param ledger checks the promises
      * @param decisions takes what is to be explained later
+     * @param quarantine holds requests back under which upstreams end
      */
     public record Parts(
             long incarnation,
@@ -192,7 +194,8 @@
             Supplier<RandomGenerator> random,
             Counters counters,
             Ledger ledger,
-            DecisionLog decisions) {}
+            DecisionLog decisions,
+            Quarantine quarantine) {}
 
     /**
      * A calling and a called service.
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -71,7 +71,8 @@
                         parts.random(),
                         parts.counters(),
                         parts.ledger(),
-                        parts.decisions()),
+                        parts.decisions(),
+                        parts.quarantine()),
                 policy.dispatch());
         this.server = CallServer.create(
                 new CallServer.Parts(
@@ -82,7 +83,8 @@
                         parts.ledger(),
                         router.levels(),
                         parts.keyClaims(),
-                        parts.decisions()),
+                        parts.decisions(),
+                        parts.quarantine()),
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.keeping(policy.keyRetentionNanos());
         this.keys = KeyTable.keeping(policy.keyRetentionNanos());
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -9,6 +9,7 @@
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.kernel.time.TimerService;
@@ -26,6 +27,7 @@
  * @param counters the node's counters
  * @param ledger checks the promises
  * @param decisions takes what is to be explained later
+ * @param quarantine holds requests back under which upstreams end
  * @param keyClaims decides about idempotency keys
  * @param keyMessages takes messages about keys from other nodes
  * @param planMessages takes messages about routes
@@ -40,6 +42,7 @@
         Counters counters,
         Ledger ledger,
         DecisionLog decisions,
+        Quarantine quarantine,
         KeyClaims keyClaims,
         BiConsumer<Link, Message> keyMessages,
         BiConsumer<Link, Message> planMessages) {}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/EndGossip.java
@@ -0,0 +1,147 @@
+package org.verbenadyke.kernel.membership;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+import org.verbenadyke.kernel.concurrent.Serial;
+import org.verbenadyke.kernel.quarantine.EndReport;
+import org.verbenadyke.kernel.quarantine.Quarantine;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
+import org.verbenadyke.kernel.quarantine.UpstreamEnd;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * Spreads what is known of requests under which upstreams end. Each node passes what is new to it on once, to a few
+ * others, within milliseconds; the rounds of gossip compare hashes and mend what the pushes missed, also at nodes that
+ * were cut off, paused or not yet started. Runs inside the serial runner of {@link Gossip}.
+ */
+final class EndGossip {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Digests a datagram, of some 20 bytes each: below the size at which datagrams are split. */
+    private static final int DIGESTS_MOST = 48;
+
+    /** Ends that one comparison brings: all that four upstreams of some hundred places had. */
+    private static final int COMPARED_MOST = 512;
+
+    /** The least time between two comparisons: a sixth of the time within which every node must know. */
+    private static final long COMPARE_NANOS = 500_000_000L;
+
+    private final String self;
+    private final TimerService timers;
+    private final GossipSettings settings;
+    private final Serial serial;
+    private final MemberTable table;
+    private final PeerChoice peers;
+    private final Quarantine quarantine;
+    private final BiConsumer<Endpoint, GossipMessage> port;
+    private final List<UpstreamEnd> fresh = new ArrayList<>();
+    private long comparedNanos;
+
+    private EndGossip(
+            String self,
+            Gossip.Parts parts,
+            GossipSettings settings,
+            Serial serial,
+            PeerChoice peers,
+            BiConsumer<Endpoint, GossipMessage> port) {
+        this.self = self;
+        this.timers = parts.timers();
+        this.settings = settings;
+        this.serial = serial;
+        this.table = parts.table();
+        this.peers = peers;
+        this.quarantine = parts.quarantine();
+        this.port = port;
+        this.comparedNanos = timers.nanos() - COMPARE_NANOS;
+    }
+
+    /** Starts to spread what a node's quarantine learns. */
+    static EndGossip start(
+            String self,
+            Gossip.Parts parts,
+            GossipSettings settings,
+            Serial serial,
+            PeerChoice peers,
+            BiConsumer<Endpoint, GossipMessage> port) {
+        EndGossip gossip = new EndGossip(self, parts, settings, serial, peers, port);
+        gossip.quarantine.onNews(end -> serial.run(() -> gossip.learned(end)));
+        return gossip;
+    }
+
+    /** Takes what another node tells. */
+    void take(GossipMessage.Ends ends) {
+        long now = timers.nanos();
+        for (EndReport r : ends.reports()) {
+            long at = now - r.ageMillis() * NANOS_PER_MILLI;
+            r.requests().forEach(d -> quarantine.hear(new UpstreamEnd(d, r.upstream(), r.cleared(), at, ends.from())));
+        }
+    }
+
+    /** Takes the hash of what another node knows, and tells it what this one knows when they differ. */
+    void seen(Endpoint from, long theirs) {
+        long now = timers.nanos();
+        if (theirs != quarantine.fingerprint() && now - comparedNanos >= COMPARE_NANOS) {
+            comparedNanos = now;
+            datagrams(quarantine.ends(COMPARED_MOST)).forEach(m -> port.accept(from, m));
+        }
+    }
+
+    long fingerprint() {
+        return quarantine.fingerprint();
+    }
+
+    void sweep() {
+        quarantine.sweep();
+    }
+
+    private void learned(UpstreamEnd end) {
+        fresh.add(end);
+        if (fresh.size() == 1) {
+            timers.after(settings.pushNanos(), () -> serial.run(this::push));
+        }
+    }
+
+    private void push() {
+        List<GossipMessage.Ends> news = datagrams(fresh);
+        fresh.clear();
+        peers.draw(table.present(), settings.fanOut()).forEach(r -> news.forEach(m -> port.accept(r.endpoint(), m)));
+    }
+
+    /** Words ends as datagrams of a bounded size, those of one upstream together. */
+    private List<GossipMessage.Ends> datagrams(List<UpstreamEnd> ends) {
+        List<GossipMessage.Ends> datagrams = new ArrayList<>();
+        for (int i = 0; i < ends.size(); i += DIGESTS_MOST) {
+            List<UpstreamEnd> part = ends.subList(i, Math.min(ends.size(), i + DIGESTS_MOST));
+            datagrams.add(new GossipMessage.Ends(self, reports(part)));
+        }
+        return datagrams;
+    }
+
+    private List<EndReport> reports(List<UpstreamEnd> ends) {
+        long now = timers.nanos();
+        Map<Group, EndReport> byUpstream = new LinkedHashMap<>();
+        for (UpstreamEnd e : ends) {
+            int age = (int) ((now - e.atNanos()) / NANOS_PER_MILLI);
+            byUpstream
+                    .computeIfAbsent(
+                            new Group(e.upstream(), e.cleared()),
+                            g -> new EndReport(g.upstream(), g.cleared(), age, new ArrayList<RequestDigest>()))
+                    .requests()
+                    .add(e.request());
+        }
+        return List.copyOf(byUpstream.values());
+    }
+
+    /**
+     * What the requests of one report have in common.
+     *
+     * @param upstream the upstream that ended
+     * @param cleared whether they have been answered since
+     */
+    private record Group(String upstream, boolean cleared) {}
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -1,11 +1,7 @@
 package org.verbenadyke.kernel.membership;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -14,6 +10,7 @@
 import org.verbenadyke.kernel.config.ConfigState;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
 
@@ -23,8 +20,6 @@
  * Everything happens inside a serial runner.
  */
 public final class Gossip {
-    private static final int NEWS_MOST = 8;
-    private static final int REPEATS = 6;
     private static final long TICKET_NONE = 0;
 
     private final Self self;
@@ -38,7 +33,8 @@
     private final FailureDetector detector;
     private final TableDifferences differences;
     private final Serial serial = Serial.create();
-    private final Map<String, Integer> hot = new HashMap<>();
+    private final HotNews hot;
+    private final EndGossip ends;
     private final Set<Endpoint> seeds = new HashSet<>();
     private boolean pushing;
     private volatile long heardNanos;
@@ -56,6 +52,8 @@
         this.peers = new PeerChoice(start.nodeId(), start.place(), parts.random());
         this.detector = new FailureDetector(timers, settings, serial, table, peers, new Host());
         this.differences = new TableDifferences(start.nodeId(), timers, table, this::send);
+        this.hot = new HotNews(table);
+        this.ends = EndGossip.start(start.nodeId(), parts, settings, serial, peers, this::send);
         this.heardNanos = timers.nanos();
     }
 
@@ -176,7 +174,7 @@
             case GossipMessage.Rumor m -> {
                 m.news().forEach(this::learn);
                 if (m.ticket() != TICKET_NONE) {
-                    send(from, new GossipMessage.Ack(self().nodeId(), m.ticket(), view(), news()));
+                    send(from, new GossipMessage.Ack(self().nodeId(), m.ticket(), view(), hot.next()));
                 } else if (m.view().planVersion() < listener.planVersion()) {
                     // A node that starts has its routes in a round trip, not at the next round 250 ms later.
                     send(from, rumor(TICKET_NONE));
@@ -191,6 +189,7 @@
             case GossipMessage.Probe m -> detector.probe(m);
             case GossipMessage.ProbeAck m -> detector.answered(m.ticket());
             case GossipMessage.Buckets m -> differences.exchange(from, m);
+            case GossipMessage.Ends m -> ends.take(m);
             case GossipMessage.Records m -> m.records().forEach(this::learn);
             case GossipMessage.ConfigWanted m ->
                 listener.config().ifPresent(s -> send(from, new GossipMessage.ConfigNews(s)));
@@ -201,6 +200,7 @@
     private void round() {
         serial.run(() -> {
             table.expire(timers.nanos(), timers.wallMillis(), settings.keptNanos());
+            ends.sweep();
             List<MemberRecord> present = table.present();
             List<MemberRecord> drawn = peers.draw(present, 1);
             drawn.forEach(detector::check);
@@ -234,7 +234,7 @@
         if (!table.merge(record, timers.nanos())) {
             return;
         }
-        hot.put(record.nodeId(), REPEATS);
+        hot.add(record.nodeId());
         listener.membersChanged();
         listener.learned(record);
         if (!pushing) {
@@ -250,7 +250,7 @@
     }
 
     private GossipMessage.Rumor rumor(long ticket) {
-        return new GossipMessage.Rumor(self().nodeId(), ticket, view(), news());
+        return new GossipMessage.Rumor(self().nodeId(), ticket, view(), hot.next());
     }
 
     private GossipMessage.View view() {
@@ -258,20 +258,8 @@
                 table.digest(),
                 listener.config().map(ConfigState::version).orElse(-1L),
                 listener.planVersion(),
-                listener.followedMillis());
-    }
-
-    private List<MemberRecord> news() {
-        List<MemberRecord> news = new ArrayList<>(NEWS_MOST);
-        Iterator<Map.Entry<String, Integer>> i = hot.entrySet().iterator();
-        while (i.hasNext() && news.size() < NEWS_MOST) {
-            Map.Entry<String, Integer> e = i.next();
-            table.find(e.getKey()).ifPresent(news::add);
-            if (e.setValue(e.getValue() - 1) <= 1) {
-                i.remove();
-            }
-        }
-        return news;
+                listener.followedMillis(),
+                ends.fingerprint());
     }
 
     private void compare(Endpoint from, GossipMessage.View theirs) {
@@ -283,6 +271,7 @@
             listener.newerPlanAt(from);
         }
         differences.seen(from, theirs.digest());
+        ends.seen(from, theirs.endsFingerprint());
     }
 
     private void send(Endpoint to, GossipMessage message) {
@@ -325,9 +314,15 @@
      * @param random where randomness comes from
      * @param counters where messages are counted
      * @param table the members
+     * @param quarantine what is known of requests under which upstreams end
      */
     public record Parts(
-            TimerService timers, DatagramPort port, RandomGenerator random, Counters counters, MemberTable table) {}
+            TimerService timers,
+            DatagramPort port,
+            RandomGenerator random,
+            Counters counters,
+            MemberTable table,
+            Quarantine quarantine) {}
 
     /**
      * Takes news.
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -14,7 +14,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 3;
+    int VERSION = 4;
 
     /**
      * The first message of both sides.
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -50,6 +50,10 @@
     GOSSIP_SENT,
     /** A gossip message was received. */
     GOSSIP_RECEIVED,
+    /** A request began to be held back, since upstreams ended under it. */
+    QUARANTINE_BEGUN,
+    /** A request that was held back was answered in a trial, and is no longer held back. */
+    QUARANTINE_LIFTED,
     /** An invariant was breached. */
     INVARIANT_BREACHED;
 
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -0,0 +1,280 @@
+package org.verbenadyke.kernel.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
+
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.time.TimerService;
+import org.verbenadyke.kernel.trace.Decision;
+import org.verbenadyke.kernel.trace.DecisionLog;
+
+/**
+ * Holds back requests under which upstreams end, whatever entry, try or caller's repeat they come by. Safe for many
+ * threads; looking a request up takes no lock.
+ *
+ * <p>Load pattern: one request ends each upstream that begins to run it, a tenth of a second later, and with it the
+ * dozens of harmless ones that the upstream had. All of them are tried again at once, and the guilty one comes again at
+ * any node, every second or so. Evidence is the end of an upstream that was not leaving, against every request it had.
+ * An answer to a request, of any status, clears it of all ends known where the answer was seen: popular and harmless
+ * requests are answered somewhere all the time. The second end of a request makes it run beside no other suspect, so
+ * that the third is the fault of one request only. After that it is held back, and tried now and then at one upstream.
+ */
+public final class Quarantine {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final TimerService timers;
+    private final QuarantineSettings settings;
+    private final Counters counters;
+    private final DecisionLog decisions;
+    private final ToIntFunction<RequestDigest> turn;
+    private final Map<RequestDigest, Suspect> suspects = new ConcurrentHashMap<>();
+
+    /** How many suspects have each path, so that the bodies of most requests needn't be read. */
+    private final Map<Integer, Integer> targets = new ConcurrentHashMap<>();
+
+    private volatile Consumer<UpstreamEnd> news = end -> {};
+    private volatile boolean changed = true;
+    private volatile long fingerprint;
+
+    private Quarantine(
+            TimerService timers,
+            QuarantineSettings settings,
+            Counters counters,
+            DecisionLog decisions,
+            ToIntFunction<RequestDigest> turn) {
+        this.timers = timers;
+        this.settings = settings;
+        this.counters = counters;
+        this.decisions = decisions;
+        this.turn = turn;
+    }
+
+    /**
+     * Creates a quarantine without suspects.
+     *
+     * @param timers the time
+     * @param settings when a request is held back
+     * @param counters where events are counted
+     * @param decisions takes what is to be explained later
+     * @param turn tells how many upstreams try a request before the one beside this node
+     * @return the quarantine
+     */
+    public static Quarantine create(
+            TimerService timers,
+            QuarantineSettings settings,
+            Counters counters,
+            DecisionLog decisions,
+            ToIntFunction<RequestDigest> turn) {
+        return new Quarantine(timers, settings, counters, decisions, turn);
+    }
+
+    /**
+     * Creates the quarantine of a node that tells nobody and hears of nobody.
+     *
+     * @param timers the time
+     * @return the quarantine
+     */
+    public static Quarantine alone(TimerService timers) {
+        return create(timers, QuarantineSettings.standard(), Counters.create(), DecisionLog.none(), request -> 0);
+    }
+
+    /**
+     * Subscribes to what is new here, whether it was seen here or told by others.
+     *
+     * @param listener takes each new end, and each that has been cleared
+     */
+    public void onNews(Consumer<UpstreamEnd> listener) {
+        news = listener;
+    }
+
+    /**
+     * Takes notice that an upstream ended while it had a request.
+     *
+     * @param content the request
+     * @param upstream the id of the upstream
+     */
+    public void ended(Message.Content content, String upstream) {
+        hear(new UpstreamEnd(RequestDigest.of(content), upstream, false, timers.nanos(), ""));
+    }
+
+    /**
+     * Takes notice that an upstream answered a request.
+     *
+     * @param content the request
+     */
+    public void answered(Message.Content content) {
+        if (!targets.containsKey(RequestDigest.targetOf(content))) {
+            return;
+        }
+        Suspect suspect = suspects.get(RequestDigest.of(content));
+        if (suspect == null || suspect.standing() == 0) {
+            return;
+        }
+        if (suspect.standing() >= settings.heldFrom()) {
+            counters.count(Event.QUARANTINE_LIFTED);
+        }
+        suspect.ends().stream().filter(e -> !e.cleared()).forEach(e -> hear(e.clear()));
+    }
+
+    /**
+     * Takes an end that was seen here or told by another node.
+     *
+     * @param end the end
+     */
+    public void hear(UpstreamEnd end) {
+        if (timers.nanos() - end.atNanos() > settings.keptNanos()) {
+            return;
+        }
+        boolean[] fresh = {false};
+        Suspect after = suspects.compute(end.request(), (request, known) -> {
+            Suspect before = known == null ? Suspect.nobody() : known;
+            Suspect with = before.with(end);
+            fresh[0] = with != before;
+            if (known == null) {
+                targets.merge(request.target(), 1, Integer::sum);
+            }
+            return with;
+        });
+        if (!fresh[0]) {
+            return;
+        }
+        changed = true;
+        if (!end.cleared() && after.standing() == settings.heldFrom()) {
+            counters.count(Event.QUARANTINE_BEGUN);
+            decisions.note(new Decision.Quarantined(end.request(), after.evidence(timers.nanos())));
+        }
+        news.accept(end);
+    }
+
+    /**
+     * Tells how a request stands where it enters. While no upstream has ended this costs one look at an empty table.
+     *
+     * @param content the request
+     * @return held back, or free
+     */
+    public Standing atEntry(Message.Content content) {
+        return standing(content, false);
+    }
+
+    /**
+     * Tells how a request stands beside the upstream that is to run it.
+     *
+     * @param content the request
+     * @return its standing there
+     */
+    public Standing atUpstream(Message.Content content) {
+        return standing(content, true);
+    }
+
+    /**
+     * Words the refusal of a request that is held back, and explains it. The caller learns when the next trial is due,
+     * however long that is: its request ends whatever runs it before, or is held by mistake until then.
+     *
+     * @param chain the request as nodes name it
+     * @param content the request
+     * @param held its standing
+     * @return the refusal; this try has not run
+     */
+    public Refusal refusal(RequestId chain, Message.Content content, Standing.Held held) {
+        long millis = held.nanos() / NANOS_PER_MILLI + 1;
+        decisions.note(new Decision.HeldBack(chain, RequestDigest.of(content), millis, held.evidence()));
+        return Refusal.notRun(RefusalReason.QUARANTINED, millis);
+    }
+
+    /**
+     * Returns a hash of what is known, to compare it with other nodes.
+     *
+     * @return the same on all nodes that know the same
+     */
+    public long fingerprint() {
+        if (changed) {
+            changed = false;
+            fingerprint =
+                    suspects.values().stream().mapToLong(Suspect::fingerprint).sum();
+        }
+        return fingerprint;
+    }
+
+    /**
+     * Lists what is known, the gravest and newest first.
+     *
+     * @param most how many ends at most
+     * @return the ends
+     */
+    public List<UpstreamEnd> ends(int most) {
+        return suspects.values().stream()
+                .sorted(Comparator.comparingInt(Suspect::standing)
+                        .thenComparingLong(Suspect::newestNanos)
+                        .reversed())
+                .flatMap(s -> s.ends().stream())
+                .limit(most)
+                .toList();
+    }
+
+    /** Forgets what is past its time, and the oldest of what is too much; called every few hundred milliseconds. */
+    public void sweep() {
+        if (suspects.isEmpty()) {
+            return;
+        }
+        long now = timers.nanos();
+        List<RequestDigest> old = new ArrayList<>();
+        int ends = 0;
+        for (Map.Entry<RequestDigest, Suspect> e : suspects.entrySet()) {
+            ends += e.getValue().ends().size();
+            if (now - keptUntil(e.getValue()) > 0) {
+                old.add(e.getKey());
+            }
+        }
+        old.forEach(this::forget);
+        if (ends > settings.endsMost()) {
+            suspects.entrySet().stream()
+                    .filter(e -> e.getValue().standing() < settings.heldFrom())
+                    .sorted(Comparator.comparingLong(e -> e.getValue().newestNanos()))
+                    .limit(ends - settings.endsMost())
+                    .map(Map.Entry::getKey)
+                    .forEach(this::forget);
+        }
+    }
+
+    private Standing standing(Message.Content content, boolean besideUpstream) {
+        if (!targets.containsKey(RequestDigest.targetOf(content))) {
+            return Standing.FREE;
+        }
+        RequestDigest digest = RequestDigest.of(content);
+        Suspect suspect = suspects.get(digest);
+        int ends = suspect == null ? 0 : suspect.standing();
+        if (ends < settings.aloneFrom()) {
+            return Standing.FREE;
+        }
+        if (ends < settings.heldFrom()) {
+            return Standing.ALONE;
+        }
+        long now = timers.nanos();
+        long turns = besideUpstream ? turn.applyAsInt(digest) * settings.turnNanos() : 0;
+        long left = suspect.newestStandingNanos() + settings.holdAfter(ends) + turns - now;
+        return left > 0 ? new Standing.Held(ends, left, suspect.evidence(now)) : Standing.ALONE;
+    }
+
+    private long keptUntil(Suspect suspect) {
+        int ends = suspect.standing();
+        long hold = ends < settings.heldFrom() ? 0 : settings.holdAfter(ends);
+        return suspect.newestNanos() + hold + settings.keptNanos();
+    }
+
+    private void forget(RequestDigest request) {
+        if (suspects.remove(request) != null) {
+            targets.computeIfPresent(request.target(), (t, n) -> n == 1 ? null : n - 1);
+            changed = true;
+        }
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -18,6 +18,7 @@
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.SeenCalls;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.TimerService;
@@ -31,6 +32,7 @@
     private final Parts parts;
     private final ServeSettings settings;
     private final SeenCalls seen;
+    private final SuspectLane lane = SuspectLane.free();
     private final Map<CallId, IncomingCall> calls = new ConcurrentHashMap<>();
     private final Map<String, CallContext> contexts = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
@@ -222,12 +224,23 @@
         }
     }
 
-    /** Notes what an upstream had when it ended. One that was leaving ends as planned, with whatever it still has. */
-    void noteEnded(Message.Call call, LocalUpstream local) {
-        if (!local.draining()) {
-            RequestDigest digest = RequestDigest.of(call.content());
-            parts.decisions.note(new Decision.EndedUnder(call.request(), local.id(), digest));
+    /**
+     * Notes what an upstream had when it ended, and returns what to call that. One that was leaving ends as planned,
+     * with whatever it still has; that says nothing of its calls.
+     */
+    RefusalReason noteEnded(Message.Call call, LocalUpstream local) {
+        if (local.draining()) {
+            return RefusalReason.UPSTREAM_BROKEN;
         }
+        String id = call.target().upstream();
+        parts.decisions.note(new Decision.EndedUnder(call.request(), id, RequestDigest.of(call.content())));
+        parts.quarantine.ended(call.content(), id);
+        return RefusalReason.UPSTREAM_ENDED;
+    }
+
+    /** Returns where calls run one at a time under which upstreams have ended. */
+    SuspectLane lane() {
+        return lane;
     }
 
     private Optional<IncomingCall> find(CallId id) {
@@ -253,11 +266,11 @@
             turnAway(link, call, RefusalReason.DRAINING);
             return;
         }
-        IncomingCall incoming = new IncomingCall(this, local, call, link);
-        if (incoming.stale()) {
+        if (Freshness.stale(call, parts.timers.nanos(), settings.fenceGraceNanos())) {
             turnAway(link, call, RefusalReason.FENCED);
             return;
         }
+        IncomingCall incoming = new IncomingCall(this, local, call, link);
         calls.put(call.id(), incoming);
         incoming.start();
     }
@@ -313,6 +326,7 @@
      * @param levels what is known of the levels of the services below
      * @param keys decides and asks about the owners of keys
      * @param decisions takes what is to be explained later
+     * @param quarantine holds requests back under which upstreams end
      */
     public record Parts(
             long incarnation,
@@ -322,5 +336,6 @@
             Ledger ledger,
             ServiceLevels levels,
             KeyClaims keys,
-            DecisionLog decisions) {}
+            DecisionLog decisions,
+            Quarantine quarantine) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -21,7 +21,7 @@
 /**
  * One call received from a node above. Everything happens inside a serial runner; only the link is read from elsewhere.
  */
-final class IncomingCall implements Waiting, UpstreamPort.Listener, KeyedTry.Host {
+final class IncomingCall implements Waiting, UpstreamPort.Listener, KeyedTry.Host, SuspectLane.Suspected {
     private static final int UNAVAILABLE = 503;
 
     private final CallServer server;
@@ -30,6 +30,7 @@
     private final Serial serial = Serial.create();
     private final CallTimes times;
     private final AnswerWriter answer;
+    private final SuspectPass suspicion;
     private volatile Link link;
     private volatile Phase phase = Phase.WAITING;
     private volatile long finishedNanos;
@@ -50,6 +51,7 @@
         this.call = call;
         this.link = link;
         this.times = CallTimes.receivedNow(call, server.parts().timers(), server.settings());
+        this.suspicion = new SuspectPass(server, call, this);
         this.answer = new AnswerWriter(call.id(), server.settings(), !call.idempotent());
     }
 
@@ -69,10 +71,6 @@
         return finished() && now - finishedNanos > server.sweepNanos();
     }
 
-    boolean stale() {
-        return times.stale();
-    }
-
     void start() {
         serial.run(() -> {
             timer = server.parts()
@@ -191,10 +189,7 @@
 
     @Override
     public void head(int newStatus, List<HeaderField> headers) {
-        serial.run(() -> {
-            if (phase != Phase.HANDED) {
-                return;
-            }
+        whileHanded(() -> {
             status = newStatus;
             headNanos = times.now();
             timer.cancel();
@@ -209,10 +204,7 @@
 
     @Override
     public void data(byte[] bytes) {
-        serial.run(() -> {
-            if (phase != Phase.HANDED) {
-                return;
-            }
+        whileHanded(() -> {
             idle.progressed();
             answer.data(bytes, link);
             requestMore();
@@ -221,11 +213,9 @@
 
     @Override
     public void end() {
-        serial.run(() -> {
-            if (phase != Phase.HANDED) {
-                return;
-            }
+        whileHanded(() -> {
             answer.end(link);
+            server.parts().quarantine().answered(call.content());
             finish(status == UNAVAILABLE ? ConcurrencyLimit.Outcome.SHED : ConcurrencyLimit.Outcome.ANSWERED);
         });
     }
@@ -237,10 +227,16 @@
 
     @Override
     public void upstreamEnded() {
+        whileHanded(() -> {
+            Refusal refusal = Refusal.mayHaveRun(server.noteEnded(call, local));
+            fail(refusal, ConcurrencyLimit.Outcome.IGNORED);
+        });
+    }
+
+    private void whileHanded(Runnable step) {
         serial.run(() -> {
             if (phase == Phase.HANDED) {
-                server.noteEnded(call, local);
-                fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_ENDED), ConcurrencyLimit.Outcome.IGNORED);
+                step.run();
             }
         });
     }
@@ -284,14 +280,8 @@
     }
 
     private void handOver() {
-        if (phase != Phase.WAITING) {
-            local.gate().release(times.now(), 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
-            return;
-        }
         handedNanos = times.now();
-        boolean late = handedNanos >= times.deadline();
-        if (late || stale()) {
-            refuseNotRun(late ? RefusalReason.DEADLINE : RefusalReason.FENCED);
+        if (phase != Phase.WAITING || heldBack()) {
             local.gate().release(handedNanos, 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
             return;
         }
@@ -301,6 +291,25 @@
         exchange = local.port().start(server.handOver(call, context, times.deadline() - handedNanos), this);
     }
 
+    /** Refuses the call if it is too late, or leaves it waiting if it must not run beside another. */
+    private boolean heldBack() {
+        boolean late = handedNanos >= times.deadline();
+        if (late || times.stale()) {
+            refuseNotRun(late ? RefusalReason.DEADLINE : RefusalReason.FENCED);
+            return true;
+        }
+        return suspicion.denied(this::refuseNow);
+    }
+
+    @Override
+    public void resume() {
+        serial.run(() -> {
+            if (phase == Phase.WAITING) {
+                local.gate().offer(this, times.now());
+            }
+        });
+    }
+
     private void requestMore() {
         if (answer.wantsMore()) {
             exchange.request();
@@ -308,10 +317,8 @@
     }
 
     private void onIdle() {
-        if (phase == Phase.HANDED) {
-            exchange.cancel();
-            fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED);
-        }
+        exchange.cancel();
+        fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED);
     }
 
     private void breakOff() {
@@ -332,9 +339,8 @@
             tellAbove(Refusal.mayHaveRun(RefusalReason.DEADLINE));
         }
         if (call.idempotent() || times.expiredForGood()) {
-            exchange.cancel();
             lastRefusal = Refusal.mayHaveRun(RefusalReason.DEADLINE);
-            finish(ConcurrencyLimit.Outcome.IGNORED);
+            breakOff();
             return;
         }
         timer = server.parts().timers().after(times.afterDeadline(), () -> serial.run(this::onDeadline));
@@ -380,6 +386,7 @@
     private void conclude() {
         finishedNanos = times.now();
         timer.cancel();
+        suspicion.over();
         if (call.idempotent()) {
             server.forget(this);
         }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/SuspectPass.java
@@ -0,0 +1,47 @@
+package org.verbenadyke.kernel.serve;
+
+import java.util.function.Consumer;
+
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.quarantine.Standing;
+
+/**
+ * Asks for one received call whether it may be handed to the upstream, by what is known of ends of upstreams under the
+ * same request. Asked right before the hand-over, so that no call gets past it: a first try, a retry, a filing, or one
+ * that waited while upstreams ended elsewhere.
+ */
+final class SuspectPass {
+    private final CallServer server;
+    private final Message.Call call;
+    private final SuspectLane.Suspected taker;
+    private boolean suspected;
+
+    SuspectPass(CallServer server, Message.Call call, SuspectLane.Suspected taker) {
+        this.server = server;
+        this.call = call;
+        this.taker = taker;
+    }
+
+    /** Tells whether the call must not be handed over now: it is refused, or resumed later. */
+    boolean denied(Consumer<Refusal> refuse) {
+        return switch (server.parts().quarantine().atUpstream(call.content())) {
+            case Standing.Free free -> false;
+            case Standing.Alone alone -> {
+                suspected = true;
+                yield !server.lane().enter(taker);
+            }
+            case Standing.Held held -> {
+                refuse.accept(server.parts().quarantine().refusal(call.request(), call.content(), held));
+                yield true;
+            }
+        };
+    }
+
+    /** Takes notice that the call has ended, however. */
+    void over() {
+        if (suspected) {
+            server.lane().leave(taker);
+        }
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -114,6 +114,25 @@
      */
     record EndedUnder(RequestId chain, String upstream, RequestDigest digest) implements Decision {}
 
+    /**
+     * A request is held back from now on, since upstreams ended while they had it.
+     *
+     * @param digest what the request asks for
+     * @param evidence the ends: which, how long ago, told by whom
+     */
+    record Quarantined(RequestDigest digest, String evidence) implements Decision {}
+
+    /**
+     * A request was not let through, since upstreams ended while they had it before.
+     *
+     * @param chain the request
+     * @param digest what it asks for
+     * @param retryAfterMillis after how long it may be tried again, in milliseconds
+     * @param evidence the ends: which, how long ago, told by whom
+     */
+    record HeldBack(RequestId chain, RequestDigest digest, long retryAfterMillis, String evidence)
+            implements Decision {}
+
     /**
      * An upstream was taken out of the choice for a while.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -19,6 +19,7 @@
 import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Candidate;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
@@ -54,7 +55,8 @@
                     () -> random,
                     counters,
                     Ledger.watching(b -> got.add("breach " + b)),
-                    DecisionLog.none()),
+                    DecisionLog.none(),
+                    Quarantine.alone(clock)),
             DispatchSettings.standard());
 
     DispatcherTest() {
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.routing.Router;
@@ -48,7 +49,8 @@
                     () -> random,
                     Counters.create(),
                     Ledger.off(),
-                    DecisionLog.none()),
+                    DecisionLog.none(),
+                    Quarantine.alone(clock)),
             DispatchSettings.standard());
 
     @Test
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ForgottenFilingTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ForgottenFilingTest.java
@@ -12,6 +12,7 @@
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.routing.Upstream;
@@ -119,6 +120,7 @@
                 Counters.create(),
                 Ledger.off(),
                 DecisionLog.none(),
+                Quarantine.alone(clock),
                 KeyClaims.alone(),
                 (link, message) -> {},
                 (link, message) -> {});
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ReturnedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ReturnedUpstreamTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.kernel.serve.UpstreamPort;
@@ -27,6 +28,7 @@
                     Counters.create(),
                     Ledger.off(),
                     DecisionLog.none(),
+                    Quarantine.alone(clock),
                     KeyClaims.alone(),
                     (link, message) -> {},
                     (link, message) -> {}),
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
@@ -0,0 +1,178 @@
+package org.verbenadyke.kernel.quarantine;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.time.VirtualTimerService;
+import org.verbenadyke.kernel.trace.Decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests which requests a {@link Quarantine} holds back, and for how long. */
+final class QuarantineTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final Message.Content BAD = content("/p", "bad");
+    private static final Message.Content SAME_PATH = content("/p", "good");
+    private static final Message.Content OTHER = content("/q", "");
+
+    private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
+    private final Counters counters = Counters.create();
+    private final List<Decision> decisions = new ArrayList<>();
+    private int turn;
+    private final Quarantine quarantine =
+            Quarantine.create(clock, QuarantineSettings.standard(), counters, decisions::add, request -> turn);
+
+    @Test
+    void holdsARequestBackFromTheThirdEndOn() {
+        quarantine.ended(BAD, "u1");
+        assertEquals(Standing.FREE, quarantine.atUpstream(BAD));
+        quarantine.ended(BAD, "u2");
+        assertEquals(Standing.ALONE, quarantine.atUpstream(BAD));
+        quarantine.ended(BAD, "u3");
+        assertHeld(20, quarantine.atUpstream(BAD));
+        assertHeld(20, quarantine.atEntry(BAD));
+        assertEquals(1, counters.events(Event.QUARANTINE_BEGUN));
+    }
+
+    @Test
+    void holdsNoOtherRequestBack() {
+        endThree();
+        assertEquals(Standing.FREE, quarantine.atEntry(SAME_PATH));
+        assertEquals(Standing.FREE, quarantine.atUpstream(OTHER));
+    }
+
+    @Test
+    void countsAnEndOnceWhoeverTellsOfIt() {
+        quarantine.ended(BAD, "u1");
+        quarantine.ended(BAD, "u1");
+        for (String teller : List.of("n1", "n2", "n3")) {
+            quarantine.hear(new UpstreamEnd(RequestDigest.of(BAD), "u1", false, clock.nanos(), teller));
+        }
+        assertEquals(Standing.FREE, quarantine.atUpstream(BAD));
+    }
+
+    @Test
+    void takesAnAnswerForProofThatTheRequestWasNotTheCause() {
+        quarantine.ended(BAD, "u1");
+        quarantine.ended(BAD, "u2");
+        quarantine.answered(SAME_PATH);
+        assertEquals(Standing.ALONE, quarantine.atUpstream(BAD));
+        quarantine.answered(BAD);
+        quarantine.hear(new UpstreamEnd(RequestDigest.of(BAD), "u1", false, clock.nanos(), "late"));
+        quarantine.ended(BAD, "u3");
+        assertEquals(Standing.FREE, quarantine.atUpstream(BAD));
+    }
+
+    @Test
+    void letsUpstreamsTryByTurnsAndWaitsLongerEachTime() {
+        endThree();
+        turn = 2;
+        clock.advance(20 * SECOND);
+        assertEquals(Standing.ALONE, quarantine.atEntry(BAD));
+        assertHeld(2, quarantine.atUpstream(BAD));
+        clock.advance(2 * SECOND);
+        assertEquals(Standing.ALONE, quarantine.atUpstream(BAD));
+        quarantine.ended(BAD, "u4");
+        assertHeld(80, quarantine.atEntry(BAD));
+        clock.advance(80 * SECOND);
+        quarantine.ended(BAD, "u5");
+        assertHeld(320, quarantine.atEntry(BAD));
+        clock.advance(320 * SECOND);
+        quarantine.ended(BAD, "u6");
+        assertHeld(600, quarantine.atEntry(BAD));
+    }
+
+    @Test
+    void letsARequestGoThatWasAnsweredInATrial() {
+        endThree();
+        clock.advance(20 * SECOND);
+        quarantine.answered(BAD);
+        assertEquals(Standing.FREE, quarantine.atUpstream(BAD));
+        assertEquals(1, counters.events(Event.QUARANTINE_LIFTED));
+    }
+
+    @Test
+    void tellsACallerWhenItMayBeTriedAgainAndWhy() {
+        endThree();
+        clock.advance(SECOND);
+        quarantine.hear(new UpstreamEnd(RequestDigest.of(BAD), "u4", false, clock.nanos() - SECOND, "n7"));
+        decisions.clear();
+        Standing.Held held = assertInstanceOf(Standing.Held.class, quarantine.atEntry(BAD));
+        Refusal refusal = quarantine.refusal(new RequestId(1, 2), BAD, held);
+        assertEquals(new Refusal(RunState.NOT_RUN, RefusalReason.QUARANTINED, 79_001), refusal);
+        assertEquals(
+                List.of(new Decision.HeldBack(
+                        new RequestId(1, 2),
+                        RequestDigest.of(BAD),
+                        79_001,
+                        "u1 1000 ms ago, seen here; u2 1000 ms ago, seen here; u3 1000 ms ago, seen here; "
+                                + "u4 1000 ms ago, told by n7")),
+                decisions);
+    }
+
+    @Test
+    void knowsTheSameAsOthersInWhateverOrderItLearns() {
+        Quarantine other = Quarantine.alone(clock);
+        quarantine.ended(BAD, "u1");
+        quarantine.answered(BAD);
+        endThree();
+        assertNotEquals(other.fingerprint(), quarantine.fingerprint());
+        quarantine.ends(100).reversed().forEach(other::hear);
+        assertEquals(quarantine.fingerprint(), other.fingerprint());
+        assertEquals(quarantine.atEntry(BAD), other.atEntry(BAD));
+    }
+
+    @Test
+    void forgetsWhatIsPastItsTime() {
+        quarantine.ended(OTHER, "u1");
+        endThree();
+        clock.advance(610 * SECOND);
+        quarantine.sweep();
+        assertEquals(3, quarantine.ends(100).size());
+        clock.advance(20 * SECOND);
+        quarantine.sweep();
+        assertEquals(List.of(), quarantine.ends(100));
+        assertEquals(Standing.FREE, quarantine.atEntry(BAD));
+    }
+
+    @Test
+    void keepsWhatItHoldsBackInAFloodOfOthers() {
+        endThree();
+        int most = QuarantineSettings.standard().endsMost();
+        for (int i = 0; i < 2 * most; i++) {
+            clock.advance(1_000);
+            quarantine.ended(content("/flood/" + i, ""), "u9");
+        }
+        quarantine.sweep();
+        assertTrue(quarantine.ends(Integer.MAX_VALUE).size() <= most);
+        assertInstanceOf(Standing.Held.class, quarantine.atEntry(BAD));
+    }
+
+    private void endThree() {
+        for (String upstream : List.of("u1", "u2", "u3")) {
+            quarantine.ended(BAD, upstream);
+        }
+    }
+
+    private static void assertHeld(long seconds, Standing standing) {
+        assertEquals(
+                seconds * SECOND,
+                assertInstanceOf(Standing.Held.class, standing).nanos());
+    }
+
+    private static Message.Content content(String path, String body) {
+        return new Message.Content("POST", path, List.of(), body.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -20,6 +20,7 @@
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 import org.verbenadyke.kernel.trace.DecisionLog;
@@ -48,7 +49,8 @@
                     Ledger.watching(breaches::add),
                     ServiceLevels.unknown(),
                     KeyClaims.alone(),
-                    DecisionLog.none()),
+                    DecisionLog.none(),
+                    Quarantine.alone(clock)),
             ServeSettings.standard());
     private final LocalUpstream local = LocalUpstream.of(
             "u1",
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/KnownFateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/KnownFateTest.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.message.RecordingLink;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 import org.verbenadyke.kernel.trace.DecisionLog;
@@ -41,7 +42,8 @@
                     Ledger.off(),
                     ServiceLevels.unknown(),
                     KeyClaims.alone(),
-                    DecisionLog.none()),
+                    DecisionLog.none(),
+                    Quarantine.alone(clock)),
             ServeSettings.standard());
     private final LocalUpstream local = LocalUpstream.of(
             "u1",
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -27,6 +27,7 @@
     /** The field that names what a request asks for, the same for every try and repeat of it. */
     public static final String DIGEST = "digest";
 
+    private static final String EVIDENCE = "evidence";
     private static final Logger LOG = LogManager.getLogger("decision");
 
     /** Lines of each kind in a second: a few hundred bytes each, some kilobytes a second under the worst load. */
@@ -83,6 +84,8 @@
             case Decision.FateAsked d -> "fate-asked";
             case Decision.FateTold d -> "fate-told";
             case Decision.EndedUnder d -> "upstream-ended-under";
+            case Decision.Quarantined d -> "request-quarantined";
+            case Decision.HeldBack d -> "request-held-back";
             case Decision.Ejected d -> "upstream-ejected";
             case Decision.Member d -> "member";
             case Decision.RecordSkipped d -> "record-skipped";
@@ -133,6 +136,8 @@
                         .with("incarnation", d.incarnation());
             case Decision.EndedUnder d ->
                 line.with(CHAIN, d.chain()).with("upstream", d.upstream()).with(DIGEST, d.digest());
+            case Decision.Quarantined d -> line.with(DIGEST, d.digest()).with(EVIDENCE, d.evidence());
+            case Decision.HeldBack d -> fill(line, d);
             case Decision.Ejected d -> line.with(CHAIN, d.chain()).with("upstream", d.upstream());
             case Decision.Member d ->
                 line.with("node", d.node())
@@ -144,4 +149,11 @@
                 line.with("source", d.source()).with("key", d.key()).with("why", d.why());
         }
     }
+
+    private static void fill(StringMapMessage line, Decision.HeldBack d) {
+        line.with(CHAIN, d.chain())
+                .with(DIGEST, d.digest())
+                .with("retryAfterMs", d.retryAfterMillis())
+                .with(EVIDENCE, d.evidence());
+    }
 }
--- /dev/null
+++ b/wire/src/main/java/org/verbenadyke/wire/EndReports.java
@@ -0,0 +1,66 @@
+package org.verbenadyke.wire;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+import org.verbenadyke.kernel.error.ErrorCode;
+import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.quarantine.EndReport;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
+
+/**
+ * Encodes reports of upstreams that ended.
+ */
+final class EndReports {
+    /** More than fit into a datagram; a longer list is no list of a node. */
+    private static final int MOST = 4_096;
+
+    private EndReports() {}
+
+    static void pack(MessagePacker p, List<EndReport> reports) throws IOException {
+        p.packArrayHeader(reports.size());
+        for (EndReport r : reports) {
+            p.packString(r.upstream()).packBoolean(r.cleared()).packInt(r.ageMillis());
+            p.packArrayHeader(r.requests().size());
+            for (RequestDigest d : r.requests()) {
+                p.packInt(d.target()).packLong(d.high()).packLong(d.low());
+            }
+        }
+    }
+
+    static List<EndReport> unpack(MessageUnpacker u) throws IOException {
+        int n = count(u);
+        List<EndReport> reports = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            reports.add(new EndReport(u.unpackString(), u.unpackBoolean(), age(u.unpackInt()), digests(u)));
+        }
+        return reports;
+    }
+
+    private static List<RequestDigest> digests(MessageUnpacker u) throws IOException {
+        int n = count(u);
+        List<RequestDigest> digests = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            digests.add(new RequestDigest(u.unpackInt(), u.unpackLong(), u.unpackLong()));
+        }
+        return digests;
+    }
+
+    private static int count(MessageUnpacker u) throws IOException {
+        int n = u.unpackArrayHeader();
+        if (n > MOST) {
+            throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, n + " ends");
+        }
+        return n;
+    }
+
+    private static int age(int millis) {
+        if (millis < 0) {
+            throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, "an age of " + millis + " ms");
+        }
+        return millis;
+    }
+}
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -28,6 +28,7 @@
     private static final byte RECORDS = 5;
     private static final byte CONFIG_WANTED = 6;
     private static final byte CONFIG_NEWS = 7;
+    private static final byte ENDS = 8;
 
     private GossipCodec() {}
 
@@ -107,6 +108,10 @@
                 p.packByte(CONFIG_NEWS);
                 ConfigCodec.packState(p, m.state());
             }
+            case GossipMessage.Ends m -> {
+                p.packByte(ENDS).packString(m.from());
+                EndReports.pack(p, m.reports());
+            }
         }
     }
 
@@ -121,6 +126,7 @@
             case BUCKETS -> new GossipMessage.Buckets(u.unpackString(), u.unpackBoolean(), unpackDigests(u));
             case RECORDS -> new GossipMessage.Records(records.unpack(u));
             case CONFIG_WANTED -> new GossipMessage.ConfigWanted(u.unpackString());
+            case ENDS -> new GossipMessage.Ends(u.unpackString(), EndReports.unpack(u));
             case CONFIG_NEWS -> new GossipMessage.ConfigNews(ConfigCodec.unpackState(u));
             default -> throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, "datagram of type " + kind);
         };
@@ -128,11 +134,11 @@
 
     private static void packView(MessagePacker p, GossipMessage.View view) throws IOException {
         p.packLong(view.digest()).packLong(view.configVersion()).packLong(view.planVersion());
-        p.packInt(view.followedMillis());
+        p.packInt(view.followedMillis()).packLong(view.endsFingerprint());
     }
 
     private static GossipMessage.View unpackView(MessageUnpacker u) throws IOException {
-        return new GossipMessage.View(u.unpackLong(), u.unpackLong(), u.unpackLong(), u.unpackInt());
+        return new GossipMessage.View(u.unpackLong(), u.unpackLong(), u.unpackLong(), u.unpackInt(), u.unpackLong());
     }
 
     private static void packEndpoint(MessagePacker p, Endpoint endpoint) throws IOException {
--- a/wire/src/test/java/org/verbenadyke/wire/GossipCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/GossipCodecTest.java
@@ -15,6 +15,8 @@
 import org.verbenadyke.kernel.membership.GossipMessage;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.quarantine.EndReport;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
 
@@ -50,12 +52,25 @@
     @Test
     void takesAllRecordsThatAreAsANodeWritesThem() {
         GossipMessage.Rumor rumor = new GossipMessage.Rumor(
-                "n", 7, new GossipMessage.View(1, 2, 3, 4), List.of(member("a"), member("b"), member("c")));
+                "n", 7, new GossipMessage.View(1, 2, 3, 4, 5), List.of(member("a"), member("b"), member("c")));
         assertEquals(rumor, GossipCodec.decode(GossipCodec.encode(rumor)));
         assertEquals(
                 member("a"), MemberCodec.create().decode(MemberCodec.create().encode(member("a"))));
     }
 
+    @Test
+    void takesReportsOfEndsAsANodeWritesThem() {
+        GossipMessage.Ends ends = new GossipMessage.Ends(
+                "n",
+                List.of(
+                        new EndReport("u", false, 7, List.of(new RequestDigest(-1, 2, 3), new RequestDigest(4, 5, 6))),
+                        new EndReport("u", true, 0, List.of())));
+        assertEquals(ends, GossipCodec.decode(GossipCodec.encode(ends)));
+        GossipMessage.Ends odd = new GossipMessage.Ends("n", List.of(new EndReport("u", false, -1, List.of())));
+        byte[] bytes = GossipCodec.encode(odd);
+        assertThrows(VerbenadykeException.class, () -> GossipCodec.decode(bytes));
+    }
+
     @Test
     void garbledDatagramsGiveATypedError() {
         SplittableRandom random = new SplittableRandom(SEED);
