Give an upstream that refuses connections no more work until it reports

Cause: the node beside the server knew from the refused connection, and told only the caller. It now withdraws the upstream; its next heartbeat brings it back, also if the server had only not listened for a moment.

--- a/bench/src/test/java/org/verbenadyke/bench/lab/EndingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/EndingFleet.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.engine.RoutedRequest;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.quarantine.Standing;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.serve.UpstreamPort;
@@ -134,6 +135,19 @@
         return lateRunsAnywhere;
     }
 
+    /** Tells whether every node that runs holds the bad lookup back. */
+    boolean knownEverywhere() {
+        Message.Content bad = content(BAD, "");
+        return lab.servers().stream()
+                .filter(LabServer::up)
+                .allMatch(s -> s.node().core().quarantine().atEntry(bad) instanceof Standing.Held);
+    }
+
+    /** Returns what all nodes have sent each other in datagrams. */
+    long bytesInDatagrams() {
+        return lab.net().bytesInDatagrams();
+    }
+
     /** Returns the share of the other lookups that were answered. */
     double answeredShare() {
         return lookups == 0 ? 1 : (double) answered / lookups;
@@ -150,6 +164,10 @@
                 + lookups + " others answered, " + heldLookups + " held, " + badAnswers + " answers to the bad one";
     }
 
+    private static Message.Content content(String path, String sender) {
+        return new Message.Content("GET", path, List.of(new HeaderField(SENT_BY, sender)), new byte[0]);
+    }
+
     private void arrive(long end) {
         long gap = (long) (-Math.log(1 - lab.random().nextDouble()) * Lab.SECOND / lookupsPerSecond);
         lab.world().after(gap, () -> {
@@ -217,6 +235,8 @@
         @Override
         public void ended() {
             endsNanos.add(lab.world().nanos());
+            LabNode node = server.node();
+            lab.world().after(Lab.MILLI, () -> node.process().run(node.core()::withdraw));
             killAfterNanos.ifPresent(after -> lab.world().after(after, () -> restart(server)));
             long down = LEAST_DOWN + lab.random().nextLong(Lab.SECOND);
             lab.world().after(down, () -> startUpstream(server));
@@ -239,10 +259,14 @@
             tries++;
             List<LabServer> up = lab.servers().stream().filter(LabServer::up).toList();
             LabServer entry = up.get(lab.random().nextInt(up.size()));
-            Message.Content content =
-                    new Message.Content("GET", path, List.of(new HeaderField(SENT_BY, entry.id())), new byte[0]);
             RoutedRequest routed = new RoutedRequest(
-                    LOOKUP.route(), LOOKUP.service(), content, Importance.NORMAL, Optional.empty(), TTL, tries > 1);
+                    LOOKUP.route(),
+                    LOOKUP.service(),
+                    content(path, entry.id()),
+                    Importance.NORMAL,
+                    Optional.empty(),
+                    TTL,
+                    tries > 1);
             entry.node().core().engine().enter(routed, this);
         }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -203,6 +203,15 @@
         return table;
     }
 
+    /**
+     * Returns what is known of requests under which upstreams end.
+     *
+     * @return the quarantine
+     */
+    public Quarantine quarantine() {
+        return quarantine;
+    }
+
     /**
      * Returns this node's record.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamWatch.java
@@ -60,6 +60,20 @@
         serial.run(() -> end(gone));
     }
 
+    /**
+     * Takes notice that nothing listens where a start of the upstream did. It gets no work until it reports again.
+     *
+     * @param start the start
+     */
+    public void absent(UpstreamStart start) {
+        serial.run(() -> {
+            if (present && current.start().equals(start)) {
+                present = false;
+                host.absent(current);
+            }
+        });
+    }
+
     /**
      * Returns the newest heartbeat that counted.
      *
@@ -171,6 +185,13 @@
          */
         void silent(UpstreamBeat beat, long silentNanos);
 
+        /**
+         * Takes notice that nothing listens any more where the upstream did.
+         *
+         * @param beat its newest heartbeat
+         */
+        void absent(UpstreamBeat beat);
+
         /**
          * Takes notice of a heartbeat that came too late to count.
          *
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamWatchTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamWatchTest.java
@@ -60,6 +60,18 @@
         assertEquals(List.of("arrived a", "silent a", "arrived a"), told);
     }
 
+    @Test
+    void givesNoWorkToAnUpstreamWhereNothingListensUntilItReports() {
+        watch.hear(beat("a", 1, false));
+        watch.absent(start("a"));
+        watch.absent(start("a"));
+        watch.hear(beat("a", 2, false));
+        watch.hear(beat("b", 1, false));
+        watch.absent(start("a"));
+        clock.advance(SILENT / 2);
+        assertEquals(List.of("arrived a", "absent a", "arrived a", "arrived b"), told);
+    }
+
     @Test
     void attachesNothingThatLeavesAlready() {
         watch.hear(beat("a", 1, true));
@@ -195,6 +207,11 @@
             note("silent ", beat);
         }
 
+        @Override
+        public void absent(UpstreamBeat beat) {
+            note("absent ", beat);
+        }
+
         @Override
         public void late(UpstreamBeat beat) {
             note("late ", beat);
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -32,6 +32,7 @@
     private final Deque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private final ServerPresence presence;
+    private volatile Runnable absent = () -> {};
     private volatile boolean closed;
 
     private HttpPool(Endpoint server, Loops loops, TimerService timers, PoolSettings settings) {
@@ -39,7 +40,7 @@
         this.loops = loops;
         this.timers = timers;
         this.settings = settings;
-        this.presence = ServerPresence.of(server, loops);
+        this.presence = ServerPresence.of(server, loops, () -> absent.run());
     }
 
     /**
@@ -115,6 +116,15 @@
         return settings;
     }
 
+    /**
+     * Subscribes to the news that the server refuses connections, so that it has ended.
+     *
+     * @param listener is told each time that a connection is refused
+     */
+    public void onAbsent(Runnable listener) {
+        absent = listener;
+    }
+
     /**
      * Asks whether the server listens, by a new connection. A server that ended refuses it at once; one that only
      * closed a connection takes it. Questions that come while one is open are answered together.
@@ -174,6 +184,9 @@
                 })
                 .connect(new InetSocketAddress(server.host(), server.port()))
                 .addListener(f -> {
+                    if (ServerPresence.refused(f.cause())) {
+                        absent.run();
+                    }
                     if (!f.isSuccess()) {
                         call.unreachable();
                     }
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerPresence.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerPresence.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 
 /**
  * Finds out whether a server still listens. When a server ends, all its exchanges break at once; they share one
@@ -25,15 +26,18 @@
 
     private final Endpoint server;
     private final Loops loops;
+    private final Runnable absent;
     private final List<Consumer<Boolean>> waiting = new ArrayList<>();
 
-    private ServerPresence(Endpoint server, Loops loops) {
+    private ServerPresence(Endpoint server, Loops loops, Runnable absent) {
         this.server = server;
         this.loops = loops;
+        this.absent = absent;
     }
 
-    static ServerPresence of(Endpoint server, Loops loops) {
-        return new ServerPresence(server, loops);
+    /** Creates the way to ask; {@code absent} is told each time that a connection is refused. */
+    static ServerPresence of(Endpoint server, Loops loops, Runnable absent) {
+        return new ServerPresence(server, loops, absent);
     }
 
     /** Asks; the taker is told false only if the connection was refused. */
@@ -53,7 +57,10 @@
                 .addListener((ChannelFuture f) -> {
                     Channel channel = f.channel();
                     channel.close();
-                    tell(f.isSuccess() || !refused(f.cause()));
+                    if (refused(f.cause())) {
+                        absent.run();
+                    }
+                    tell(!refused(f.cause()));
                 });
     }
 
@@ -66,7 +73,8 @@
         told.forEach(t -> t.accept(listens));
     }
 
-    private static boolean refused(Throwable cause) {
-        return cause instanceof ConnectException && !(cause instanceof io.netty.channel.ConnectTimeoutException);
+    /** Tells whether a connection failed since nothing listens where it leads; a null cause is no failure. */
+    static boolean refused(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 }
--- a/node/src/test/java/org/verbenadyke/node/http1/ServerEndTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ServerEndTest.java
@@ -29,13 +29,12 @@
     private final Loops loops = Loops.nio(1);
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     private final ServerSocket server = listen();
-    private final PooledUpstream upstream = PooledUpstream.over(
-            HttpPool.to(
-                    new Endpoint("127.0.0.1", server.getLocalPort()),
-                    loops,
-                    LoopTimerService.on(loops.group().next()),
-                    PoolSettings.standard()),
-            new Plain());
+    private final HttpPool pool = HttpPool.to(
+            new Endpoint("127.0.0.1", server.getLocalPort()),
+            loops,
+            LoopTimerService.on(loops.group().next()),
+            PoolSettings.standard());
+    private final PooledUpstream upstream = PooledUpstream.over(pool, new Plain());
 
     @AfterEach
     void stop() throws IOException {
@@ -67,6 +66,15 @@
         assertEquals("broken", next());
     }
 
+    @Test
+    void tellsThatNothingListensWhenAConnectionIsRefused() throws Exception {
+        pool.onAbsent(() -> told.add("absent"));
+        server.close();
+        send();
+        assertEquals("absent", next());
+        assertEquals("unreachable", next());
+    }
+
     private void send() {
         Message.Content content = new Message.Content("GET", "/p", List.of(), new byte[0]);
         upstream.start(
