--- a/bench/src/test/java/org/verbenadyke/bench/lab/EndingRequestTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/EndingRequestTest.java
@@ -1,6 +1,10 @@
 package org.verbenadyke.bench.lab;
 
+import java.util.stream.LongStream;
+
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -69,6 +73,48 @@
         assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
     }
 
+    /** Four seeds here; {@code -Dending.seeds=50} by hand. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void isHeldBackAmidKillsCutsAndEndsOfOtherCauses(long seed) {
+        EndingFleet fleet = EndingFleet.start(seed, SERVERS, LOOKUPS);
+        fleet.sendBad(45 * Lab.SECOND, 500 * Lab.MILLI);
+        fleet.killNodes(40 * Lab.SECOND, 1_700 * Lab.MILLI);
+        fleet.endUpstreams(12, 3_100 * Lab.MILLI);
+        fleet.advance((5 + seed % 20) * Lab.SECOND);
+        fleet.cut(3, 4 * Lab.SECOND);
+        fleet.advance(48 * Lab.SECOND);
+        System.out.println("ending fleet, all at once, seed " + seed + ": " + fleet);
+        assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
+        assertTrue(fleet.heldLookups() <= fleet.ends(), fleet.toString());
+    }
+
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Integer.getInteger("ending.seeds", 4));
+    }
+
+    /** Each node passes news on once to four others; one in a hundred datagrams is lost, some nodes are cut off. */
+    @ParameterizedTest
+    @CsvSource({"1, 4, 0", "2, 4, 0", "1, 32, 0", "2, 32, 0", "1, 32, 10"})
+    void isKnownEverywhereInTime(long seed, int servers, int cutOff) {
+        EndingFleet fleet = EndingFleet.start(seed, servers, LOOKUPS);
+        fleet.sendBad(10 * Lab.SECOND, EVERY);
+        while (fleet.ends() < RUNS_MOST) {
+            fleet.advance(10 * Lab.MILLI);
+        }
+        fleet.cut(cutOff, Lab.SECOND);
+        long before = fleet.bytesInDatagrams();
+        long millis = 0;
+        while (!fleet.knownEverywhere() && millis < 10_000) {
+            fleet.advance(10 * Lab.MILLI);
+            millis += 10;
+        }
+        System.out.println("ending fleet, " + servers * 3 + " nodes, " + cutOff + " cut off for 1 s, seed " + seed
+                + ": known everywhere after " + millis + " ms, " + (fleet.bytesInDatagrams() - before)
+                + " bytes in datagrams");
+        assertTrue(millis * Lab.MILLI <= EndingFleet.STABILITY, millis + " ms");
+    }
+
     /** Upstreams that end for another reason, in series, must not get the lookups refused that they had. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
