--- a/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
@@ -54,13 +54,18 @@
     }
 
     @Test
-    void countsAnEndOnceWhoeverTellsOfIt() {
+    void countsAnEndOnceWhoeverTellsOfItAndPassesItOnOnce() {
+        List<UpstreamEnd> news = new ArrayList<>();
+        quarantine.onNews(news::add);
         quarantine.ended(BAD, "u1");
         quarantine.ended(BAD, "u1");
         for (String teller : List.of("n1", "n2", "n3")) {
             quarantine.hear(new UpstreamEnd(RequestDigest.of(BAD), "u1", false, clock.nanos(), teller));
         }
         assertEquals(Standing.FREE, quarantine.atUpstream(BAD));
+        assertEquals(1, news.size());
+        quarantine.ended(BAD, "u2");
+        assertEquals(Standing.ALONE, quarantine.atUpstream(BAD));
     }
 
     @Test
