Tell a server that ended from a broken connection on the product's own interface, too

The daemon speaks to upstreams through ServiceTalk, and there every failure after the hand-over was a broken exchange, so that no request could ever be held back. ServerPresence moves to the transport package, where both ways reach it. ServerEndTest runs over both, 5 tests.

--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -10,6 +10,8 @@
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.serve.UpstreamPort;
+import org.verbenadyke.node.transport.ServerPresence;
+import org.verbenadyke.node.transport.SharedLoops;
 
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.client.api.NoAvailableHostException;
@@ -34,9 +36,11 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final StreamingHttpClient client;
+    private final ServerPresence presence;
 
-    private HttpUpstream(StreamingHttpClient client) {
+    private HttpUpstream(StreamingHttpClient client, ServerPresence presence) {
         this.client = client;
+        this.presence = presence;
     }
 
     /**
@@ -52,12 +56,12 @@
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
                 .buildStreaming();
-        return new HttpUpstream(client);
+        return new HttpUpstream(client, ServerPresence.of(address, SharedLoops.of(executor), () -> {}));
     }
 
     @Override
     public Exchange start(HandOver handOver, Listener listener) {
-        HttpExchange exchange = new HttpExchange(listener);
+        HttpExchange exchange = new HttpExchange(listener, presence);
         SourceAdapters.toSource(client.request(request(handOver))).subscribe(exchange);
         return exchange;
     }
@@ -104,11 +108,13 @@
         private static final Cancellable CANCELLED = () -> {};
 
         private final Listener listener;
+        private final ServerPresence presence;
         private final AtomicReference<Cancellable> current = new AtomicReference<>();
         private volatile PublisherSource.Subscription body;
 
-        private HttpExchange(Listener listener) {
+        private HttpExchange(Listener listener, ServerPresence presence) {
             this.listener = listener;
+            this.presence = presence;
         }
 
         @Override
@@ -159,7 +165,13 @@
                 listener.unreachable();
                 return;
             }
-            listener.broken();
+            presence.ask(listens -> {
+                if (listens) {
+                    listener.broken();
+                } else {
+                    listener.upstreamEnded();
+                }
+            });
         }
 
         @Override
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -10,6 +10,7 @@
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.node.transport.Loops;
+import org.verbenadyke.node.transport.ServerPresence;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerPresence.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/ServerPresence.java
@@ -1,4 +1,4 @@
-package org.verbenadyke.node.http1;
+package org.verbenadyke.node.transport;
 
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.node.transport.Loops;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -20,7 +19,7 @@
  * Finds out whether a server still listens. When a server ends, all its exchanges break at once; they share one
  * connection attempt, which takes well under a millisecond on the same machine.
  */
-final class ServerPresence {
+public final class ServerPresence {
     /** How long the attempt may take, in milliseconds: a machine refuses a port of its own at once, or it is frozen. */
     private static final int CONNECT_MILLIS = 200;
 
@@ -35,13 +34,24 @@
         this.absent = absent;
     }
 
-    /** Creates the way to ask; {@code absent} is told each time that a connection is refused. */
-    static ServerPresence of(Endpoint server, Loops loops, Runnable absent) {
+    /**
+     * Creates the way to ask.
+     *
+     * @param server where the server listens
+     * @param loops the threads to connect on
+     * @param absent is told each time that a connection is refused
+     * @return the way to ask
+     */
+    public static ServerPresence of(Endpoint server, Loops loops, Runnable absent) {
         return new ServerPresence(server, loops, absent);
     }
 
-    /** Asks; the taker is told false only if the connection was refused. */
-    void ask(Consumer<Boolean> taker) {
+    /**
+     * Asks, by a new connection. Questions that come while one is open are answered together.
+     *
+     * @param taker is told once whether the server listens; false only if the connection was refused
+     */
+    public void ask(Consumer<Boolean> taker) {
         synchronized (waiting) {
             waiting.add(taker);
             if (waiting.size() > 1) {
@@ -73,8 +83,13 @@
         told.forEach(t -> t.accept(listens));
     }
 
-    /** Tells whether a connection failed since nothing listens where it leads; a null cause is no failure. */
-    static boolean refused(Throwable cause) {
+    /**
+     * Tells whether a connection failed since nothing listens where it leads.
+     *
+     * @param cause why it failed, null if it didn't
+     * @return whether it was refused
+     */
+    public static boolean refused(Throwable cause) {
         return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 }
--- a/node/src/test/java/org/verbenadyke/node/http1/ServerEndTest.java
+++ b/node/src/test/java/org/verbenadyke/node/ServerEndTest.java
@@ -1,4 +1,4 @@
-package org.verbenadyke.node.http1;
+package org.verbenadyke.node;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -11,14 +11,26 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.serve.UpstreamPort;
+import org.verbenadyke.node.http.HttpUpstream;
+import org.verbenadyke.node.http1.HttpPool;
+import org.verbenadyke.node.http1.HttpRequestMessage;
+import org.verbenadyke.node.http1.PoolSettings;
+import org.verbenadyke.node.http1.PooledUpstream;
+import org.verbenadyke.node.http1.UpstreamDialect;
 import org.verbenadyke.node.time.LoopTimerService;
 import org.verbenadyke.node.transport.Loops;
+import org.verbenadyke.node.transport.SharedLoops;
+
+import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -26,7 +38,8 @@
 final class ServerEndTest {
     private static final long PATIENCE_SECONDS = 20;
 
-    private final Loops loops = Loops.nio(1);
+    private final EventLoopAwareNettyIoExecutor io = NettyIoExecutors.createIoExecutor(1, "io");
+    private final Loops loops = SharedLoops.of(io);
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     private final ServerSocket server = listen();
     private final HttpPool pool = HttpPool.to(
@@ -34,19 +47,23 @@
             loops,
             LoopTimerService.on(loops.group().next()),
             PoolSettings.standard());
-    private final PooledUpstream upstream = PooledUpstream.over(pool, new Plain());
+    private final PooledUpstream pooled = PooledUpstream.over(pool, new Plain());
+    private final HttpUpstream simple = HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io);
 
     @AfterEach
     void stop() throws IOException {
-        upstream.close();
+        pooled.close();
+        simple.close();
         server.close();
-        loops.group().shutdownGracefully();
+        io.closeAsync().subscribe();
     }
 
-    @Test
-    void tellsAnEndWhenNothingListensAnyMore() throws Exception {
-        send();
-        send();
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void tellsAnEndWhenNothingListensAnyMore(boolean overPool) throws Exception {
+        UpstreamPort upstream = overPool ? pooled : simple;
+        send(upstream);
+        send(upstream);
         try (Socket first = accept();
                 Socket second = accept()) {
             server.close();
@@ -57,9 +74,10 @@
         assertEquals("ended", next());
     }
 
-    @Test
-    void tellsABrokenExchangeWhenTheServerStillListens() throws Exception {
-        send();
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void tellsABrokenExchangeWhenTheServerStillListens(boolean overPool) throws Exception {
+        send(overPool ? pooled : simple);
         try (Socket connection = accept()) {
             reset(connection);
         }
@@ -70,12 +88,12 @@
     void tellsThatNothingListensWhenAConnectionIsRefused() throws Exception {
         pool.onAbsent(() -> told.add("absent"));
         server.close();
-        send();
+        send(pooled);
         assertEquals("absent", next());
         assertEquals("unreachable", next());
     }
 
-    private void send() {
+    private void send(UpstreamPort upstream) {
         Message.Content content = new Message.Content("GET", "/p", List.of(), new byte[0]);
         upstream.start(
                 new UpstreamPort.HandOver(content, "t", new RequestId(1, 1), Importance.NORMAL, 1_000_000_000L),
