Test that a held call inside a chain and a filing by key are refused at the one check

Both were argued by reading only. EndedUpstreamTest: an upstream whose call below is held back answers 500, and nobody above tries that again (one run); a filing by key is stopped at the upstream where the entry has not heard. The set-up of engines that ForgottenFilingTest and EndedUpstreamTest shared moves to Engines; their assertions are unchanged.

--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/EndedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/EndedUpstreamTest.java
@@ -5,24 +5,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.RecordingSink;
-import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
-import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.quarantine.Standing;
 import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.routing.Upstream;
-import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.kernel.time.VirtualTimerService;
-import org.verbenadyke.kernel.trace.DecisionLog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -30,7 +24,6 @@
 /** Tests what callers are told of requests under which upstreams end, and what these still get. */
 final class EndedUpstreamTest {
     private static final long MILLI = 1_000_000L;
-    private static final Place PLACE = new Place("r", "d");
     private static final Message.Content BAD = content("GET", "/bad");
     private static final List<Endpoint> SERVERS =
             IntStream.range(2, 8).mapToObj(i -> new Endpoint("10.0.0." + i, 1)).toList();
@@ -42,15 +35,12 @@
     private final Map<Endpoint, LocalUpstream> locals = new HashMap<>();
     private final List<Endpoint> runs = new ArrayList<>();
     private final List<String> got = new ArrayList<>();
-    private final Engine entry = engine("entry", 1);
+    private final Engine entry = engine("entry", 1, quarantine);
 
     EndedUpstreamTest() {
         clock.advance(MILLI);
         SERVERS.forEach(this::start);
-        entry.router()
-                .update(SERVERS.stream()
-                        .map(s -> new Upstream(s.host(), "s", s, PLACE))
-                        .toList());
+        route(entry);
     }
 
     @Test
@@ -74,20 +64,44 @@
 
     @Test
     void isStoppedAtTheUpstreamWhereTheEntryDoesNotKnowYet() {
-        send(content("GET", "/other"));
-        Quarantine unknowing = Quarantine.alone(clock);
-        Engine late = engine("late", 9, unknowing);
-        late.router()
-                .update(SERVERS.stream()
-                        .map(s -> new Upstream(s.host(), "s", s, PLACE))
-                        .toList());
         SERVERS.subList(0, 3).forEach(s -> quarantine.ended(BAD, s.host()));
-        runs.clear();
-        send(late, BAD);
+        send(unknowing(), BAD, "");
+        assertEquals(List.of(), runs);
+        assertEquals(List.of("refused NOT_RUN QUARANTINED 20001"), got);
+    }
+
+    @Test
+    void aFilingWithAKeyIsStoppedThereToo() {
+        Message.Content filing = content("POST", "/bad");
+        SERVERS.subList(0, 3).forEach(s -> quarantine.ended(filing, s.host()));
+        send(unknowing(), filing, "key-1");
         assertEquals(List.of(), runs);
         assertEquals(List.of("refused NOT_RUN QUARANTINED 20001"), got);
     }
 
+    /** What needs the call fails with it, and nobody above tries that again. */
+    @Test
+    void aCallInsideAChainIsHeldBackAndItsFailureIsFinal() {
+        SERVERS.subList(0, 3).forEach(s -> quarantine.ended(BAD, s.host()));
+        Endpoint above = new Endpoint("10.0.1.1", 1);
+        Engine caller = engine(above.host(), 3, quarantine);
+        route(caller);
+        List<String> below = new ArrayList<>();
+        caller.attach(above.host(), "a", (handOver, listener) -> {
+            runs.add(above);
+            caller.callFrom(handOver.contextToken(), inbound("s", BAD, ""), new RecordingSink(below));
+            listener.head(500, List.of());
+            listener.end();
+            return new Engines.Silent();
+        });
+        net.listen(above, caller::accept);
+        entry.router().update(List.of(new Upstream(above.host(), "a", above, Engines.PLACE)));
+        entry.enter(inbound("a", content("GET", "/p"), ""), new RecordingSink(got));
+        assertEquals(List.of("refused NOT_RUN QUARANTINED 20001"), below);
+        assertEquals(List.of(above), runs);
+        assertEquals("head 500", got.getFirst());
+    }
+
     @Test
     void aFilingIsRunOnceAndCountsToo() {
         Message.Content filing = content("POST", "/bad");
@@ -140,44 +154,43 @@
     }
 
     private void start(Endpoint server) {
-        Engine engine = engine(server.host(), 2);
+        Engine engine = engine(server.host(), 2, quarantine);
         locals.put(server, engine.attach(server.host(), "s", (handOver, listener) -> {
             runs.add(server);
             running.put(server, listener);
-            return new Silent();
+            return new Engines.Silent();
         }));
         net.listen(server, engine::accept);
     }
 
-    private Engine engine(String name, long incarnation) {
-        return engine(name, incarnation, quarantine);
+    private Engine engine(String name, long incarnation, Quarantine known) {
+        return Engines.create(net, name, incarnation, clock, known);
     }
 
-    private Engine engine(String name, long incarnation, Quarantine known) {
-        SplittableRandom random = new SplittableRandom(incarnation);
-        EngineParts parts = new EngineParts(
-                name,
-                incarnation,
-                PLACE,
-                clock,
-                net.transport(),
-                () -> random,
-                Counters.create(),
-                Ledger.off(),
-                DecisionLog.none(),
-                known,
-                KeyClaims.alone(),
-                (link, message) -> {},
-                (link, message) -> {});
-        return Engine.create(parts, Policy.standard());
+    private void route(Engine engine) {
+        engine.router()
+                .update(SERVERS.stream()
+                        .map(s -> new Upstream(s.host(), "s", s, Engines.PLACE))
+                        .toList());
+    }
+
+    /** Returns an entry that has heard of no ends. */
+    private Engine unknowing() {
+        Engine late = engine("late", 9, Quarantine.alone(clock));
+        route(late);
+        return late;
     }
 
     private void send(Message.Content content) {
-        send(entry, content);
+        send(entry, content, "");
     }
 
-    private void send(Engine at, Message.Content content) {
-        at.enter(new Inbound("s", content, "", Optional.of(10_000 * MILLI)), new RecordingSink(got));
+    private void send(Engine at, Message.Content content, String key) {
+        at.enter(inbound("s", content, key), new RecordingSink(got));
+    }
+
+    private static Inbound inbound(String service, Message.Content content, String key) {
+        return new Inbound(service, content, key, Optional.of(10_000 * MILLI));
     }
 
     private void end(Endpoint server) {
@@ -187,17 +200,4 @@
     private static Message.Content content(String method, String path) {
         return new Message.Content(method, path, List.of(), new byte[0]);
     }
-
-    /** A running call that can't be steered. */
-    private static final class Silent implements UpstreamPort.Exchange {
-        @Override
-        public void request() {
-            // The answer comes when the test wants.
-        }
-
-        @Override
-        public void cancel() {
-            // The run goes on.
-        }
-    }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ForgottenFilingTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ForgottenFilingTest.java
@@ -5,21 +5,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.RecordingSink;
-import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
-import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.kernel.routing.Place;
 import org.verbenadyke.kernel.routing.Upstream;
-import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.kernel.time.VirtualTimerService;
-import org.verbenadyke.kernel.trace.DecisionLog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -36,7 +30,6 @@
 final class ForgottenFilingTest {
     private static final long MILLI = 1_000_000L;
     private static final long TTL = 2_000 * MILLI;
-    private static final Place PLACE = new Place("r", "d");
     private static final List<Endpoint> SERVERS = List.of(new Endpoint("10.0.0.2", 1), new Endpoint("10.0.0.3", 1));
 
     private final MemoryNet net = new MemoryNet();
@@ -45,7 +38,7 @@
     private final Map<Endpoint, UpstreamPort.Listener> running = new HashMap<>();
     private final List<Endpoint> runs = new ArrayList<>();
     private final List<String> got = new ArrayList<>();
-    private final Engine entry = engine("entry", 1, entryClock);
+    private final Engine entry = Engines.create(net, "entry", 1, entryClock, Quarantine.alone(entryClock));
 
     ForgottenFilingTest() {
         entryClock.advance(MILLI);
@@ -53,7 +46,7 @@
         SERVERS.forEach(s -> start(s, 2));
         entry.router()
                 .update(SERVERS.stream()
-                        .map(s -> new Upstream(s.host(), "s", s, PLACE))
+                        .map(s -> new Upstream(s.host(), "s", s, Engines.PLACE))
                         .toList());
     }
 
@@ -99,34 +92,15 @@
     }
 
     private void start(Endpoint server, long incarnation) {
-        Engine engine = engine(server.host(), incarnation, serverClock);
+        Engine engine = Engines.create(net, server.host(), incarnation, serverClock, Quarantine.alone(serverClock));
         engine.attach(server.host(), "s", (handOver, listener) -> {
             runs.add(server);
             running.put(server, listener);
-            return new Silent();
+            return new Engines.Silent();
         });
         net.listen(server, engine::accept);
     }
 
-    private Engine engine(String name, long incarnation, VirtualTimerService clock) {
-        SplittableRandom random = new SplittableRandom(incarnation);
-        EngineParts parts = new EngineParts(
-                name,
-                incarnation,
-                PLACE,
-                clock,
-                net.transport(),
-                () -> random,
-                Counters.create(),
-                Ledger.off(),
-                DecisionLog.none(),
-                Quarantine.alone(clock),
-                KeyClaims.alone(),
-                (link, message) -> {},
-                (link, message) -> {});
-        return Engine.create(parts, Policy.standard());
-    }
-
     private void send(String method) {
         Message.Content content = new Message.Content(method, "/p", List.of(), new byte[0]);
         entry.enter(new Inbound("s", content, "", Optional.of(TTL)), new RecordingSink(got));
@@ -136,17 +110,4 @@
         running.get(server).head(201, List.of());
         running.get(server).end();
     }
-
-    /** A running call that can't be steered. */
-    private static final class Silent implements UpstreamPort.Exchange {
-        @Override
-        public void request() {
-            // The answer comes when the test wants.
-        }
-
-        @Override
-        public void cancel() {
-            // The run goes on.
-        }
-    }
 }
