Show that several upstreams try a held request at once after a quiet time

The turns of upstreams begin a second apart and never end, so that after a quiet time all of them may try.

--- a/bench/src/test/java/org/verbenadyke/bench/lab/EndingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/EndingFleet.java
@@ -77,8 +77,17 @@
 
     /** Lets the bad lookup come again and again at any node, for a time. */
     void sendBad(long nanos, long everyNanos) {
+        sendBad(nanos, everyNanos, 1);
+    }
+
+    /** The same from callers that each send several copies at the same moment. */
+    void sendBad(long nanos, long everyNanos, int copies) {
         for (long at = 0; at < nanos; at += everyNanos) {
-            lab.world().after(at + lab.random().nextLong(everyNanos / 2), () -> new Asked(BAD, true).send());
+            lab.world().after(at + lab.random().nextLong(everyNanos / 2), () -> {
+                for (int i = 0; i < copies; i++) {
+                    new Asked(BAD, true).send();
+                }
+            });
         }
     }
 
--- a/bench/src/test/java/org/verbenadyke/bench/lab/EndingRequestTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/EndingRequestTest.java
@@ -73,6 +73,20 @@
         assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
     }
 
+    /** Callers that repeat at once and often must not get a trial at each upstream at the same moment. */
+    @ParameterizedTest
+    @CsvSource({"1, 4", "2, 4", "3, 4", "1, 32"})
+    void isTriedOnceAtATimeThoughManyCopiesComeAtOnce(long seed, int servers) {
+        EndingFleet fleet = EndingFleet.start(seed, servers, LOOKUPS);
+        fleet.sendBad(6 * Lab.SECOND, EVERY);
+        fleet.advance(40 * Lab.SECOND);
+        fleet.sendBad(45 * Lab.SECOND, EVERY, 8);
+        fleet.advance(48 * Lab.SECOND);
+        System.out.println(
+                "ending fleet, eight copies at once, " + servers + " upstreams, seed " + seed + ": " + fleet);
+        assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
+    }
+
     /** Four seeds here; {@code -Dending.seeds=50} by hand. */
     @ParameterizedTest
     @MethodSource("seeds")
