Let one upstream at a time try a request that is held back

Eight copies of a held request that came at the same moment after a quiet time ended four upstreams at once, as the turns of upstreams began a second apart and never ended: by then it was everyone's turn, and each ran one of the copies. At any moment it is one upstream's turn now, for a second, by the members that all nodes know; entries send the request there, so that a harmless one that is held by mistake is let go by its first comeback after 20 s, whatever the number of upstreams.

Ruled out: telling the others when a trial begins (it takes them 20 ms to 50 ms to hear, and copies come within one).

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberDuties.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberDuties.java
@@ -1,6 +1,8 @@
 package org.verbenadyke.kernel.core;
 
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import org.verbenadyke.kernel.config.ConfigKeeper;
@@ -8,13 +10,15 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberTable;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
+import org.verbenadyke.kernel.quarantine.Trials;
+import org.verbenadyke.kernel.routing.Rendezvous;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 
 /**
  * What falls to this node among the members it knows. All nodes that know the same members agree without asking.
  */
-final class MemberDuties {
+final class MemberDuties implements Trials {
     private static final int TAILERS = 3;
 
     private final Supplier<MemberRecord> self;
@@ -40,14 +44,25 @@
         return rank < TAILERS;
     }
 
-    /** Counts the nodes beside upstreams of the same service that try a request which is held back before this one. */
-    int trialTurn(RequestDigest request) {
+    @Override
+    public Optional<String> upstream(RequestDigest request, String service, long turn) {
+        List<String> ranked = table.present().stream()
+                .filter(r -> r.state().accepting() && r.service().equals(service))
+                .sorted(Comparator.comparingLong(r -> Rendezvous.hash(r.nodeId(), request.toString())))
+                .map(MemberRecord::upstreamId)
+                .toList();
+        if (ranked.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(ranked.get((int) (turn % ranked.size())));
+    }
+
+    @Override
+    public boolean here(RequestDigest request, long turn) {
         MemberRecord me = self.get();
-        return MemberRank.of(
-                me.nodeId(),
-                request.toString(),
-                table.present(),
-                r -> r.service().equals(me.service()));
+        return upstream(request, me.service(), turn)
+                .filter(me.upstreamId()::equals)
+                .isPresent();
     }
 
     /** Lists the upstreams that may take over what one of this node leaves behind. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -60,7 +60,7 @@
         this.tickNanos = parts.timers().nanos();
         OwnerView view = OwnerView.of(table, parts.timers(), settings.owner(), this::leaving);
         this.quarantine = Quarantine.create(
-                parts.timers(), QuarantineSettings.standard(), parts.counters(), parts.decisions(), duties::trialTurn);
+                parts.timers(), QuarantineSettings.standard(), parts.counters(), parts.decisions(), duties);
         this.owners = KeyOwners.create(view, settings.owner(), parts.timers(), this::isolated);
         this.engine = Engine.create(engineParts(), settings.policy());
         owners.connectThrough(engine.links());
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -131,7 +131,7 @@
                 pathClass,
                 dispatcher.rank(request),
                 request.idempotent() ? "" : request.key(),
-                tried);
+                dispatcher.avoided(request, tried));
         switch (parts.router().route(query, parts.timers().nanos())) {
             case Choice.To to -> open(dispatcher.open(this, to.candidate()));
             case Choice.Shed shed -> {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -2,10 +2,12 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import org.verbenadyke.kernel.budget.RatioBudget;
 import org.verbenadyke.kernel.call.AnswerSink;
@@ -139,6 +141,18 @@
         return request.importance().rank(request.id(), request.returning());
     }
 
+    /** Lists the upstreams that a request shall not go to: where it was tried, or all but the one that may try it. */
+    Set<String> avoided(Request request, Set<String> tried) {
+        Optional<String> trial = parts.quarantine.trialUpstream(request.content(), request.service());
+        if (trial.isEmpty()) {
+            return tried;
+        }
+        return parts.router.candidates().stream()
+                .map(c -> c.upstream().id())
+                .filter(id -> !id.equals(trial.get()))
+                .collect(Collectors.toSet());
+    }
+
     long retryAfterMillis() {
         return RetryAfter.spread(settings.retryAfterMillis(), parts.random.get());
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -4,9 +4,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.function.ToIntFunction;
 
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
@@ -36,7 +36,7 @@
     private final QuarantineSettings settings;
     private final Counters counters;
     private final DecisionLog decisions;
-    private final ToIntFunction<RequestDigest> turn;
+    private final Trials trials;
     private final Map<RequestDigest, Suspect> suspects = new ConcurrentHashMap<>();
 
     /** How many suspects have each path, so that the bodies of most requests needn't be read. */
@@ -47,16 +47,12 @@
     private volatile long fingerprint;
 
     private Quarantine(
-            TimerService timers,
-            QuarantineSettings settings,
-            Counters counters,
-            DecisionLog decisions,
-            ToIntFunction<RequestDigest> turn) {
+            TimerService timers, QuarantineSettings settings, Counters counters, DecisionLog decisions, Trials trials) {
         this.timers = timers;
         this.settings = settings;
         this.counters = counters;
         this.decisions = decisions;
-        this.turn = turn;
+        this.trials = trials;
     }
 
     /**
@@ -66,16 +62,12 @@
      * @param settings when a request is held back
      * @param counters where events are counted
      * @param decisions takes what is to be explained later
-     * @param turn tells how many upstreams try a request before the one beside this node
+     * @param trials tells which upstream may try a request that is held back
      * @return the quarantine
      */
     public static Quarantine create(
-            TimerService timers,
-            QuarantineSettings settings,
-            Counters counters,
-            DecisionLog decisions,
-            ToIntFunction<RequestDigest> turn) {
-        return new Quarantine(timers, settings, counters, decisions, turn);
+            TimerService timers, QuarantineSettings settings, Counters counters, DecisionLog decisions, Trials trials) {
+        return new Quarantine(timers, settings, counters, decisions, trials);
     }
 
     /**
@@ -85,7 +77,7 @@
      * @return the quarantine
      */
     public static Quarantine alone(TimerService timers) {
-        return create(timers, QuarantineSettings.standard(), Counters.create(), DecisionLog.none(), request -> 0);
+        return create(timers, QuarantineSettings.standard(), Counters.create(), DecisionLog.none(), Trials.alone());
     }
 
     /**
@@ -176,6 +168,27 @@
         return standing(content, true);
     }
 
+    /**
+     * Finds the upstream to which a request must go now, if it was held back and is to be tried again.
+     *
+     * @param content the request
+     * @param service the service that is to run it
+     * @return the upstream's id; empty if the request may go anywhere
+     */
+    public Optional<String> trialUpstream(Message.Content content, String service) {
+        if (!targets.containsKey(RequestDigest.targetOf(content))) {
+            return Optional.empty();
+        }
+        RequestDigest digest = RequestDigest.of(content);
+        Suspect suspect = suspects.get(digest);
+        int ends = suspect == null ? 0 : suspect.standing();
+        if (ends < settings.heldFrom()) {
+            return Optional.empty();
+        }
+        long over = timers.nanos() - suspect.newestStandingNanos() - settings.holdAfter(ends);
+        return trials.upstream(digest, service, Math.max(0, over) / settings.turnNanos());
+    }
+
     /**
      * Words the refusal of a request that is held back, and explains it. The caller learns when the next trial is due,
      * however long that is: its request ends whatever runs it before, or is held by mistake until then.
@@ -260,9 +273,12 @@
             return Standing.ALONE;
         }
         long now = timers.nanos();
-        long turns = besideUpstream ? turn.applyAsInt(digest) * settings.turnNanos() : 0;
-        long left = suspect.newestStandingNanos() + settings.holdAfter(ends) + turns - now;
-        return left > 0 ? new Standing.Held(ends, left, suspect.evidence(now)) : Standing.ALONE;
+        long left = suspect.newestStandingNanos() + settings.holdAfter(ends) - now;
+        if (left > 0) {
+            return new Standing.Held(ends, left, suspect.evidence(now));
+        }
+        boolean may = !besideUpstream || trials.here(digest, -left / settings.turnNanos());
+        return may ? Standing.ALONE : new Standing.Held(ends, settings.turnNanos(), suspect.evidence(now));
     }
 
     private long keptUntil(Suspect suspect) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/QuarantineSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/QuarantineSettings.java
@@ -8,7 +8,7 @@
  * @param holdNanos how long it is held back after the end that made it so, in nanoseconds
  * @param holdFactor how many times longer after each end more
  * @param holdMostNanos the longest that it is held back, in nanoseconds
- * @param turnNanos the time between the trials that two upstreams may make of it, in nanoseconds
+ * @param turnNanos how long one upstream may try it before it is another's turn, in nanoseconds
  * @param keptNanos how long ends are remembered after the last of them, or after the hold, in nanoseconds
  * @param endsMost how many ends a node remembers
  */
@@ -43,7 +43,7 @@
     /** A mended upstream is found within ten minutes. */
     private static final long DEFAULT_HOLD_MOST_SECONDS = 600;
 
-    /** Some times what it takes to run the request and to tell all nodes that it ended an upstream once more. */
+    /** Some times what it takes to run the request: a trial begun at the end of a turn may meet the next one's. */
     private static final long DEFAULT_TURN_SECONDS = 1;
 
     private static final long DEFAULT_KEPT_SECONDS = 600;
