Look suspects up in one place

Quarantine looked a request up in three places, each with the same two steps, and worked the end of a hold out in three.

--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -105,17 +105,14 @@
      * @param content the request
      */
     public void answered(Message.Content content) {
-        if (!targets.containsKey(RequestDigest.targetOf(content))) {
-            return;
-        }
-        Suspect suspect = suspects.get(RequestDigest.of(content));
-        if (suspect == null || suspect.standing() == 0) {
+        Optional<Suspect> suspect = find(content);
+        if (suspect.isEmpty()) {
             return;
         }
-        if (suspect.standing() >= settings.heldFrom()) {
+        if (held(suspect.get())) {
             counters.count(Event.QUARANTINE_LIFTED);
         }
-        suspect.ends().stream().filter(e -> !e.cleared()).forEach(e -> hear(e.clear()));
+        suspect.get().ends().stream().filter(e -> !e.cleared()).forEach(e -> hear(e.clear()));
     }
 
     /**
@@ -129,7 +126,7 @@
         }
         boolean[] fresh = {false};
         Suspect after = suspects.compute(end.request(), (request, known) -> {
-            Suspect before = known == null ? Suspect.nobody() : known;
+            Suspect before = known == null ? Suspect.of(request) : known;
             Suspect with = before.with(end);
             fresh[0] = with != before;
             if (known == null) {
@@ -176,17 +173,7 @@
      * @return the upstream's id; empty if the request may go anywhere
      */
     public Optional<String> trialUpstream(Message.Content content, String service) {
-        if (!targets.containsKey(RequestDigest.targetOf(content))) {
-            return Optional.empty();
-        }
-        RequestDigest digest = RequestDigest.of(content);
-        Suspect suspect = suspects.get(digest);
-        int ends = suspect == null ? 0 : suspect.standing();
-        if (ends < settings.heldFrom()) {
-            return Optional.empty();
-        }
-        long over = timers.nanos() - suspect.newestStandingNanos() - settings.holdAfter(ends);
-        return trials.upstream(digest, service, Math.max(0, over) / settings.turnNanos());
+        return find(content).filter(this::held).flatMap(s -> trials.upstream(s.request(), service, turn(s)));
     }
 
     /**
@@ -251,7 +238,7 @@
         old.forEach(this::forget);
         if (ends > settings.endsMost()) {
             suspects.entrySet().stream()
-                    .filter(e -> e.getValue().standing() < settings.heldFrom())
+                    .filter(e -> !held(e.getValue()))
                     .sorted(Comparator.comparingLong(e -> e.getValue().newestNanos()))
                     .limit(ends - settings.endsMost())
                     .map(Map.Entry::getKey)
@@ -259,32 +246,47 @@
         }
     }
 
-    private Standing standing(Message.Content content, boolean besideUpstream) {
+    /** Looks a request up. Its body is read only if some suspect has the same path. */
+    private Optional<Suspect> find(Message.Content content) {
         if (!targets.containsKey(RequestDigest.targetOf(content))) {
-            return Standing.FREE;
+            return Optional.empty();
         }
-        RequestDigest digest = RequestDigest.of(content);
-        Suspect suspect = suspects.get(digest);
-        int ends = suspect == null ? 0 : suspect.standing();
-        if (ends < settings.aloneFrom()) {
+        return Optional.ofNullable(suspects.get(RequestDigest.of(content)));
+    }
+
+    private Standing standing(Message.Content content, boolean besideUpstream) {
+        Optional<Suspect> suspect = find(content);
+        if (suspect.isEmpty() || suspect.get().standing() < settings.aloneFrom()) {
             return Standing.FREE;
         }
-        if (ends < settings.heldFrom()) {
-            return Standing.ALONE;
-        }
+        return held(suspect.get()) ? heldStanding(suspect.get(), besideUpstream) : Standing.ALONE;
+    }
+
+    private Standing heldStanding(Suspect suspect, boolean besideUpstream) {
         long now = timers.nanos();
-        long left = suspect.newestStandingNanos() + settings.holdAfter(ends) - now;
-        if (left > 0) {
-            return new Standing.Held(ends, left, suspect.evidence(now));
+        long left = heldUntil(suspect) - now;
+        boolean may = left <= 0 && (!besideUpstream || trials.here(suspect.request(), turn(suspect)));
+        if (may) {
+            return Standing.ALONE;
         }
-        boolean may = !besideUpstream || trials.here(digest, -left / settings.turnNanos());
-        return may ? Standing.ALONE : new Standing.Held(ends, settings.turnNanos(), suspect.evidence(now));
+        return new Standing.Held(Math.max(left, settings.turnNanos()), suspect.evidence(now));
+    }
+
+    private boolean held(Suspect suspect) {
+        return suspect.standing() >= settings.heldFrom();
+    }
+
+    private long heldUntil(Suspect suspect) {
+        return suspect.newestStandingNanos() + settings.holdAfter(suspect.standing());
+    }
+
+    /** Numbers the turn of trials, from 0 at the end of the hold. */
+    private long turn(Suspect suspect) {
+        return Math.max(0, timers.nanos() - heldUntil(suspect)) / settings.turnNanos();
     }
 
     private long keptUntil(Suspect suspect) {
-        int ends = suspect.standing();
-        long hold = ends < settings.heldFrom() ? 0 : settings.holdAfter(ends);
-        return suspect.newestNanos() + hold + settings.keptNanos();
+        return (held(suspect) ? heldUntil(suspect) : suspect.newestNanos()) + settings.keptNanos();
     }
 
     private void forget(RequestDigest request) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Standing.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Standing.java
@@ -19,9 +19,8 @@
     /**
      * It must not run now.
      *
-     * @param ends how many upstreams ended while they had it and have not been explained otherwise
      * @param nanos after how long it may be tried again, in nanoseconds
      * @param evidence the ends in words: which, how long ago, told by whom
      */
-    record Held(int ends, long nanos, String evidence) implements Standing {}
+    record Held(long nanos, String evidence) implements Standing {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Suspect.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Suspect.java
@@ -14,14 +14,21 @@
 final class Suspect {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    private final RequestDigest request;
     private final Map<String, UpstreamEnd> ends;
 
-    private Suspect(Map<String, UpstreamEnd> ends) {
+    private Suspect(RequestDigest request, Map<String, UpstreamEnd> ends) {
+        this.request = request;
         this.ends = ends;
     }
 
-    static Suspect nobody() {
-        return new Suspect(Map.of());
+    /** Creates a suspect against which nothing is known yet. */
+    static Suspect of(RequestDigest request) {
+        return new Suspect(request, Map.of());
+    }
+
+    RequestDigest request() {
+        return request;
     }
 
     /** Returns this suspect with one more end, itself if that is no news. */
@@ -32,7 +39,7 @@
         }
         Map<String, UpstreamEnd> more = new HashMap<>(ends);
         more.put(end.upstream(), known == null ? end : known.clear());
-        return new Suspect(Map.copyOf(more));
+        return new Suspect(request, Map.copyOf(more));
     }
 
     Collection<UpstreamEnd> ends() {
