--- a/bench/src/test/java/org/verbenadyke/bench/lab/EndingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/EndingFleet.java
@@ -118,6 +118,11 @@
         }
     }
 
+    /** Kills all nodes at the same moment; they start again with nothing kept. */
+    void killAllNodes() {
+        lab.servers().forEach(this::restart);
+    }
+
     /** Cuts some nodes off from all others for a time. */
     void cut(int count, long nanos) {
         lab.servers().stream().limit(count).forEach(s -> cutOff.add(s.endpoint()));
@@ -267,6 +272,9 @@
         void send() {
             tries++;
             List<LabServer> up = lab.servers().stream().filter(LabServer::up).toList();
+            if (up.isEmpty()) {
+                return;
+            }
             LabServer entry = up.get(lab.random().nextInt(up.size()));
             RoutedRequest routed = new RoutedRequest(
                     LOOKUP.route(),
--- a/bench/src/test/java/org/verbenadyke/bench/lab/EndingRequestTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/EndingRequestTest.java
@@ -87,6 +87,23 @@
         assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
     }
 
+    /** As after a loss of power everywhere; what no node has kept must come from the log. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void isRememberedThoughAllNodesAreKilledAtOnceTwice(long seed) {
+        EndingFleet fleet = EndingFleet.start(seed, SERVERS, LOOKUPS);
+        fleet.sendBad(6 * Lab.SECOND, EVERY);
+        fleet.advance(8 * Lab.SECOND);
+        for (int i = 0; i < 2; i++) {
+            fleet.killAllNodes();
+            fleet.advance(6 * Lab.SECOND);
+            fleet.sendBad(6 * Lab.SECOND, EVERY);
+            fleet.advance(8 * Lab.SECOND);
+        }
+        System.out.println("ending fleet, all nodes killed twice, seed " + seed + ": " + fleet);
+        assertTrue(fleet.lateRuns() <= RUNS_MOST, fleet.toString());
+    }
+
     /** Four seeds here; {@code -Dending.seeds=50} by hand. */
     @ParameterizedTest
     @MethodSource("seeds")
