Keep requests that are held back on the log, beside the members

After all nodes had been killed at the same moment, a request that had ended three upstreams ended three more: what is known of ends lived in the nodes' memories only, and gossip had nobody left to ask. The nodes that saw one of its ends now write it to the members' stream, at the third end, at each further one and at the answer that lets it go; each node reads that stream at its start anyway, so that a start costs no more calls. Ages are told by the wall clock there.

Ruled out: a stream of its own, which would be one call more for each start of each node. MemberLogTest, QuarantineTest and GossipCodecTest have tests for the parts. Records are not dropped from the store yet (docs/design/quarantine.md, open).

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
@@ -12,6 +12,7 @@
 import org.verbenadyke.kernel.membership.DatagramPort;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.quarantine.HeldRequest;
 import org.verbenadyke.kernel.route.PlanKeeper;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
@@ -27,6 +28,7 @@
  * @param datagrams sends datagrams to other nodes
  * @param log the log
  * @param members encodes member records
+ * @param held encodes requests that are held back
  * @param configuration encodes configuration entries
  * @param random where each thread's randomness comes from
  * @param plans the routes in force
@@ -42,6 +44,7 @@
         DatagramPort datagrams,
         LogService log,
         RecordCodec<MemberRecord> members,
+        RecordCodec<HeldRequest> held,
         RecordCodec<ConfigEntry> configuration,
         Supplier<RandomGenerator> random,
         PlanKeeper plans,
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/ListedNode.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/ListedNode.java
@@ -3,14 +3,17 @@
 import org.verbenadyke.kernel.follow.FollowDuty;
 import org.verbenadyke.kernel.membership.Gossip;
 import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.quarantine.HeldRequest;
+import org.verbenadyke.kernel.quarantine.Quarantine;
 
 /**
  * The node as the members' stream sees it.
  *
  * @param gossip knows the members
  * @param follow knows who reads the operators' record
+ * @param quarantine takes what was held back before
  */
-record ListedNode(Gossip gossip, FollowDuty follow) implements MemberLog.Host {
+record ListedNode(Gossip gossip, FollowDuty follow, Quarantine quarantine) implements MemberLog.Host {
     @Override
     public MemberRecord self() {
         return gossip.self();
@@ -21,6 +24,11 @@
         gossip.merge(member);
     }
 
+    @Override
+    public void restore(HeldRequest held) {
+        quarantine.restore(held);
+    }
+
     @Override
     public boolean heardAny() {
         return gossip.heardAny();
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.quarantine.HeldRequest;
 import org.verbenadyke.kernel.trace.Decision;
 
 /**
@@ -179,7 +180,7 @@
         try {
             member = parts.members().decode(record.bytes());
         } catch (VerbenadykeException e) {
-            skip(record, e.getMessage());
+            takeHeld(record, e);
             return;
         }
         if (!record.key().orElse(member.nodeId()).equals(member.nodeId())) {
@@ -190,6 +191,22 @@
         host.learn(member);
     }
 
+    /** Takes a record that is none of a member. */
+    private void takeHeld(LogService.LogRecord record, VerbenadykeException noMember) {
+        HeldRequest held;
+        try {
+            held = parts.held().decode(record.bytes());
+        } catch (VerbenadykeException e) {
+            skip(record, noMember.getMessage());
+            return;
+        }
+        if (!record.key().orElse(held.key()).equals(held.key())) {
+            skip(record, "it names " + held.key());
+            return;
+        }
+        host.restore(held);
+    }
+
     private void note(MemberRecord member) {
         MemberRecord self = host.self();
         boolean alive = member.state() == MemberState.ALIVE;
@@ -222,6 +239,9 @@
         /** Takes the record of a member. */
         void learn(MemberRecord member);
 
+        /** Takes a request that was held back. */
+        void restore(HeldRequest held);
+
         /** Tells whether another node was heard since the start. */
         boolean heardAny();
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -87,7 +87,8 @@
                         this::tailing,
                         this::inForce),
                 settings.config());
-        this.memberLog = new MemberLog(parts, new ListedNode(gossip, follow));
+        HeldLog.start(parts, quarantine);
+        this.memberLog = new MemberLog(parts, new ListedNode(gossip, follow, quarantine));
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -32,6 +32,9 @@
 public final class Quarantine {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Stands for the node that told of an end which was read from the log. */
+    private static final String FROM_LOG = "the log";
+
     private final TimerService timers;
     private final QuarantineSettings settings;
     private final Counters counters;
@@ -43,6 +46,7 @@
     private final Map<Integer, Integer> targets = new ConcurrentHashMap<>();
 
     private volatile Consumer<UpstreamEnd> news = end -> {};
+    private volatile Consumer<RequestDigest> heldNews = request -> {};
     private volatile boolean changed = true;
     private volatile long fingerprint;
 
@@ -89,6 +93,48 @@
         news = listener;
     }
 
+    /**
+     * Subscribes to what must outlive the nodes: that a request is held back of which an end was seen here, each
+     * further end, and the answer that lets it go.
+     *
+     * @param listener takes the request
+     */
+    public void onHeld(Consumer<RequestDigest> listener) {
+        heldNews = listener;
+    }
+
+    /**
+     * Words what is known of a request for the log.
+     *
+     * @param request the request
+     * @return the record, empty if nothing is known of it any more
+     */
+    public Optional<HeldRequest> record(RequestDigest request) {
+        long now = timers.nanos();
+        long wall = timers.wallMillis();
+        return Optional.ofNullable(suspects.get(request))
+                .map(s -> new HeldRequest(
+                        request,
+                        s.ends().stream()
+                                .map(e -> new HeldRequest.End(
+                                        e.upstream(), e.cleared(), wall - (now - e.atNanos()) / NANOS_PER_MILLI))
+                                .toList()));
+    }
+
+    /**
+     * Takes a record from the log, which may be of nodes that are all gone.
+     *
+     * @param held the record
+     */
+    public void restore(HeldRequest held) {
+        long now = timers.nanos();
+        long wall = timers.wallMillis();
+        for (HeldRequest.End e : held.ends()) {
+            long age = Math.max(0, wall - e.atMillis()) * NANOS_PER_MILLI;
+            hear(new UpstreamEnd(held.request(), e.upstream(), e.cleared(), now - age, FROM_LOG));
+        }
+    }
+
     /**
      * Takes notice that an upstream ended while it had a request.
      *
@@ -109,10 +155,12 @@
         if (suspect.isEmpty()) {
             return;
         }
-        if (held(suspect.get())) {
+        boolean wasHeld = held(suspect.get());
+        suspect.get().ends().stream().filter(e -> !e.cleared()).forEach(e -> hear(e.clear()));
+        if (wasHeld) {
             counters.count(Event.QUARANTINE_LIFTED);
+            heldNews.accept(suspect.get().request());
         }
-        suspect.get().ends().stream().filter(e -> !e.cleared()).forEach(e -> hear(e.clear()));
     }
 
     /**
@@ -143,6 +191,9 @@
             decisions.note(new Decision.Quarantined(end.request(), after.evidence(timers.nanos())));
         }
         news.accept(end);
+        if (held(after) && !end.cleared() && after.seenHere()) {
+            heldNews.accept(end.request());
+        }
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Suspect.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Suspect.java
@@ -51,6 +51,11 @@
         return (int) ends.values().stream().filter(e -> !e.cleared()).count();
     }
 
+    /** Tells whether this node saw one of the ends itself. */
+    boolean seenHere() {
+        return ends.values().stream().anyMatch(e -> e.toldBy().isEmpty());
+    }
+
     /** Returns the time of the newest end of those. */
     long newestStandingNanos() {
         return ends.values().stream()
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
@@ -18,6 +18,8 @@
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.quarantine.HeldRequest;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.route.PlanKeeper;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
@@ -29,6 +31,7 @@
 /** Tests {@link MemberLog}. */
 final class MemberLogTest {
     private static final String UNREADABLE = "unreadable";
+    private static final HeldRequest HELD = new HeldRequest(new RequestDigest(1, 2, 3), List.of());
     private static final long HOUR_NANOS = 3_600_000_000_000L;
     private static final long SECOND_NANOS = 1_000_000_000L;
 
@@ -59,6 +62,14 @@
         assertEquals(2, counters.events(Event.RECORD_SKIPPED));
     }
 
+    @Test
+    void restoresWhatWasHeldBackFromBesideTheMembers() {
+        log.page(record("a", "a"), record(HELD.key(), HELD.key()), record("b", HELD.key()), record("c", "c"));
+        start();
+        assertEquals(List.of("a", HELD.key(), "c"), learned);
+        assertEquals(1, counters.events(Event.RECORD_SKIPPED));
+    }
+
     @Test
     void learnsMembersFromALogWithoutKeys() {
         log.page(new LogService.LogRecord(0, Optional.empty(), bytes("a")));
@@ -172,6 +183,7 @@
                 (to, message) -> {},
                 log,
                 new NameCodec(),
+                new HeldNameCodec(),
                 null,
                 () -> new SplittableRandom(1),
                 PlanKeeper.absent(),
@@ -238,6 +250,11 @@
             learned.add(member.nodeId());
         }
 
+        @Override
+        public void restore(HeldRequest held) {
+            learned.add(held.key());
+        }
+
         @Override
         public boolean heardAny() {
             return heard;
@@ -254,6 +271,23 @@
         }
     }
 
+    /** Words a held request as its key. */
+    private static final class HeldNameCodec implements RecordCodec<HeldRequest> {
+        @Override
+        public byte[] encode(HeldRequest record) {
+            return bytes(record.key());
+        }
+
+        @Override
+        public HeldRequest decode(byte[] bytes) {
+            String name = new String(bytes, StandardCharsets.UTF_8);
+            if (!name.equals(HELD.key())) {
+                throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, name);
+            }
+            return HELD;
+        }
+    }
+
     /** Words a member as its name. */
     private static final class NameCodec implements RecordCodec<MemberRecord> {
         @Override
@@ -264,7 +298,7 @@
         @Override
         public MemberRecord decode(byte[] bytes) {
             String name = new String(bytes, StandardCharsets.UTF_8);
-            if (name.equals(UNREADABLE)) {
+            if (name.equals(UNREADABLE) || name.equals(HELD.key())) {
                 throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, name);
             }
             return member(name);
--- a/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 
@@ -145,6 +146,37 @@
         assertEquals(quarantine.atEntry(BAD), other.atEntry(BAD));
     }
 
+    @Test
+    void tellsTheLogOfRequestsOfWhichItSawAnEnd() {
+        List<RequestDigest> told = new ArrayList<>();
+        quarantine.onHeld(told::add);
+        quarantine.ended(BAD, "u1");
+        quarantine.ended(BAD, "u2");
+        quarantine.hear(new UpstreamEnd(RequestDigest.of(BAD), "u3", false, clock.nanos(), "n1"));
+        assertEquals(1, told.size());
+        quarantine.ended(BAD, "u4");
+        quarantine.answered(BAD);
+        for (String upstream : List.of("u1", "u2", "u3")) {
+            quarantine.hear(new UpstreamEnd(RequestDigest.of(OTHER), upstream, false, clock.nanos(), "n1"));
+        }
+        assertEquals(Collections.nCopies(3, RequestDigest.of(BAD)), told);
+    }
+
+    @Test
+    void isAsBeforeAfterAllNodesHaveStartedAnew() {
+        endThree();
+        clock.advance(5 * SECOND);
+        HeldRequest held = quarantine.record(RequestDigest.of(BAD)).orElseThrow();
+        clock.advance(5 * SECOND);
+        Quarantine anew = Quarantine.alone(clock);
+        anew.restore(held);
+        assertHeld(10, anew.atEntry(BAD));
+        quarantine.answered(BAD);
+        anew.restore(quarantine.record(RequestDigest.of(BAD)).orElseThrow());
+        assertEquals(Standing.FREE, anew.atEntry(BAD));
+        assertEquals(Optional.empty(), quarantine.record(RequestDigest.of(OTHER)));
+    }
+
     @Test
     void forgetsWhatIsPastItsTime() {
         quarantine.ended(OTHER, "u1");
--- a/wire/src/main/java/org/verbenadyke/wire/EndReports.java
+++ b/wire/src/main/java/org/verbenadyke/wire/EndReports.java
@@ -26,11 +26,19 @@
             p.packString(r.upstream()).packBoolean(r.cleared()).packInt(r.ageMillis());
             p.packArrayHeader(r.requests().size());
             for (RequestDigest d : r.requests()) {
-                p.packInt(d.target()).packLong(d.high()).packLong(d.low());
+                pack(p, d);
             }
         }
     }
 
+    static void pack(MessagePacker p, RequestDigest digest) throws IOException {
+        p.packInt(digest.target()).packLong(digest.high()).packLong(digest.low());
+    }
+
+    static RequestDigest unpackDigest(MessageUnpacker u) throws IOException {
+        return new RequestDigest(u.unpackInt(), u.unpackLong(), u.unpackLong());
+    }
+
     static List<EndReport> unpack(MessageUnpacker u) throws IOException {
         int n = count(u);
         List<EndReport> reports = new ArrayList<>();
@@ -44,7 +52,7 @@
         int n = count(u);
         List<RequestDigest> digests = new ArrayList<>();
         for (int i = 0; i < n; i++) {
-            digests.add(new RequestDigest(u.unpackInt(), u.unpackLong(), u.unpackLong()));
+            digests.add(unpackDigest(u));
         }
         return digests;
     }
--- a/wire/src/test/java/org/verbenadyke/wire/GossipCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/GossipCodecTest.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.quarantine.EndReport;
+import org.verbenadyke.kernel.quarantine.HeldRequest;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Place;
@@ -71,6 +72,19 @@
         assertThrows(VerbenadykeException.class, () -> GossipCodec.decode(bytes));
     }
 
+    @Test
+    void tellsHeldRequestsAndMembersOnTheLogApart() {
+        HeldRequest held = new HeldRequest(
+                new RequestDigest(-1, 2, 3),
+                List.of(new HeldRequest.End("u", false, 1_800_000_000_000L), new HeldRequest.End("v", true, 5)));
+        byte[] heldBytes = HeldCodec.create().encode(held);
+        byte[] memberBytes = MemberCodec.create().encode(member("a"));
+        assertEquals(held, HeldCodec.create().decode(heldBytes));
+        assertThrows(VerbenadykeException.class, () -> MemberCodec.create().decode(heldBytes));
+        assertThrows(VerbenadykeException.class, () -> HeldCodec.create().decode(memberBytes));
+        assertThrows(VerbenadykeException.class, () -> HeldCodec.create().decode(Arrays.copyOf(heldBytes, 9)));
+    }
+
     @Test
     void garbledDatagramsGiveATypedError() {
         SplittableRandom random = new SplittableRandom(SEED);
