Show that a suspect which waits for another is handed to a leaving upstream

Calls that wait for another suspect stand beside the queue, which is emptied when an upstream begins to leave; the next one was handed over all the same once the first was answered.

--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/EndedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/EndedUpstreamTest.java
@@ -139,6 +139,23 @@
         assertEquals(first, runs.getLast());
     }
 
+    /** It waits beside the queue, which is emptied when an upstream begins to leave. */
+    @Test
+    void isNotHandedToAnUpstreamThatBeganToLeaveWhileItWaited() {
+        quarantine.ended(BAD, "gone-1");
+        quarantine.ended(BAD, "gone-2");
+        Endpoint only = SERVERS.getFirst();
+        entry.router().update(List.of(new Upstream(only.host(), "s", only, Engines.PLACE)));
+        send(BAD);
+        send(BAD);
+        assertEquals(List.of(only), runs);
+        locals.get(only).drain(true);
+        running.get(only).head(200, List.of());
+        running.get(only).end();
+        assertEquals(List.of(only), runs);
+        assertEquals("refused NOT_RUN NO_UPSTREAM", got.getLast().substring(0, 27));
+    }
+
     @Test
     void isHeldBackThoughItWaitedWhileUpstreamsEndedElsewhere() {
         quarantine.ended(BAD, "gone-1");
