Hand no suspect to an upstream that began to leave while it waited

A call under which two upstreams ended waits, beside the queue, until no other suspect runs at its upstream. The queue is emptied when an upstream begins to leave; such a call was not in it, and got there seconds after the upstream had said that it leaves. It is refused as not run now, and so goes elsewhere. Asked in SuspectPass for any call that was let wait, also when it is no suspect any more by then.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -51,7 +51,7 @@
         this.call = call;
         this.link = link;
         this.times = CallTimes.receivedNow(call, server.parts().timers(), server.settings());
-        this.suspicion = new SuspectPass(server, call, this);
+        this.suspicion = new SuspectPass(server, local, call, this);
         this.answer = new AnswerWriter(call.id(), server.settings(), !call.idempotent());
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/SuspectPass.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/SuspectPass.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.quarantine.Standing;
 
@@ -13,18 +14,25 @@
  */
 final class SuspectPass {
     private final CallServer server;
+    private final LocalUpstream local;
     private final Message.Call call;
     private final SuspectLane.Suspected taker;
     private boolean suspected;
 
-    SuspectPass(CallServer server, Message.Call call, SuspectLane.Suspected taker) {
+    SuspectPass(CallServer server, LocalUpstream local, Message.Call call, SuspectLane.Suspected taker) {
         this.server = server;
+        this.local = local;
         this.call = call;
         this.taker = taker;
     }
 
     /** Tells whether the call must not be handed over now: it is refused, or resumed later. */
     boolean denied(Consumer<Refusal> refuse) {
+        if (suspected && local.draining()) {
+            // The queue was emptied when the upstream began to leave; the call waited beside it.
+            refuse.accept(server.notRun(RefusalReason.DRAINING));
+            return true;
+        }
         return switch (server.parts().quarantine().atUpstream(call.content())) {
             case Standing.Free free -> false;
             case Standing.Alone alone -> {
