Explain a broken exchange in one place

Both ways to an upstream turned the answer to the question whether it still listens into the same two calls. No behaviour changes; ServerEndTest passes over both.

--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -165,13 +165,7 @@
                 listener.unreachable();
                 return;
             }
-            presence.ask(listens -> {
-                if (listens) {
-                    listener.broken();
-                } else {
-                    listener.upstreamEnded();
-                }
-            });
+            presence.explainBreak(listener);
         }
 
         @Override
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
@@ -126,14 +125,8 @@
         absent = listener;
     }
 
-    /**
-     * Asks whether the server listens, by a new connection. A server that ended refuses it at once; one that only
-     * closed a connection takes it. Questions that come while one is open are answered together.
-     *
-     * @param taker is told once; also that it listens when that can't be told
-     */
-    public void listening(Consumer<Boolean> taker) {
-        presence.ask(taker);
+    ServerPresence presence() {
+        return presence;
     }
 
     void opened(ClientConnection connection) {
--- a/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
@@ -144,13 +144,7 @@
                 return;
             }
             dialect.ended(handOver);
-            pool.listening(alive -> {
-                if (alive) {
-                    listener.broken();
-                } else {
-                    listener.upstreamEnded();
-                }
-            });
+            pool.presence().explainBreak(listener);
         }
 
         private void ended() {
--- a/node/src/main/java/org/verbenadyke/node/transport/ServerPresence.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/ServerPresence.java
@@ -4,9 +4,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.serve.UpstreamPort;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -26,7 +26,7 @@
     private final Endpoint server;
     private final Loops loops;
     private final Runnable absent;
-    private final List<Consumer<Boolean>> waiting = new ArrayList<>();
+    private final List<UpstreamPort.Listener> waiting = new ArrayList<>();
 
     private ServerPresence(Endpoint server, Loops loops, Runnable absent) {
         this.server = server;
@@ -47,13 +47,15 @@
     }
 
     /**
-     * Asks, by a new connection. Questions that come while one is open are answered together.
+     * Tells a listener why its exchange broke: the server ended, or only the connection broke. Asks by a new
+     * connection, which a server that ended refuses at once. Questions that come while one is open are answered
+     * together.
      *
-     * @param taker is told once whether the server listens; false only if the connection was refused
+     * @param listener is told once; that the server ended only if the connection was refused
      */
-    public void ask(Consumer<Boolean> taker) {
+    public void explainBreak(UpstreamPort.Listener listener) {
         synchronized (waiting) {
-            waiting.add(taker);
+            waiting.add(listener);
             if (waiting.size() > 1) {
                 return;
             }
@@ -75,12 +77,12 @@
     }
 
     private void tell(boolean listens) {
-        List<Consumer<Boolean>> told;
+        List<UpstreamPort.Listener> told;
         synchronized (waiting) {
             told = List.copyOf(waiting);
             waiting.clear();
         }
-        told.forEach(t -> t.accept(listens));
+        told.forEach(listens ? UpstreamPort.Listener::broken : UpstreamPort.Listener::upstreamEnded);
     }
 
     /**
