Digest a request once when an upstream ends or it is refused; build EndGossip like its siblings

For each call that an ended upstream had, the node beside it digested the request twice, for the log line and for the quarantine, and a refusal digested once more what its standing had just been looked up by, body and all. The digest is passed on instead. EndGossip took the same six arguments in a constructor and a factory; it has one constructor now, as TableDifferences and HotNews do, and is started with the gossip.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -145,7 +145,7 @@
     private void open(Attempt attempt) {
         current = attempt;
         if (parts.quarantine().atEntry(request.content()) instanceof Standing.Held held) {
-            give(parts.quarantine().refusal(request.id(), request.content(), held));
+            give(parts.quarantine().refusal(request.id(), held));
             return;
         }
         parts.links().acquire(attempt.candidate().upstream().node(), link -> serial.run(() -> send(attempt, link)));
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/EndGossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/EndGossip.java
@@ -42,7 +42,7 @@
     private final List<UpstreamEnd> fresh = new ArrayList<>();
     private long comparedNanos;
 
-    private EndGossip(
+    EndGossip(
             String self,
             Gossip.Parts parts,
             GossipSettings settings,
@@ -60,17 +60,9 @@
         this.comparedNanos = timers.nanos() - COMPARE_NANOS;
     }
 
-    /** Starts to spread what a node's quarantine learns. */
-    static EndGossip start(
-            String self,
-            Gossip.Parts parts,
-            GossipSettings settings,
-            Serial serial,
-            PeerChoice peers,
-            BiConsumer<Endpoint, GossipMessage> port) {
-        EndGossip gossip = new EndGossip(self, parts, settings, serial, peers, port);
-        gossip.quarantine.onNews(end -> serial.run(() -> gossip.learned(end)));
-        return gossip;
+    /** Starts to spread what the node's quarantine learns. */
+    void start() {
+        quarantine.onNews(end -> serial.run(() -> learned(end)));
     }
 
     /** Takes what another node tells. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -53,7 +53,7 @@
         this.detector = new FailureDetector(timers, settings, serial, table, peers, new Host());
         this.differences = new TableDifferences(start.nodeId(), timers, table, this::send);
         this.hot = new HotNews(table);
-        this.ends = EndGossip.start(start.nodeId(), parts, settings, serial, peers, this::send);
+        this.ends = new EndGossip(start.nodeId(), parts, settings, serial, peers, this::send);
         this.heardNanos = timers.nanos();
     }
 
@@ -71,6 +71,7 @@
             Parts parts, GossipSettings settings, MemberRecord start, List<Endpoint> seeds, Listener listener) {
         Gossip gossip = new Gossip(parts, settings, start, listener);
         gossip.seeds.addAll(seeds);
+        gossip.ends.start();
         gossip.serial.run(() -> gossip.learn(start));
         long jitter = parts.random().nextLong(settings.roundNanos());
         parts.timers().after(jitter, () -> parts.timers().every(settings.roundNanos(), gossip::round));
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -142,7 +142,17 @@
      * @param upstream the id of the upstream
      */
     public void ended(Message.Content content, String upstream) {
-        hear(new UpstreamEnd(RequestDigest.of(content), upstream, false, timers.nanos(), ""));
+        ended(RequestDigest.of(content), upstream);
+    }
+
+    /**
+     * The same for a request that is already digested.
+     *
+     * @param request the request
+     * @param upstream the id of the upstream
+     */
+    public void ended(RequestDigest request, String upstream) {
+        hear(new UpstreamEnd(request, upstream, false, timers.nanos(), ""));
     }
 
     /**
@@ -232,13 +242,12 @@
      * however long that is: its request ends whatever runs it before, or is held by mistake until then.
      *
      * @param chain the request as nodes name it
-     * @param content the request
      * @param held its standing
      * @return the refusal; this try has not run
      */
-    public Refusal refusal(RequestId chain, Message.Content content, Standing.Held held) {
+    public Refusal refusal(RequestId chain, Standing.Held held) {
         long millis = held.nanos() / NANOS_PER_MILLI + 1;
-        decisions.note(new Decision.HeldBack(chain, RequestDigest.of(content), millis, held.evidence()));
+        decisions.note(new Decision.HeldBack(chain, held.request(), millis, held.evidence()));
         return Refusal.notRun(RefusalReason.QUARANTINED, millis);
     }
 
@@ -320,7 +329,7 @@
         if (may) {
             return Standing.ALONE;
         }
-        return new Standing.Held(Math.max(left, settings.turnNanos()), suspect.evidence(now));
+        return new Standing.Held(suspect.request(), Math.max(left, settings.turnNanos()), suspect.evidence(now));
     }
 
     private boolean held(Suspect suspect) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Standing.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Standing.java
@@ -19,8 +19,9 @@
     /**
      * It must not run now.
      *
+     * @param request what it asks for
      * @param nanos after how long it may be tried again, in nanoseconds
      * @param evidence the ends in words: which, how long ago, told by whom
      */
-    record Held(long nanos, String evidence) implements Standing {}
+    record Held(RequestDigest request, long nanos, String evidence) implements Standing {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -233,8 +233,9 @@
             return RefusalReason.UPSTREAM_BROKEN;
         }
         String id = call.target().upstream();
-        parts.decisions.note(new Decision.EndedUnder(call.request(), id, RequestDigest.of(call.content())));
-        parts.quarantine.ended(call.content(), id);
+        RequestDigest digest = RequestDigest.of(call.content());
+        parts.decisions.note(new Decision.EndedUnder(call.request(), id, digest));
+        parts.quarantine.ended(digest, id);
         return RefusalReason.UPSTREAM_ENDED;
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/SuspectPass.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/SuspectPass.java
@@ -40,7 +40,7 @@
                 yield !server.lane().enter(taker);
             }
             case Standing.Held held -> {
-                refuse.accept(server.parts().quarantine().refusal(call.request(), call.content(), held));
+                refuse.accept(server.parts().quarantine().refusal(call.request(), held));
                 yield true;
             }
         };
--- a/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
@@ -122,7 +122,7 @@
         quarantine.hear(new UpstreamEnd(RequestDigest.of(BAD), "u4", false, clock.nanos() - SECOND, "n7"));
         decisions.clear();
         Standing.Held held = assertInstanceOf(Standing.Held.class, quarantine.atEntry(BAD));
-        Refusal refusal = quarantine.refusal(new RequestId(1, 2), BAD, held);
+        Refusal refusal = quarantine.refusal(new RequestId(1, 2), held);
         assertEquals(new Refusal(RunState.NOT_RUN, RefusalReason.QUARANTINED, 79_001), refusal);
         assertEquals(
                 List.of(new Decision.HeldBack(
