--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.node.http;
 
 import java.net.ConnectException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -51,7 +52,9 @@
      * @return the port
      */
     public static HttpUpstream to(Endpoint address, IoExecutor executor) {
-        StreamingHttpClient client = HttpClients.forSingleAddress(address.host(), address.port())
+        // A resolved address is there from the start; a name is looked up later, and requests until then are refused.
+        StreamingHttpClient client = HttpClients.forResolvedAddress(
+                        new InetSocketAddress(address.host(), address.port()))
                 .ioExecutor(executor)
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
--- a/node/src/test/java/org/verbenadyke/node/ServerEndTest.java
+++ b/node/src/test/java/org/verbenadyke/node/ServerEndTest.java
@@ -36,7 +36,7 @@
 
 /** Tests that a server which ends under its requests is told from one that closes a connection. */
 final class ServerEndTest {
-    private static final long PATIENCE_SECONDS = 20;
+    private static final int PATIENCE_MILLIS = 20_000;
 
     private final EventLoopAwareNettyIoExecutor io = NettyIoExecutors.createIoExecutor(1, "io");
     private final Loops loops = SharedLoops.of(io);
@@ -101,12 +101,13 @@
     }
 
     private String next() throws InterruptedException {
-        return String.valueOf(told.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        return String.valueOf(told.poll(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
     }
 
     /** Takes a connection and the first byte of its request. */
     private Socket accept() throws IOException {
         Socket connection = server.accept();
+        connection.setSoTimeout(PATIENCE_MILLIS);
         connection.getInputStream().read();
         return connection;
     }
@@ -119,7 +120,9 @@
 
     private static ServerSocket listen() {
         try {
-            return new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            socket.setSoTimeout(PATIENCE_MILLIS);
+            return socket;
         } catch (IOException e) {
             throw new IllegalStateException(e);
         }
--- /dev/null
+++ b/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamTest.java
@@ -0,0 +1,103 @@
+package org.verbenadyke.node.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.serve.UpstreamPort;
+
+import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
+import io.servicetalk.transport.netty.internal.NettyIoExecutors;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests the HTTP way to an upstream. */
+final class HttpUpstreamTest {
+    private static final int PATIENCE_MILLIS = 20_000;
+
+    private final EventLoopAwareNettyIoExecutor io = NettyIoExecutors.createIoExecutor(1, "io");
+    private ServerSocket server;
+
+    @BeforeEach
+    void listen() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(PATIENCE_MILLIS);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+        io.closeAsync().subscribe();
+    }
+
+    @RepeatedTest(20)
+    void sendsRequestsThatComeRightAfterItsCreation() throws IOException {
+        HttpUpstream upstream = HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io);
+        send(upstream);
+        send(upstream);
+        assertEquals('G', firstByteOfNextConnection());
+        assertEquals('G', firstByteOfNextConnection());
+        upstream.close();
+    }
+
+    private int firstByteOfNextConnection() throws IOException {
+        Socket connection = server.accept();
+        connection.setSoTimeout(PATIENCE_MILLIS);
+        return connection.getInputStream().read();
+    }
+
+    private static void send(UpstreamPort upstream) {
+        Message.Content content = new Message.Content("GET", "/p", List.of(), new byte[0]);
+        upstream.start(
+                new UpstreamPort.HandOver(content, "t", new RequestId(1, 1), Importance.NORMAL, 1_000_000_000L),
+                new Unheeded());
+    }
+
+    /** Takes no notice of what comes back. */
+    private static final class Unheeded implements UpstreamPort.Listener {
+        @Override
+        public void notRun() {
+            // What the server sees is looked at.
+        }
+
+        @Override
+        public void unreachable() {
+            // What the server sees is looked at.
+        }
+
+        @Override
+        public void head(int status, List<HeaderField> headers) {
+            // What the server sees is looked at.
+        }
+
+        @Override
+        public void data(byte[] bytes) {
+            // What the server sees is looked at.
+        }
+
+        @Override
+        public void end() {
+            // What the server sees is looked at.
+        }
+
+        @Override
+        public void broken() {
+            // What the server sees is looked at.
+        }
+
+        @Override
+        public void upstreamEnded() {
+            // What the server sees is looked at.
+        }
+    }
+}
