--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -27,18 +27,18 @@
     static final int PERIOD_WINDOWS = 6;
 
     /** The load aimed at: some room is left for the chance of arrivals within a period. */
-    private static final double TARGET = 0.93;
+    private static final double TARGET = 0.97;
 
     /** Loads up to here and down to {@link #LOW} change nothing, so that the level rests between two loads. */
-    private static final double HIGH = 0.97;
+    private static final double HIGH = 1.0;
 
-    private static final double LOW = 0.89;
+    private static final double LOW = 0.94;
 
     /** The most that a period lets in less, as a share of what it let in before. */
     private static final double SHRINK_MOST = 0.5;
 
     /** The most that a period lets in more: low enough that a return is caught before the queue is full. */
-    private static final double GROW_MOST = 1.12;
+    private static final double GROW_MOST = 1.25;
 
     /** Below this share, a band counts as shut and the next one is begun. */
     private static final double SHUT = 0.03;
