--- a/kernel/src/main/java/org/verbenadyke/kernel/core/HeldLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/HeldLog.java
@@ -31,6 +31,8 @@
     static void start(CoreParts parts, Quarantine quarantine) {
         HeldLog log = new HeldLog(parts, quarantine);
         quarantine.onHeld(log::write);
+        // Of a log that was replaced by an older copy, newer records are gone; whoever knows them writes them again.
+        parts.log().onReplaced((before, now) -> quarantine.heldBack().forEach(log::write));
     }
 
     private void write(RequestDigest request) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -35,6 +35,9 @@
     /** How often is looked whether any node answers, and whether this one must be listed: two rounds of gossip. */
     private static final long LOOK_NANOS = 500_000_000L;
 
+    /** How long after the log's history was replaced it is read: others write their records again meanwhile. */
+    private static final long REPLACED_NANOS = 500_000_000L;
+
     private final CoreParts parts;
     private final Host host;
     private final Set<String> others = new HashSet<>();
@@ -59,6 +62,7 @@
         } else {
             read();
         }
+        parts.log().onReplaced((before, now) -> replaced());
         parts.timers().every(LOOK_NANOS, this::look);
         long jitter = parts.random().get().nextLong(rewriteNanos);
         parts.timers().after(jitter, () -> parts.timers().every(rewriteNanos, this::rewrite));
@@ -88,6 +92,17 @@
         }
     }
 
+    /**
+     * Begins anew on a log whose history was replaced: this node's record may be gone from it, and offsets lead
+     * elsewhere. Whoever is listed writes at once, so that nodes which start find those that read the operators'
+     * record; a key that is missing now is taken for lost, not for dropped.
+     */
+    private synchronized void replaced() {
+        nextOffset = 0;
+        rewrite();
+        later(REPLACED_NANOS, this::read);
+    }
+
     private void appended(LogService.Appended result) {
         boolean done = result instanceof LogService.Appended.At;
         parts.counters().count(done ? Event.LOG_APPENDED : Event.LOG_FAILED);
--- a/kernel/src/main/java/org/verbenadyke/kernel/error/ErrorCode.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/error/ErrorCode.java
@@ -47,6 +47,8 @@
     PLAN_UNREADABLE("VD-1406"),
     /** An answer of the platform's store that can't be read. */
     STORE_ANSWER_UNREADABLE("VD-1407"),
+    /** The store names its history by what is no number, or goes back to an earlier one. */
+    STORE_EPOCH_ODD("VD-1408"),
     /** A node can't be reached by the command-line tool. */
     NODE_UNREACHABLE("VD-1501"),
     /** A plug-in that isn't registered. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/log/LogService.java
@@ -28,6 +28,15 @@
      */
     void read(String stream, long fromOffset, long waitMillis, Consumer<Read> taker);
 
+    /**
+     * Subscribes to the news that the log lost what it had acknowledged, since its history was replaced by an older
+     * copy. From then on no offset of before means anything, and what was written lately may be gone. A log that never
+     * loses anything has no such news.
+     *
+     * @param listener is told of each new epoch, before any record of it is
+     */
+    default void onReplaced(LogEpoch.Listener listener) {}
+
     /**
      * What came of an append.
      */
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -44,6 +44,8 @@
     LOG_FAILED,
     /** A record was appended to the log. */
     LOG_APPENDED,
+    /** The log lost what it had acknowledged: its history was replaced by an older copy. */
+    LOG_REPLACED,
     /** A record or a datagram that can't be read, or a record under another's key, was left out. */
     RECORD_SKIPPED,
     /** A gossip message was sent. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -121,6 +121,18 @@
                                 .toList()));
     }
 
+    /**
+     * Lists the requests that are held back, whoever saw them end upstreams.
+     *
+     * @return the requests
+     */
+    public List<RequestDigest> heldBack() {
+        return suspects.values().stream()
+                .filter(this::held)
+                .map(Suspect::request)
+                .toList();
+    }
+
     /**
      * Takes a record from the log, which may be of nodes that are all gone.
      *
--- a/standins/src/main/java/org/verbenadyke/standins/platform/KeyedTopic.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/KeyedTopic.java
@@ -43,6 +43,15 @@
         records.clear();
     }
 
+    /** Takes a copy. */
+    synchronized KeyedTopic copy() {
+        KeyedTopic copy = new KeyedTopic();
+        copy.records.addAll(records);
+        copy.newest.putAll(newest);
+        copy.first = first;
+        return copy;
+    }
+
     synchronized Collection<Entry> newest() {
         return List.copyOf(newest.values());
     }
--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -41,10 +41,14 @@
     private static final int UNAVAILABLE = 503;
     private static final byte[] NOTHING = {};
 
+    private static final String ERA = "Store-Era";
+
     private final Map<String, KeyedTopic> topics = new ConcurrentHashMap<>();
+    private final Map<String, KeyedTopic> copied = new ConcurrentHashMap<>();
     private final TimerService timers;
     private final AtomicInteger calls = new AtomicInteger();
     private volatile StoreFault fault = StoreFault.NONE;
+    private volatile String era = "5";
     private HttpServer server;
 
     private StoreStandIn(TimerService timers) {
@@ -90,6 +94,35 @@
         topics.values().forEach(KeyedTopic::compact);
     }
 
+    /** Copies all topics, to come back from the copy later. */
+    public void copy() {
+        copied.clear();
+        topics.forEach((name, topic) -> copied.put(name, topic.copy()));
+    }
+
+    /**
+     * Comes back from the copy: what was written since is gone, and its offsets are given out again. Reads under way
+     * wait for records of the new history.
+     *
+     * @param newEra what answers name the history by from now on
+     */
+    public void comeBack(String newEra) {
+        topics.clear();
+        copied.forEach((name, topic) -> topics.put(name, topic.copy()));
+        era = newEra;
+    }
+
+    /**
+     * Tells whether a topic has a record of a key.
+     *
+     * @param topic the topic
+     * @param key the key
+     * @return whether it has
+     */
+    public boolean holds(String topic, String key) {
+        return topic(topic).newest().stream().anyMatch(e -> e.key().equals(key));
+    }
+
     /**
      * Returns the calls so far.
      *
@@ -111,7 +144,7 @@
     private void handle(HttpExchange exchange) {
         calls.incrementAndGet();
         switch (fault) {
-            case REFUSES -> exchange.answer(UNAVAILABLE, List.of(), NOTHING);
+            case REFUSES -> answer(exchange, UNAVAILABLE, NOTHING);
             case SILENT -> exchange.onGone(() -> {});
             case GARBLES -> exchange.answer(OK, List.of(), new byte[] {1, 2, 3});
             case LOSES_ANSWERS -> perform(exchange, false);
@@ -127,14 +160,18 @@
         if (target.startsWith("/-/log-append")) {
             append(exchange, topic, answers);
         } else if (answers && target.startsWith("/-/log-newest")) {
-            exchange.answer(OK, List.of(new HeaderField("content-type", "application/json")), newest(topic));
+            answer(exchange, OK, newest(topic));
         } else if (answers) {
             long wait = Long.parseLong(query.getOrDefault("wait-ms", "0")) * NANOS_PER_MILLI;
-            read(exchange, topic, Long.parseLong(query.get("from")), timers.nanos() + wait);
+            read(exchange, query.get("topic"), Long.parseLong(query.get("from")), timers.nanos() + wait);
         }
     }
 
-    private static void append(HttpExchange exchange, KeyedTopic topic, boolean answers) {
+    private void answer(HttpExchange exchange, int status, byte[] body) {
+        exchange.answer(status, List.of(new HeaderField(ERA, era)), body);
+    }
+
+    private void append(HttpExchange exchange, KeyedTopic topic, boolean answers) {
         ByteBuffer in = ByteBuffer.wrap(exchange.request().body());
         byte[] content = new byte[in.getInt()];
         in.get(content);
@@ -143,7 +180,7 @@
         long offset = topic.append(key, Arrays.copyOfRange(content, keyEnd, content.length));
         if (answers) {
             String answer = "{\"offset\":" + offset + ",\"end\":" + topic.end() + "}";
-            exchange.answer(OK, List.of(), answer.getBytes(StandardCharsets.UTF_8));
+            answer(exchange, OK, answer.getBytes(StandardCharsets.UTF_8));
         }
     }
 
@@ -162,14 +199,15 @@
         return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    private void read(HttpExchange exchange, KeyedTopic topic, long from, long until) {
-        if (from < topic.first()) {
+    private void read(HttpExchange exchange, String name, long from, long until) {
+        KeyedTopic topic = topic(name);
+        if (from < topic.first() || from > topic.end()) {
             String gone = "{\"first\":" + topic.first() + "}";
-            exchange.answer(GONE, List.of(), gone.getBytes(StandardCharsets.UTF_8));
+            answer(exchange, GONE, gone.getBytes(StandardCharsets.UTF_8));
         } else if (topic.end() > from || timers.nanos() >= until) {
-            exchange.answer(OK, List.of(), topic.read(from));
+            answer(exchange, OK, topic.read(from));
         } else {
-            timers.after(POLL_NANOS, () -> read(exchange, topic, from, until));
+            timers.after(POLL_NANOS, () -> read(exchange, name, from, until));
         }
     }
 
