--- a/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
@@ -12,6 +12,7 @@
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.log.LogEpoch;
 import org.verbenadyke.kernel.log.LogService;
 import org.verbenadyke.kernel.log.RecordCodec;
 import org.verbenadyke.kernel.membership.MemberRecord;
@@ -104,6 +105,30 @@
         assertEquals(1, node.listings);
     }
 
+    @Test
+    void writesItsRecordAndReadsAllAgainWhenTheLogWasReplaced() {
+        log.page(record("a", "a"), record("b", "b"));
+        start();
+        int appends = log.appends;
+        log.asked.clear();
+        log.replaced.replaced(5, 6);
+        assertEquals(appends + 1, log.appends);
+        clock.advance(SECOND_NANOS);
+        assertEquals(0L, log.asked.getFirst());
+    }
+
+    @Test
+    void writesNothingToALogThatWasReplacedWhenItIsNotListed() {
+        log.complete = true;
+        log.page(enough());
+        node.heard = true;
+        start();
+        log.replaced.replaced(5, 6);
+        clock.advance(SECOND_NANOS);
+        assertEquals(0, log.appends);
+        assertEquals(0L, log.asked.getLast());
+    }
+
     @Test
     void spreadsTheFirstReadingAmongNodesThatStartTogether() {
         spreadNanos = SECOND_NANOS;
@@ -212,6 +237,7 @@
     private static final class PagedLog implements LogService {
         private final List<List<LogRecord>> pages = new ArrayList<>();
         private final List<Long> asked = new ArrayList<>();
+        private LogEpoch.Listener replaced;
         private boolean complete;
         private int appends;
 
@@ -219,6 +245,11 @@
             pages.add(List.of(records));
         }
 
+        @Override
+        public void onReplaced(LogEpoch.Listener listener) {
+            replaced = listener;
+        }
+
         @Override
         public void append(String stream, String key, byte[] record, Consumer<Appended> taker) {
             appends++;
