--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -37,9 +37,9 @@
     private static final double SHRINK_MOST = 0.5;
 
     /**
-     * The most that a period lets in more. Load pattern: clumps well above a mean that fits. What a clump made the level
-     * refuse must be let in again before the next one, or the places of the calm between them stay empty; and no faster
-     * than that a return is caught before the queue is full.
+     * The most that a period lets in more. Load pattern: clumps well above a mean that fits. What a clump made the
+     * level refuse must be let in again before the next one, or the places of the calm between them stay empty; and no
+     * faster than that a return is caught before the queue is full.
      */
     private static final double GROW_MOST = 1.25;
 
