--- a/cli/src/main/java/org/verbenadyke/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/verbenadyke/cli/ExplainCommand.java
@@ -2,13 +2,8 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.PrintWriter;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Callable;
 
 import picocli.CommandLine;
@@ -23,11 +18,8 @@
     @CommandLine.Parameters(paramLabel = "ID", description = "The request's id, as its caller knows it.")
     private String request;
 
-    @CommandLine.Option(
-            names = "--logs",
-            paramLabel = "FILE",
-            description = "The logs of all nodes in one file (default: standard input).")
-    private Optional<Path> file = Optional.empty();
+    @CommandLine.Mixin
+    private LogSource source;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -36,7 +28,7 @@
     public Integer call() throws IOException {
         PrintWriter out = spec.commandLine().getOut();
         List<String> lines;
-        try (BufferedReader reader = open()) {
+        try (BufferedReader reader = source.open()) {
             lines = LogLines.read(reader).about(request);
         }
         if (lines.isEmpty()) {
@@ -48,10 +40,4 @@
         lines.forEach(out::println);
         return ExitCodes.DONE;
     }
-
-    private BufferedReader open() throws IOException {
-        return file.isPresent()
-                ? Files.newBufferedReader(file.get())
-                : new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
-    }
 }
--- a/cli/src/main/java/org/verbenadyke/cli/Main.java
+++ b/cli/src/main/java/org/verbenadyke/cli/Main.java
@@ -20,6 +20,7 @@
             ShowCommand.class,
             DiffCommand.class,
             ExplainCommand.class,
+            ReportCommand.class,
             AutoComplete.GenerateCompletion.class
         },
         exitCodeListHeading = "%nExit codes:%n",
--- /dev/null
+++ b/cli/src/main/java/org/verbenadyke/cli/ReportCommand.java
@@ -0,0 +1,38 @@
+package org.verbenadyke.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.util.concurrent.Callable;
+
+import picocli.CommandLine;
+
+/**
+ * Shows where requests were lost, and for what reason.
+ */
+@CommandLine.Command(
+        name = "report",
+        description =
+                "Counts refusals, failures, retries and reroutes by reason, route and second. Reads the nodes' logs.")
+final class ReportCommand implements Callable<Integer> {
+    @CommandLine.Mixin
+    private LogSource source;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException {
+        PrintWriter out = spec.commandLine().getOut();
+        LogReport report;
+        try (BufferedReader reader = source.open()) {
+            report = LogReport.read(reader);
+        }
+        if (report.empty()) {
+            out.println("No line tells of a refusal, failure, retry or reroute. Check that these are logs of nodes.");
+            return ExitCodes.FAILED;
+        }
+        report.lines().forEach(out::println);
+        return ExitCodes.DONE;
+    }
+}
