Know callers by their teams' keys

Cause: nothing in the project knew a team.

Change: kernel.team holds the teams of a plan and finds a key's holder by its digest; who asks is decided once, where a request enters, by the plan that also gives the route. A call of a server belongs to the team of the request it is made for. The key is dropped there: only its digest is kept, documents pass between nodes with digests in place of keys, and neither log lines nor errors quote a document. The team travels with the content of a call, so that a request sent on elsewhere keeps it, and it is part of what makes two requests the same (quarantine). An unknown key is refused with 401 at once; by a node that has had no sign of the operators' record for 3 s with 503 and a time to come back, since the key may be new. A team's priority goes before its route's; beyond three pairs the most urgent ones share an importance.

Ruled out: carrying the team as a header field of the content: the kernel would have to know the platform's name for it.

Protocol version 5: nodes of 4 and 5 don't talk.

--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
@@ -53,6 +53,7 @@
                 timeoutMillis * Lab.MILLI,
                 targetMillis * Lab.MILLI,
                 once ? 1 : ATTEMPTS,
-                0);
+                0,
+                true);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -60,6 +60,12 @@
     KEY_NOT_OWNER(503),
     /** Upstreams ended, one after the other, while they had the same request. */
     QUARANTINED(503),
+    /** The caller brings no key that a team holds. */
+    UNAUTHENTICATED(401),
+    /** The caller's team has used up its rate limit. */
+    RATE_LIMITED(429),
+    /** The node can't tell now whether the caller's team holds the key or has used up its rate limit. */
+    TEAM_UNCERTAIN(503),
     /** A fault inside the node. */
     INTERNAL(500);
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -14,7 +14,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 4;
+    int VERSION = 5;
 
     /**
      * The first message of both sides.
@@ -76,8 +76,21 @@
      * @param path the path and query
      * @param headers the header fields
      * @param body the whole body
+     * @param team the name of the team that asks, empty if it isn't known
      */
-    record Content(String method, String path, List<HeaderField> headers, byte[] body) {}
+    record Content(String method, String path, List<HeaderField> headers, byte[] body, String team) {
+        /**
+         * Creates the content of a request whose team isn't known.
+         *
+         * @param method the HTTP method
+         * @param path the path and query
+         * @param headers the header fields
+         * @param body the whole body
+         */
+        public Content(String method, String path, List<HeaderField> headers, byte[] body) {
+            this(method, path, headers, body, "");
+        }
+    }
 
     /**
      * What each answer tells of the node that gave it.
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/RequestDigest.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/RequestDigest.java
@@ -13,7 +13,7 @@
 
 /**
  * Names what a request asks for, whichever try, entry or caller's repeat it is: method, host, path with query, body,
- * and the credentials that name its caller. All other header fields differ from one try to the next, or may.
+ * team, and the credentials that name its caller. All other header fields differ from one try to the next, or may.
  *
  * <p>128 bits of SHA-256: with a shorter or unkeyed fast hash a caller could find a request of its own that bears the
  * digest of another caller's and get that one refused.
@@ -42,6 +42,7 @@
                 .sorted()
                 .forEach(line -> part(sha, line.getBytes(StandardCharsets.UTF_8)));
         part(sha, content.body());
+        part(sha, content.team().getBytes(StandardCharsets.UTF_8));
         ByteBuffer digest = ByteBuffer.wrap(sha.digest());
         return new RequestDigest(targetOf(content), digest.getLong(), digest.getLong());
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/PlanDocument.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/PlanDocument.java
@@ -1,7 +1,7 @@
 package org.verbenadyke.kernel.route;
 
 /**
- * A plan as its operator wrote it, passed between nodes unchanged.
+ * A plan as its operator wrote it, but without secrets; passed between nodes unchanged.
  *
  * @param version the plan's version
  * @param bytes the document
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/PlanKeeper.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/PlanKeeper.java
@@ -74,7 +74,7 @@
     }
 
     /**
-     * Returns the document of the plan in force.
+     * Returns the document of the plan in force, without secrets.
      *
      * @return the document, empty before the first
      */
@@ -112,7 +112,10 @@
             reject(source, problems);
             return;
         }
-        Held next = new Held(plan, bytes);
+        if (plan.version() <= version()) {
+            return;
+        }
+        Held next = new Held(plan, reader.withoutSecrets(bytes));
         Held before = held.getAndUpdate(h -> h == null || h.plan().version() < plan.version() ? next : h);
         if (held.get() == next && before != next) {
             counters.count(Event.CONFIG_APPLIED);
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/Route.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/Route.java
@@ -14,6 +14,7 @@
  * @param targetNanos the latency up to which an answer is worth most, in nanoseconds
  * @param attempts how many upstreams one request may be sent to
  * @param priority its rank, 0 the most important
+ * @param openToAll whether it serves callers that bring no key
  */
 public record Route(
         String name,
@@ -24,7 +25,8 @@
         long timeoutNanos,
         long targetNanos,
         int attempts,
-        int priority) {
+        int priority,
+        boolean openToAll) {
     /**
      * Creates a route.
      */
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
@@ -1,12 +1,11 @@
 package org.verbenadyke.kernel.route;
 
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.team.Team;
+import org.verbenadyke.kernel.team.TeamDirectory;
 
 /**
  * All routes, services and limits of one version. Immutable; published as a whole.
@@ -16,20 +15,27 @@
     private final List<Route> routes;
     private final List<ServiceEntry> services;
     private final RequestLimits limits;
+    private final Optional<TeamDirectory> teams;
     private final RouteIndex index;
-    private final Map<Integer, Importance> bands;
+    private final PriorityBands bands;
 
-    private RoutePlan(long version, List<Route> routes, List<ServiceEntry> services, RequestLimits limits) {
+    private RoutePlan(
+            long version,
+            List<Route> routes,
+            List<ServiceEntry> services,
+            RequestLimits limits,
+            Optional<TeamDirectory> teams) {
         this.version = version;
         this.routes = List.copyOf(routes);
         this.services = List.copyOf(services);
         this.limits = limits;
+        this.teams = teams;
         this.index = RouteIndex.of(this.routes);
-        this.bands = bands(this.routes);
+        this.bands = PriorityBands.of(this.routes, teams);
     }
 
     /**
-     * Creates a plan.
+     * Creates a plan that serves callers without asking who they are.
      *
      * @param version its version; a higher one replaces it
      * @param routes its routes
@@ -38,7 +44,17 @@
      * @return the plan, indexed for look-ups
      */
     public static RoutePlan of(long version, List<Route> routes, List<ServiceEntry> services, RequestLimits limits) {
-        return new RoutePlan(version, routes, services, limits);
+        return new RoutePlan(version, routes, services, limits, Optional.empty());
+    }
+
+    /**
+     * Returns the same plan for callers of certain teams.
+     *
+     * @param directory the teams
+     * @return the plan
+     */
+    public RoutePlan servingTeams(TeamDirectory directory) {
+        return new RoutePlan(version, routes, services, limits, Optional.of(directory));
     }
 
     /**
@@ -78,29 +94,23 @@
     }
 
     /**
-     * Returns how much the requests of a route matter. The least urgent priority of the plan is the lowest importance,
-     * and so on upwards without gaps, so that shedding begins with requests that there are. The highest importance is
-     * left for calls inside a chain.
+     * Returns the teams whose callers are served.
      *
-     * @param route a route of this plan
-     * @return the importance
+     * @return the teams, empty if callers need not be known
      */
-    public Importance importance(Route route) {
-        return bands.getOrDefault(route.priority(), Importance.HIGH);
+    public Optional<TeamDirectory> teams() {
+        return teams;
     }
 
-    private static Map<Integer, Importance> bands(List<Route> routes) {
-        List<Integer> priorities = routes.stream()
-                .map(Route::priority)
-                .distinct()
-                .sorted(Comparator.reverseOrder())
-                .toList();
-        Map<Integer, Importance> bands = new HashMap<>();
-        for (int i = 0; i < priorities.size(); i++) {
-            int band = Math.min(i, Importance.HIGH.ordinal());
-            bands.put(priorities.get(i), Importance.values()[band]);
-        }
-        return Map.copyOf(bands);
+    /**
+     * Returns how much the requests of a route matter.
+     *
+     * @param route a route of this plan
+     * @param team the team that asks, if it is known
+     * @return the importance
+     */
+    public Importance importance(Route route, Optional<Team> team) {
+        return bands.importance(route, team);
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlanCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlanCheck.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import org.verbenadyke.kernel.team.TeamCheck;
+
 /**
  * Finds every fault of a plan at once, so that an operator can mend all of them in one go.
  */
@@ -28,6 +30,7 @@
             }
             check(r, services, problems);
         }
+        plan.teams().ifPresent(t -> problems.addAll(TeamCheck.problems(t.entries())));
         return problems;
     }
 
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/team/TeamCheck.java
@@ -0,0 +1,57 @@
+package org.verbenadyke.kernel.team;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Finds every fault in a list of teams. No fault's wording holds a key.
+ */
+public final class TeamCheck {
+    /** The highest rate and burst: above it a limit is a typing error, and sums lose whole requests. */
+    private static final double LIMIT_MOST = 1e9;
+
+    private TeamCheck() {}
+
+    /**
+     * Checks teams.
+     *
+     * @param entries the teams
+     * @return a sentence for each fault; empty when the teams can be used
+     */
+    public static List<String> problems(List<TeamEntry> entries) {
+        List<String> problems = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        Map<KeyDigest, String> holders = new HashMap<>();
+        for (TeamEntry e : entries) {
+            String name = e.team().name();
+            if (!names.add(name)) {
+                problems.add("Team " + name + " is listed twice; merge the entries.");
+            }
+            for (KeyDigest k : e.keys()) {
+                String other = holders.putIfAbsent(k, name);
+                if (other != null && !other.equals(name)) {
+                    problems.add("Teams " + other + " and " + name + " share a key; give each a key of its own.");
+                }
+            }
+            e.team().limit().ifPresent(l -> check(name, l, problems));
+        }
+        return problems;
+    }
+
+    private static void check(String name, RateLimit limit, List<String> problems) {
+        if (!allowed(limit.perSecond())) {
+            problems.add("Team " + name + " has a rate out of range; set it from 0 to a billion a second.");
+        }
+        if (!allowed(limit.burst())) {
+            problems.add("Team " + name + " has a burst out of range; set it from 0 to a billion requests.");
+        }
+    }
+
+    private static boolean allowed(double value) {
+        return value >= 0 && value <= LIMIT_MOST;
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/team/TeamDirectory.java
@@ -0,0 +1,53 @@
+package org.verbenadyke.kernel.team;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The teams of one configuration and the keys by which their callers are known. Immutable; a key is looked up in
+ * constant time.
+ */
+public final class TeamDirectory {
+    private final List<TeamEntry> entries;
+    private final Map<KeyDigest, Team> byKey;
+
+    private TeamDirectory(List<TeamEntry> entries, Map<KeyDigest, Team> byKey) {
+        this.entries = entries;
+        this.byKey = byKey;
+    }
+
+    /**
+     * Creates a directory.
+     *
+     * @param entries the teams
+     * @return the directory
+     */
+    public static TeamDirectory of(List<TeamEntry> entries) {
+        Map<KeyDigest, Team> byKey = new HashMap<>();
+        for (TeamEntry e : entries) {
+            e.keys().forEach(k -> byKey.put(k, e.team()));
+        }
+        return new TeamDirectory(List.copyOf(entries), byKey);
+    }
+
+    /**
+     * Returns the teams.
+     *
+     * @return each team with its keys
+     */
+    public List<TeamEntry> entries() {
+        return entries;
+    }
+
+    /**
+     * Finds the team that holds a key.
+     *
+     * @param key the key's digest
+     * @return the team, empty if no team holds the key
+     */
+    public Optional<Team> holder(KeyDigest key) {
+        return Optional.ofNullable(byKey.get(key));
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -34,6 +34,16 @@
             long heldMillis)
             implements Decision {}
 
+    /**
+     * A request was refused since its caller isn't known.
+     *
+     * @param request the request, as its caller names it
+     * @param plan the version of the configuration that was asked
+     * @param fault what is wrong with the key that it brought
+     * @param signAgeMillis how long ago some node was known to read the operators' record, in milliseconds
+     */
+    record Unidentified(String request, long plan, String fault, long signAgeMillis) implements Decision {}
+
     /**
      * A request got an upstream's answer that says that it failed.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/RoutePlanCheckTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/RoutePlanCheckTest.java
@@ -11,8 +11,8 @@
 final class RoutePlanCheckTest {
     @Test
     void namesEveryFaultAtOnce() {
-        Route bad =
-                new Route("bad", "h", "files", List.of(new ServiceShare("gone", 0)), RequestKind.DOWNLOAD, 0, 0, 0, 0);
+        Route bad = new Route(
+                "bad", "h", "files", List.of(new ServiceShare("gone", 0)), RequestKind.DOWNLOAD, 0, 0, 0, 0, false);
         Route good = RoutePlanTest.route("good", "h", "/", "s");
         Route twin = RoutePlanTest.route("twin", "h", "/", "s");
         List<String> problems = RoutePlanCheck.problems(plan(bad, good, twin));
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/RoutePlanTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/RoutePlanTest.java
@@ -47,6 +47,15 @@
 
     static Route route(String name, String host, String prefix, String service) {
         return new Route(
-                name, host, prefix, List.of(new ServiceShare(service, 1)), RequestKind.IDEMPOTENT, 1_000, 500, 2, 1);
+                name,
+                host,
+                prefix,
+                List.of(new ServiceShare(service, 1)),
+                RequestKind.IDEMPOTENT,
+                1_000,
+                500,
+                2,
+                1,
+                false);
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/SplitCursorTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/SplitCursorTest.java
@@ -34,6 +34,6 @@
     }
 
     private static Route split(ServiceShare... shares) {
-        return new Route("r", "h", "/", List.of(shares), RequestKind.IDEMPOTENT, 1, 1, 1, 1);
+        return new Route("r", "h", "/", List.of(shares), RequestKind.IDEMPOTENT, 1, 1, 1, 1, false);
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpFields.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpFields.java
@@ -27,6 +27,9 @@
     /** When a refused caller may come back. */
     public static final String RETRY_AFTER = "retry-after";
 
+    /** How a caller that isn't known is to say who it is. */
+    public static final String WWW_AUTHENTICATE = "www-authenticate";
+
     /** Whether a connection stays open. */
     public static final String CONNECTION = "connection";
 
@@ -66,6 +69,20 @@
         return Optional.empty();
     }
 
+    /**
+     * Finds all fields of a name.
+     *
+     * @param fields the fields
+     * @param name the name, in lower case
+     * @return their values, in their order on the wire
+     */
+    public static List<String> findAll(List<HeaderField> fields, String name) {
+        return fields.stream()
+                .filter(f -> f.name().equalsIgnoreCase(name))
+                .map(HeaderField::value)
+                .toList();
+    }
+
     /**
      * Returns the fields that concern the request or answer, without those that concern one connection only.
      *
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -27,6 +27,8 @@
     /** The field that names what a request asks for, the same for every try and repeat of it. */
     public static final String DIGEST = "digest";
 
+    private static final String ROUTE = "route";
+    private static final String PLAN = "plan";
     private static final String EVIDENCE = "evidence";
     private static final Logger LOG = LogManager.getLogger("decision");
 
@@ -77,6 +79,7 @@
     private static String kind(Decision decision) {
         return switch (decision) {
             case Decision.Refused d -> "refused-" + d.reason().label();
+            case Decision.Unidentified d -> "caller-unidentified";
             case Decision.Failed d -> "answered-failed";
             case Decision.TurnedAway d -> "turned-away-" + d.reason().label();
             case Decision.Retried d -> "retried-" + d.reason().label();
@@ -94,21 +97,9 @@
 
     private static void fill(StringMapMessage line, Decision decision) {
         switch (decision) {
-            case Decision.Refused d ->
-                line.with(REQUEST, d.request())
-                        .with(CHAIN, d.chain())
-                        .with("route", d.route())
-                        .with("plan", d.plan())
-                        .with("runState", d.state().label())
-                        .with("retryAfterMs", d.retryAfterMillis())
-                        .with("heldMs", d.heldMillis());
-            case Decision.Failed d ->
-                line.with(REQUEST, d.request())
-                        .with(CHAIN, d.chain())
-                        .with("route", d.route())
-                        .with("plan", d.plan())
-                        .with("status", d.status())
-                        .with("heldMs", d.heldMillis());
+            case Decision.Refused d -> fill(line, d);
+            case Decision.Unidentified d -> fill(line, d);
+            case Decision.Failed d -> fill(line, d);
             case Decision.TurnedAway d ->
                 line.with(CHAIN, d.chain())
                         .with("upstream", d.upstream())
@@ -150,6 +141,32 @@
         }
     }
 
+    private static void fill(StringMapMessage line, Decision.Refused d) {
+        line.with(REQUEST, d.request())
+                .with(CHAIN, d.chain())
+                .with(ROUTE, d.route())
+                .with(PLAN, d.plan())
+                .with("runState", d.state().label())
+                .with("retryAfterMs", d.retryAfterMillis())
+                .with("heldMs", d.heldMillis());
+    }
+
+    private static void fill(StringMapMessage line, Decision.Unidentified d) {
+        line.with(REQUEST, d.request())
+                .with(PLAN, d.plan())
+                .with("fault", d.fault())
+                .with("signAgeMs", d.signAgeMillis());
+    }
+
+    private static void fill(StringMapMessage line, Decision.Failed d) {
+        line.with(REQUEST, d.request())
+                .with(CHAIN, d.chain())
+                .with(ROUTE, d.route())
+                .with(PLAN, d.plan())
+                .with("status", d.status())
+                .with("heldMs", d.heldMillis());
+    }
+
     private static void fill(StringMapMessage line, Decision.HeldBack d) {
         line.with(CHAIN, d.chain())
                 .with(DIGEST, d.digest())
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
@@ -6,6 +6,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
 
 import org.verbenadyke.kernel.routing.Endpoint;
 
@@ -49,15 +51,35 @@
      */
     public HttpResponse<String> send(String method, String host, String path, String id, long deadlineMillis)
             throws IOException {
+        return send(method, host, path, id, deadlineMillis, Map.of());
+    }
+
+    /**
+     * Sends a request with further header fields.
+     *
+     * @param method the method
+     * @param host the host it names
+     * @param path the path
+     * @param id its id
+     * @param deadlineMillis how long it waits, as it says
+     * @param fields the further fields; each value is sent as a field of its own
+     * @return the answer
+     * @throws IOException when the node breaks the connection off
+     */
+    public HttpResponse<String> send(
+            String method, String host, String path, String id, long deadlineMillis, Map<String, List<String>> fields)
+            throws IOException {
         HttpRequest.BodyPublisher body = method.equals("GET")
                 ? HttpRequest.BodyPublishers.noBody()
                 : HttpRequest.BodyPublishers.ofString("body of " + id);
-        return call(HttpRequest.newBuilder(uri(ports.entry(), path))
+        HttpRequest.Builder request = HttpRequest.newBuilder(uri(ports.entry(), path))
                 .method(method, body)
                 .header("Host", host)
                 .header("X-Request-Id", id)
                 .header("X-Deadline-Ms", Long.toString(deadlineMillis))
-                .header("X-Caller-Service", "made-up"));
+                .header("X-Caller-Service", "made-up");
+        fields.forEach((name, values) -> values.forEach(v -> request.header(name, v)));
+        return call(request);
     }
 
     /**
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
@@ -29,6 +29,38 @@
                 "idle-timeout":"15s"}}""".formatted(version, service, service, service);
     }
 
+    /**
+     * Words the same configuration for callers of certain teams; the route at {@code read.example} under {@code /open/}
+     * serves callers without a key.
+     *
+     * @param version the version
+     * @param service the service
+     * @param teams the teams as a JSON list
+     * @return the document
+     */
+    public static String configuration(int version, String service, String teams) {
+        String open = """
+                {"name":"open","host":"read.example","path-prefix":"/open/","kind":"idempotent","timeout":"3000ms",\
+                "target-latency":"500ms","priority":1,"service":"%s","max-attempts":2,"public":true},\
+                """.formatted(service);
+        String plain = configuration(version, service);
+        String withRoute = plain.replace("\"routes\":[", "\"routes\":[" + open);
+        return withRoute.substring(0, withRoute.length() - 1) + ",\"tenants\":" + teams + "}";
+    }
+
+    /**
+     * Words a team.
+     *
+     * @param name its name
+     * @param priority its priority
+     * @param keys its keys
+     * @return the team as a JSON object
+     */
+    public static String team(String name, int priority, String... keys) {
+        String list = "\"" + String.join("\",\"", keys) + "\"";
+        return "{\"name\":\"%s\",\"api-keys\":[%s],\"priority\":%d}".formatted(name, list, priority);
+    }
+
     /**
      * Words a server's report.
      *
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -156,6 +156,7 @@
         p.packString(m.content().method()).packString(m.content().path());
         packHeaders(p, m.content().headers());
         packBytes(p, m.content().body());
+        p.packString(m.content().team());
     }
 
     private static Message.Call unpackCall(MessageUnpacker u) throws IOException {
@@ -170,7 +171,8 @@
                 u.unpackLong(),
                 u.unpackBoolean(),
                 u.unpackString(),
-                new Message.Content(u.unpackString(), u.unpackString(), unpackHeaders(u), unpackBytes(u)));
+                new Message.Content(
+                        u.unpackString(), u.unpackString(), unpackHeaders(u), unpackBytes(u), u.unpackString()));
     }
 
     private static MessageBufferPacker packId(MessageBufferPacker p, CallId id) throws IOException {
