Set logging up in code without looking for plug-ins

Cause: of the processor time of a node's start, some 60 % went to Log4j: it looked for its plug-ins in every jar, checked the console appender's fields by reflection, looked up the host's name and walked the stack for each logger. Seen by the gaps between class loads (0.13 to 0.46 s of a start of 0.60 s) and by the stacks under which classes were generated at run time. Netty generated method handles to learn its process id; reflection generated accessors.

Change: JsonLog installs a ready configuration before the first logger is made; one logger context; an appender made without the builder; process id, machine id and plain reflective access by flags.

Ruled out: the time isn't class loading (4,668 of 4,747 classes come from the archive).

--- a/node/src/test/java/org/verbenadyke/node/trace/JsonLogConfigurationTest.java
+++ b/node/src/test/java/org/verbenadyke/node/trace/JsonLogConfigurationTest.java
@@ -3,19 +3,15 @@
 import java.util.Set;
 
 import org.apache.logging.log4j.Level;
-import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.config.Configuration;
-import org.apache.logging.log4j.core.config.ConfigurationSource;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-/** Tests {@link JsonLogConfiguration} and its factory. */
+/** Tests {@link JsonLogConfiguration}. */
 final class JsonLogConfigurationTest {
-    private final LoggerContext context = new LoggerContext("test");
-    private final Configuration configuration =
-            new JsonLogFactory().getConfiguration(context, ConfigurationSource.NULL_SOURCE);
+    private final Configuration configuration = JsonLogConfiguration.create();
 
     @Test
     void logsLinesOfJsonToOneAppender() {
