Write out the equality of records that are compared at every start

Cause: equals and hashCode of a record are generated as method handles at their first use; MemberRecord.equals alone made eleven classes at run time, Place's hashCode five, and the compiler compiled the machinery (229 of 878 methods were java.lang.invoke's). They also stand on the path of each request as map keys.

Left: type switches over sealed interfaces generate a class each (some 15).

--- a/kernel/src/main/java/org/verbenadyke/kernel/call/CallId.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/CallId.java
@@ -12,4 +12,15 @@
     public String toString() {
         return Long.toHexString(incarnation) + "/" + Long.toHexString(sequence);
     }
+
+    // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof CallId o && incarnation == o.incarnation && sequence == o.sequence;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(incarnation) + Long.hashCode(sequence);
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/AnswerTimes.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/AnswerTimes.java
@@ -45,5 +45,16 @@
      * @param service the service asked
      * @param pathClass the class of its path
      */
-    record Kind(String service, String pathClass) {}
+    record Kind(String service, String pathClass) {
+        // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Kind o && service.equals(o.service) && pathClass.equals(o.pathClass);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * service.hashCode() + pathClass.hashCode();
+        }
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -223,5 +223,16 @@
      * @param caller the calling service
      * @param service the called one
      */
-    private record Pair(String caller, String service) {}
+    private record Pair(String caller, String service) {
+        // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Pair o && caller.equals(o.caller) && service.equals(o.service);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * caller.hashCode() + service.hashCode();
+        }
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberRecord.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberRecord.java
@@ -87,4 +87,25 @@
         long h = Rendezvous.hash(nodeId, state.name());
         return Rendezvous.hash(Long.toHexString(h ^ incarnation), Long.toString(version));
     }
+
+    // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof MemberRecord o
+                && nodeId.equals(o.nodeId)
+                && incarnation == o.incarnation
+                && version == o.version
+                && state == o.state
+                && endpoint.equals(o.endpoint)
+                && control.equals(o.control)
+                && place.equals(o.place)
+                && service.equals(o.service)
+                && changedMillis == o.changedMillis
+                && epoch == o.epoch;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * nodeId.hashCode() + Long.hashCode(incarnation)) + Long.hashCode(version);
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/PriorityBands.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/PriorityBands.java
@@ -69,5 +69,16 @@
      * @param team the priority of its caller's team, {@link #NONE} if there is none
      * @param route the priority of its route
      */
-    private record Pair(int team, int route) {}
+    private record Pair(int team, int route) {
+        // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Pair o && team == o.team && route == o.route;
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * team + route;
+        }
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Endpoint.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Endpoint.java
@@ -11,4 +11,15 @@
     public String toString() {
         return host + ":" + port;
     }
+
+    // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Endpoint o && host.equals(o.host) && port == o.port;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Upstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Upstream.java
@@ -8,4 +8,19 @@
  * @param node where the node beside it listens
  * @param place where it stands
  */
-public record Upstream(String id, String service, Endpoint node, Place place) {}
+public record Upstream(String id, String service, Endpoint node, Place place) {
+    // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Upstream o
+                && id.equals(o.id)
+                && service.equals(o.service)
+                && node.equals(o.node)
+                && place.equals(o.place);
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * (31 * (31 * id.hashCode() + service.hashCode()) + node.hashCode()) + place.hashCode();
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/team/KeyDigest.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/team/KeyDigest.java
@@ -59,4 +59,15 @@
             throw new IllegalStateException(e);
         }
     }
+
+    // Written out: derived ones are generated at their first use, which costs a process that starts much time.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof KeyDigest o && high == o.high && low == o.low;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * Long.hashCode(high) + Long.hashCode(low);
+    }
 }
