Cancel the timers of answered checks, and send clocks along with answers

Each check between nodes left a timer of 400 ms behind that woke the node though the check was answered, four a second. Each link in use asked for the other side's clock every 3 s, in a fleet of 82 some 54 messages a second and node, though answers pass over it all the time.

Change: a check that is answered cancels its timer. The side that answers sends its clock along with an answer once a second, in the same write.

--- a/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
@@ -14,6 +14,9 @@
 final class LinkSession implements Link, Transport.Handler {
     private static final int IDLE_PERIODS_MOST = 4;
 
+    /** How often a link in use sends its clock, so that the other side seldom finds it old. */
+    private static final int LENDS_IN_IDLE_TIME = 3;
+
     private final Message.Hello self;
     private final TimerService timers;
     private final LinkSettings settings;
@@ -26,6 +29,7 @@
     private volatile long peerClock;
     private volatile long heardNanos;
     private volatile long clockNanos;
+    private volatile long lentNanos;
     private final AtomicInteger awaited = new AtomicInteger();
     private volatile long unansweredSince;
     private volatile boolean ready;
@@ -58,8 +62,21 @@
     @Override
     public void send(Message message) {
         Channel c = channel;
-        if (c != null && !closed.get()) {
-            c.write(message);
+        if (c == null || closed.get()) {
+            return;
+        }
+        if (!opener && ready) {
+            lendClock(c);
+        }
+        c.write(message);
+    }
+
+    /** Sends the clock along with an answer now and then, so that a link in use needs no messages for it alone. */
+    private void lendClock(Channel c) {
+        long now = timers.nanos();
+        if (now - lentNanos > settings.idleNanos() / LENDS_IN_IDLE_TIME) {
+            lentNanos = now;
+            c.write(new Message.Heartbeat(now));
         }
     }
 
@@ -128,7 +145,8 @@
         peerClock = beat.senderClock();
         clockNanos = timers.nanos();
         if (!opener) {
-            send(new Message.Heartbeat(timers.nanos()));
+            lentNanos = timers.nanos();
+            channel.write(new Message.Heartbeat(lentNanos));
         }
         if (!ready && peer != null) {
             ready = true;
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/FailureDetector.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/FailureDetector.java
@@ -8,6 +8,7 @@
 
 import org.verbenadyke.kernel.concurrent.Serial;
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.time.Subscription;
 import org.verbenadyke.kernel.time.TimerService;
 
 /**
@@ -24,7 +25,7 @@
     private final PeerChoice peers;
     private final Host host;
     private final Suspicions suspicions;
-    private final Map<Long, MemberRecord> checks = new HashMap<>();
+    private final Map<Long, Check> checks = new HashMap<>();
     private final Map<Long, GossipMessage.Probe> probes = new HashMap<>();
     private long tickets;
 
@@ -55,16 +56,17 @@
     /** Checks that a node answers. */
     void check(MemberRecord target) {
         long ticket = ++tickets;
-        checks.put(ticket, target);
         host.send(target.endpoint(), host.rumor(ticket));
-        timers.after(settings.ackNanos(), () -> serial.run(() -> checkThroughOthers(ticket)));
+        Subscription patience = timers.after(settings.ackNanos(), () -> serial.run(() -> checkThroughOthers(ticket)));
+        checks.put(ticket, new Check(target, patience));
     }
 
     private void checkThroughOthers(long ticket) {
-        MemberRecord target = checks.get(ticket);
-        if (target == null) {
+        Check check = checks.get(ticket);
+        if (check == null) {
             return;
         }
+        MemberRecord target = check.target();
         List<MemberRecord> others = new ArrayList<>(table.present());
         others.removeIf(r -> r.nodeId().equals(target.nodeId()));
         for (MemberRecord helper : peers.draw(others, HELPERS)) {
@@ -84,7 +86,8 @@
 
     /** Takes an answer, direct or passed on. */
     void answered(long ticket) {
-        checks.remove(ticket);
+        // Nearly all checks are answered; a timer left over would wake the node for each.
+        Optional.ofNullable(checks.remove(ticket)).ifPresent(c -> c.patience().cancel());
         GossipMessage.Probe probe = probes.remove(ticket);
         if (probe != null) {
             host.send(probe.asker(), new GossipMessage.ProbeAck(probe.ticket()));
@@ -135,18 +138,26 @@
         Optional<MemberRecord> known = table.find(suspected.nodeId());
         if (known.isPresent() && known.get().equals(suspected)) {
             long ticket = ++tickets;
-            checks.put(ticket, suspected);
             host.send(suspected.endpoint(), host.rumor(ticket));
-            timers.after(
+            Subscription patience = timers.after(
                     settings.ackNanos(),
                     () -> serial.run(() -> {
                         if (checks.remove(ticket) != null) {
                             giveUp(suspected);
                         }
                     }));
+            checks.put(ticket, new Check(suspected, patience));
         }
     }
 
+    /**
+     * A check under way.
+     *
+     * @param target the node that is checked
+     * @param patience runs when it has not answered in time
+     */
+    private record Check(MemberRecord target, Subscription patience) {}
+
     /**
      * What the detector needs of the gossip it belongs to.
      */
