Hold teams to their limits over all nodes

Change: kernel.quota. One node deals a team's permits, by rendezvous hashing over the members alive, from a bucket in which permits that nodes hold still take up room; nodes ask for about a second of their use ahead and give back what they don't need. Each side of a cut deals its part. 429 names a time by what the limit then has room for; 503 says that no dealer answered. The window, share and slack come from the operators' settings. docs/design/teams.md.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorld.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorld.java
@@ -7,6 +7,8 @@
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.membership.GossipSettings;
 import org.verbenadyke.kernel.owner.OwnerSettings;
+import org.verbenadyke.kernel.quota.QuotaSettings;
+import org.verbenadyke.kernel.quota.QuotaTolerance;
 import org.verbenadyke.kernel.routing.Place;
 
 /**
@@ -62,6 +64,12 @@
         ConfigSettings config =
                 new ConfigSettings(true, 1_000, 5 * Lab.SECOND, Lab.SECOND / 2, 4 * Lab.SECOND, 8 * Lab.SECOND);
         return new CoreSettings(
-                policy, GossipSettings.standard(), config, OwnerSettings.keeping(retention), 30 * Lab.SECOND, 0);
+                policy,
+                GossipSettings.standard(),
+                config,
+                OwnerSettings.keeping(retention),
+                30 * Lab.SECOND,
+                0,
+                QuotaSettings.with(QuotaTolerance.none()));
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
@@ -4,6 +4,8 @@
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.membership.GossipSettings;
 import org.verbenadyke.kernel.owner.OwnerSettings;
+import org.verbenadyke.kernel.quota.QuotaSettings;
+import org.verbenadyke.kernel.quota.QuotaTolerance;
 
 /**
  * How a node decides.
@@ -14,6 +16,7 @@
  * @param owner how long doubts about a key's owner last
  * @param rewriteNanos how often a node writes its record to the log again, in nanoseconds
  * @param spreadNanos over how long nodes that start together spread their first reading of the members, in nanoseconds
+ * @param quota how teams are held to their limits
  */
 public record CoreSettings(
         Policy policy,
@@ -21,7 +24,8 @@
         ConfigSettings config,
         OwnerSettings owner,
         long rewriteNanos,
-        long spreadNanos) {
+        long spreadNanos,
+        QuotaSettings quota) {
     private static final long DEFAULT_REWRITE_NANOS = 3_600_000_000_000L;
 
     /**
@@ -43,7 +47,8 @@
                 ConfigSettings.standard(),
                 OwnerSettings.keeping(policy.keyRetentionNanos()),
                 DEFAULT_REWRITE_NANOS,
-                0);
+                0,
+                QuotaSettings.with(QuotaTolerance.none()));
     }
 
     /**
@@ -54,7 +59,7 @@
      */
     public static CoreSettings withoutConfigLog(Policy policy) {
         CoreSettings s = with(policy);
-        return new CoreSettings(policy, s.gossip, ConfigSettings.unfollowed(), s.owner, s.rewriteNanos, 0);
+        return new CoreSettings(policy, s.gossip, ConfigSettings.unfollowed(), s.owner, s.rewriteNanos, 0, s.quota);
     }
 
     /**
@@ -63,6 +68,17 @@
      * @return the settings
      */
     public CoreSettings firstStart() {
-        return new CoreSettings(policy, gossip, config, owner, rewriteNanos, FIRST_SPREAD_NANOS);
+        return new CoreSettings(policy, gossip, config, owner, rewriteNanos, FIRST_SPREAD_NANOS, quota);
+    }
+
+    /**
+     * Returns the same settings with a tolerance of teams' limits.
+     *
+     * @param tolerance by how much limits may be exceeded
+     * @return the settings
+     */
+    public CoreSettings tolerating(QuotaTolerance tolerance) {
+        return new CoreSettings(
+                policy, gossip, config, owner, rewriteNanos, spreadNanos, QuotaSettings.with(tolerance));
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.verbenadyke.kernel.admission.SlotLimit;
 import org.verbenadyke.kernel.config.ConfigKeeper;
@@ -17,17 +16,19 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.membership.MemberTable;
-import org.verbenadyke.kernel.message.Link;
-import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.owner.KeyOwners;
 import org.verbenadyke.kernel.owner.OwnerView;
 import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.quarantine.QuarantineSettings;
+import org.verbenadyke.kernel.quota.LinkCourier;
+import org.verbenadyke.kernel.quota.MemberDealers;
+import org.verbenadyke.kernel.quota.TeamLimiter;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
+import org.verbenadyke.kernel.time.Debounce;
 import org.verbenadyke.kernel.trace.Decision;
 
 /**
@@ -35,8 +36,6 @@
  * input or output and no threads of its own.
  */
 public final class NodeCore {
-    private static final long TICK_NANOS = 100_000_000L;
-    private static final long PAUSE_NANOS = 2_000_000_000L;
     private static final long REFRESH_NANOS = 5_000_000L;
 
     private final CoreParts parts;
@@ -50,19 +49,22 @@
     private final ConfigKeeper config;
     private final MemberLog memberLog;
     private final FollowDuty follow;
-    private final AtomicBoolean refreshing = new AtomicBoolean();
+    private final PlanExchange planExchange;
+    private final TeamLimiter limiter;
+    private final Debounce refreshing;
     private volatile boolean selfDraining;
-    private volatile long tickNanos;
 
     private NodeCore(CoreParts parts, CoreSettings settings) {
         this.parts = parts;
         this.settings = settings;
-        this.tickNanos = parts.timers().nanos();
+        this.refreshing = Debounce.of(parts.timers(), REFRESH_NANOS, this::refreshNow);
         OwnerView view = OwnerView.of(table, parts.timers(), settings.owner(), this::leaving);
         this.quarantine = Quarantine.create(
                 parts.timers(), QuarantineSettings.standard(), parts.counters(), parts.decisions(), duties);
         this.owners = KeyOwners.create(view, settings.owner(), parts.timers(), this::isolated);
+        this.planExchange = PlanExchange.of(parts.plans());
         this.engine = Engine.create(engineParts(), settings.policy());
+        this.limiter = TeamLimiter.create(limiterParts(), settings.quota());
         owners.connectThrough(engine.links());
         this.follow = FollowDuty.of(
                 parts.timers(),
@@ -100,9 +102,9 @@
      */
     public static NodeCore start(CoreParts parts, CoreSettings settings) {
         NodeCore core = new NodeCore(parts, settings);
-        core.refresh();
+        core.refreshing.request();
         core.memberLog.start(settings.rewriteNanos(), settings.spreadNanos());
-        parts.timers().every(TICK_NANOS, core::tick);
+        PauseWatch.start(parts.timers(), core::paused);
         return core;
     }
 
@@ -117,7 +119,7 @@
         MemberRecord record = gossip.change(MemberState.ALIVE, service);
         engine.attach(record.upstreamId(), service, port);
         memberLog.write();
-        refresh();
+        refreshing.request();
     }
 
     /**
@@ -132,14 +134,14 @@
         gossip.renew();
         MemberRecord record = gossip.change(MemberState.ALIVE, service);
         engine.attach(record.upstreamId(), service, port, SlotLimit.of(slots));
-        refresh();
+        refreshing.request();
     }
 
     /** Takes the news that the upstream is gone; the node goes on without one. */
     public void withdraw() {
         engine.server().detach();
         gossip.change(selfDraining ? MemberState.DRAINING : MemberState.ALIVE, "");
-        refresh();
+        refreshing.request();
     }
 
     /** Tells other nodes that this one has new routes. */
@@ -231,6 +233,15 @@
         return follow;
     }
 
+    /**
+     * Returns what holds teams to their limits.
+     *
+     * @return the limiter
+     */
+    public TeamLimiter limiter() {
+        return limiter;
+    }
+
     /**
      * Returns how many calls the upstream beside this node still has.
      *
@@ -267,15 +278,18 @@
                 quarantine,
                 owners,
                 (link, m) -> owners.received(link, m, upstream()),
-                this::planMessage);
+                planExchange::received,
+                (link, m) -> limiter.received(link, m));
     }
 
-    private void planMessage(Link link, Message message) {
-        if (message instanceof Message.PlanTold told) {
-            parts.plans().offer(told.document(), "peer");
-            return;
-        }
-        parts.plans().document().ifPresent(d -> link.send(new Message.PlanTold(d.bytes())));
+    private TeamLimiter.Parts limiterParts() {
+        return new TeamLimiter.Parts(
+                parts.self().nodeId(),
+                parts.timers(),
+                parts.random(),
+                MemberDealers.of(parts.timers(), this::self, table),
+                parts.plans()::team,
+                LinkCourier.over(engine.links()));
     }
 
     private Optional<LocalUpstream> upstream() {
@@ -302,19 +316,10 @@
         if (gossip != null) {
             gossip.pushConfig();
         }
-        refresh();
-    }
-
-    /** Brings the router and the local upstream in line with members and configuration, soon. */
-    private void refresh() {
-        if (refreshing.compareAndSet(false, true)) {
-            parts.timers().after(REFRESH_NANOS, () -> {
-                refreshing.set(false);
-                refreshNow();
-            });
-        }
+        refreshing.request();
     }
 
+    /** Brings the router, the local upstream and the limiter in line with members and configuration. */
     private void refreshNow() {
         if (gossip == null) {
             // A timer fired while the constructor still ran on another thread; start refreshes once it is done.
@@ -326,24 +331,20 @@
                 .flatMap(r -> r.upstream().stream())
                 .toList();
         engine.router().update(accepting);
+        limiter.membersChanged();
         boolean leavingByOperators = leaving(gossip.self(), configuration);
         upstream().ifPresent(u -> u.drain(selfDraining || leavingByOperators));
     }
 
-    private void tick() {
-        long now = parts.timers().nanos();
-        boolean paused = now - tickNanos > PAUSE_NANOS;
-        tickNanos = now;
-        if (paused) {
-            parts.counters().count(Event.PAUSE_DETECTED);
-            rename(gossip.renew());
-        }
+    private void paused() {
+        parts.counters().count(Event.PAUSE_DETECTED);
+        rename(gossip.renew());
     }
 
     /** Goes on under a new id: others may have given the old one's keys to another owner. */
     private void rename(MemberRecord renewed) {
         upstream().ifPresent(u -> engine.server().attach(u.renamed(renewed.upstreamId())));
-        refresh();
+        refreshing.request();
     }
 
     /**
@@ -352,7 +353,7 @@
     private final class News implements Gossip.Listener {
         @Override
         public void membersChanged() {
-            refresh();
+            refreshing.request();
         }
 
         @Override
@@ -373,7 +374,7 @@
 
         @Override
         public void newerPlanAt(Endpoint node) {
-            engine.links().acquire(node, link -> link.ifPresent(l -> l.send(new Message.PlanWanted())));
+            planExchange.fetch(engine.links(), node);
         }
 
         @Override
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -31,6 +31,7 @@
  * @param keyClaims decides about idempotency keys
  * @param keyMessages takes messages about keys from other nodes
  * @param planMessages takes messages about routes
+ * @param quotaMessages takes messages about teams' permits
  */
 public record EngineParts(
         String nodeId,
@@ -45,4 +46,5 @@
         Quarantine quarantine,
         KeyClaims keyClaims,
         BiConsumer<Link, Message> keyMessages,
-        BiConsumer<Link, Message> planMessages) {}
+        BiConsumer<Link, Message> planMessages,
+        BiConsumer<Link, Message> quotaMessages) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/MemberTable.java
@@ -134,6 +134,23 @@
                 .toList();
     }
 
+    /**
+     * Counts the members that were lost and may still run behind a cut: suspected, or given up lately.
+     *
+     * @param nowNanos the time
+     * @param withinNanos how long ago a member counts that was given up, in nanoseconds
+     * @return their number
+     */
+    public int lost(long nowNanos, long withinNanos) {
+        int lost = 0;
+        for (Entry e : table.values()) {
+            boolean suspected = e.record().state() == MemberState.SUSPECT;
+            boolean givenUp = e.record().state() == MemberState.DEAD && nowNanos - e.since() < withinNanos;
+            lost += suspected || givenUp ? 1 : 0;
+        }
+        return lost;
+    }
+
     /**
      * Hashes the whole table.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/PlanKeeper.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/PlanKeeper.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.team.Team;
 
 /**
  * Holds the plan in force. A version only ever gives way to a higher one, whether it comes from the operators' store or
@@ -73,6 +74,16 @@
         return Optional.ofNullable(held.get()).map(Held::plan);
     }
 
+    /**
+     * Finds a team of the plan in force.
+     *
+     * @param name its name
+     * @return the team, empty if the plan lists none of the name
+     */
+    public Optional<Team> team(String name) {
+        return plan().flatMap(RoutePlan::teams).flatMap(t -> t.named(name));
+    }
+
     /**
      * Returns the document of the plan in force, without secrets.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/team/TeamDirectory.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/team/TeamDirectory.java
@@ -12,10 +12,12 @@
 public final class TeamDirectory {
     private final List<TeamEntry> entries;
     private final Map<KeyDigest, Team> byKey;
+    private final Map<String, Team> byName;
 
-    private TeamDirectory(List<TeamEntry> entries, Map<KeyDigest, Team> byKey) {
+    private TeamDirectory(List<TeamEntry> entries, Map<KeyDigest, Team> byKey, Map<String, Team> byName) {
         this.entries = entries;
         this.byKey = byKey;
+        this.byName = byName;
     }
 
     /**
@@ -26,10 +28,12 @@
      */
     public static TeamDirectory of(List<TeamEntry> entries) {
         Map<KeyDigest, Team> byKey = new HashMap<>();
+        Map<String, Team> byName = new HashMap<>();
         for (TeamEntry e : entries) {
+            byName.put(e.team().name(), e.team());
             e.keys().forEach(k -> byKey.put(k, e.team()));
         }
-        return new TeamDirectory(List.copyOf(entries), byKey);
+        return new TeamDirectory(List.copyOf(entries), byKey, byName);
     }
 
     /**
@@ -41,6 +45,16 @@
         return entries;
     }
 
+    /**
+     * Finds a team by its name.
+     *
+     * @param name the name
+     * @return the team, empty if none has the name
+     */
+    public Optional<Team> named(String name) {
+        return Optional.ofNullable(byName.get(name));
+    }
+
     /**
      * Finds the team that holds a key.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
@@ -33,6 +33,7 @@
                 quarantine,
                 KeyClaims.alone(),
                 (link, message) -> {},
+                (link, message) -> {},
                 (link, message) -> {});
         return Engine.create(parts, Policy.standard());
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ReturnedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ReturnedUpstreamTest.java
@@ -31,6 +31,7 @@
                     Quarantine.alone(clock),
                     KeyClaims.alone(),
                     (link, message) -> {},
+                    (link, message) -> {},
                     (link, message) -> {}),
             Policy.standard());
 
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/TeamLimiterTest.java
@@ -0,0 +1,110 @@
+package org.verbenadyke.kernel.quota;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.team.Team;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests one team's requests at a few nodes. */
+final class TeamLimiterTest {
+    private static final long SETTLED_NANOS = 20 * QuotaFleet.SECOND;
+    private static final long ROUND_TRIP_NANOS = 20 * QuotaFleet.MILLI;
+
+    private final QuotaFleet fleet = new QuotaFleet(3, 1, QuotaTolerance.none());
+    private int dealer;
+    private int other;
+
+    @BeforeEach
+    void settle() {
+        fleet.list(QuotaReplayTest.team("t", 10, 10));
+        fleet.clock().advance(SETTLED_NANOS);
+        dealer = fleet.dealer(0, "t");
+        other = (dealer + 1) % 3;
+    }
+
+    @Test
+    void admitsATeamWithoutALimitAtOnce() {
+        fleet.list(Team.named("free"));
+        Outcome outcome = ask(other, "free");
+        assertTrue(outcome.admitted);
+    }
+
+    @Test
+    void admitsAtTheDealerAtOnce() {
+        assertTrue(ask(dealer, "t").admitted);
+    }
+
+    @Test
+    void admitsElsewhereAfterARoundTrip() {
+        Outcome outcome = ask(other, "t");
+        assertTrue(!outcome.admitted);
+        fleet.clock().advance(ROUND_TRIP_NANOS);
+        assertTrue(outcome.admitted);
+    }
+
+    @Test
+    void refusesWhatIsOverTheLimitWithATimeToComeBack() {
+        for (int i = 0; i < 10; i++) {
+            ask(dealer, "t");
+        }
+        Outcome outcome = ask(other, "t");
+        fleet.clock().advance(ROUND_TRIP_NANOS);
+        assertEquals(RefusalReason.RATE_LIMITED, outcome.refusal.reason());
+        assertEquals(RunState.NOT_RUN, outcome.refusal.state());
+        assertTrue(outcome.refusal.retryAfterMillis() >= 50, outcome.refusal.toString());
+    }
+
+    @Test
+    void givesAPermitToTheNextWhenARequestNeverRan() {
+        for (int i = 0; i < 10; i++) {
+            ask(dealer, "t");
+        }
+        fleet.giveBack(dealer, "t");
+        assertTrue(ask(dealer, "t").admitted);
+    }
+
+    @Test
+    void saysThatItIsNotSureWhileTheDealerIsSilent() {
+        fleet.kill(dealer);
+        Outcome outcome = ask(other, "t");
+        fleet.clock().advance(300 * QuotaFleet.MILLI);
+        assertEquals(RefusalReason.TEAM_UNCERTAIN, outcome.refusal.reason());
+        assertTrue(outcome.refusal.retryAfterMillis() > 0);
+    }
+
+    @Test
+    void asksTheNextDealerOnceTheSilentOneIsSuspected() {
+        fleet.kill(dealer);
+        fleet.clock().advance(2 * QuotaFleet.SECOND);
+        Outcome outcome = ask(other, "t");
+        fleet.clock().advance(ROUND_TRIP_NANOS);
+        assertTrue(outcome.admitted);
+    }
+
+    private Outcome ask(int node, String team) {
+        Outcome outcome = new Outcome();
+        fleet.admit(node, team, outcome);
+        return outcome;
+    }
+
+    /** What became of a request. */
+    private static final class Outcome implements TeamLimiter.Taker {
+        private boolean admitted;
+        private Refusal refusal;
+
+        @Override
+        public void admitted() {
+            admitted = true;
+        }
+
+        @Override
+        public void refused(Refusal newRefusal) {
+            refusal = newRefusal;
+        }
+    }
+}
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -114,6 +114,8 @@
             case Message.KeysHandedOn m -> p.packString(m.upstream());
             case Message.PlanWanted m -> p.packNil();
             case Message.PlanTold m -> packBytes(p, m.document());
+            case Message.QuotaAsk m -> QuotaCodec.pack(p, m);
+            case Message.QuotaTold m -> QuotaCodec.pack(p, m);
         }
     }
 
@@ -143,6 +145,8 @@
                 yield new Message.PlanWanted();
             }
             case PLAN_TOLD -> new Message.PlanTold(unpackBytes(u));
+            case QUOTA_ASK -> QuotaCodec.unpackAsk(u);
+            case QUOTA_TOLD -> QuotaCodec.unpackTold(u);
         };
     }
 
--- a/wire/src/main/java/org/verbenadyke/wire/FrameType.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameType.java
@@ -27,7 +27,11 @@
     /** {@link Message.PlanWanted}. */
     PLAN_WANTED,
     /** {@link Message.PlanTold}. */
-    PLAN_TOLD;
+    PLAN_TOLD,
+    /** {@link Message.QuotaAsk}. */
+    QUOTA_ASK,
+    /** {@link Message.QuotaTold}. */
+    QUOTA_TOLD;
 
     private static final FrameType[] ALL = values();
 
@@ -62,6 +66,8 @@
             case Message.KeysHandedOn m -> KEYS_HANDED_ON;
             case Message.PlanWanted m -> PLAN_WANTED;
             case Message.PlanTold m -> PLAN_TOLD;
+            case Message.QuotaAsk m -> QUOTA_ASK;
+            case Message.QuotaTold m -> QUOTA_TOLD;
         };
     }
 }
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -55,7 +55,11 @@
             new Message.KeyTold(1, new Message.KeyFact.Unsure()),
             new Message.KeyTold(1, new Message.KeyFact.Known(2, new KeptAnswer.Whole(201, HEADERS, new byte[] {4}))),
             new Message.KeyHandOn("k", 2, new KeptAnswer.Lost(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN))),
-            new Message.KeysHandedOn("u"));
+            new Message.KeysHandedOn("u"),
+            new Message.PlanWanted(),
+            new Message.PlanTold(new byte[] {1, 2}),
+            new Message.QuotaAsk(1L << 40, "me", "team", 1, 2, 3, 4),
+            new Message.QuotaTold(1L << 40, "team", true, 5, 6));
 
     @Test
     void everyMessageComesBackAsItWas() {
