--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/Permits.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/Permits.java
@@ -5,6 +5,8 @@
 import java.util.Deque;
 import java.util.List;
 
+import org.verbenadyke.kernel.time.Subscription;
+
 /**
  * The permits of one team that a node holds, its need for more, and the requests that wait for them. Not safe for
  * threads; {@link TeamLimiter} guards it.
@@ -27,6 +29,7 @@
     private long lapseNanos;
     private int unused;
     private long asked;
+    private Subscription patience = () -> {};
     private long askedNanos;
     private long blockedNanos;
     private long waitingNanos;
@@ -120,9 +123,15 @@
         return asked == ticket;
     }
 
+    /** Takes the timer that runs when the dealer has not answered in time. */
+    void answerExpected(Subscription timer) {
+        patience = timer;
+    }
+
     /** Notes that no answer is awaited any more. */
     void answered() {
         asked = 0;
+        patience.cancel();
     }
 
     /** Takes permits of the dealer; they lapse a fixed time after they were asked for. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
@@ -16,8 +16,8 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
-import org.verbenadyke.kernel.team.RateLimit;
 import org.verbenadyke.kernel.team.Team;
+import org.verbenadyke.kernel.time.Subscription;
 import org.verbenadyke.kernel.time.TimerService;
 
 /**
@@ -42,13 +42,14 @@
     private final Parts parts;
     private final QuotaSettings settings;
     private final Map<String, Permits> permits = new ConcurrentHashMap<>();
-    private final Map<String, Account> accounts = new ConcurrentHashMap<>();
+    private final PermitDealer dealer;
     private final AtomicLong tickets = new AtomicLong();
     private final AtomicBoolean sweeping = new AtomicBoolean();
 
     private TeamLimiter(Parts parts, QuotaSettings settings) {
         this.parts = parts;
         this.settings = settings;
+        this.dealer = PermitDealer.create(parts.timers(), parts.dealers(), parts.teams(), settings);
     }
 
     /**
@@ -121,7 +122,7 @@
         switch (message) {
             case Message.QuotaAsk m -> {
                 Demand demand = new Demand(m.held(), m.returned(), m.needed(), m.wanted());
-                Optional<Deal> deal = deal(m.node(), m.team(), demand);
+                Optional<Deal> deal = dealer.deal(m.node(), m.team(), demand);
                 link.send(new Message.QuotaTold(
                         m.ticket(),
                         m.team(),
@@ -138,10 +139,9 @@
         }
     }
 
-    /** Takes notice that members came or went: accounts that others keep now begin empty should they return. */
+    /** Takes notice that members came or went. */
     public void membersChanged() {
-        parts.dealers().membersChanged();
-        accounts.keySet().removeIf(team -> !parts.dealers().here(team));
+        dealer.membersChanged();
     }
 
     private void ask(String team, Permits p) {
@@ -155,39 +155,24 @@
             demand = p.ask(ticket, now);
         }
         if (parts.dealers().here(team)) {
-            told(team, ticket, deal(parts.self(), team, demand));
+            told(team, ticket, dealer.deal(parts.self(), team, demand));
             return;
         }
-        parts.timers().after(settings.patienceNanos(), () -> silent(team, ticket));
-        Message.QuotaAsk question = new Message.QuotaAsk(
-                ticket, parts.self(), team, demand.held(), demand.returned(), demand.needed(), demand.wanted());
-        Optional<MemberRecord> dealer = parts.dealers().dealer(team);
-        if (dealer.isEmpty()) {
+        Subscription patience = parts.timers().after(settings.patienceNanos(), () -> silent(team, ticket));
+        synchronized (p) {
+            p.answerExpected(patience);
+        }
+        Optional<MemberRecord> node = parts.dealers().dealer(team);
+        if (node.isEmpty()) {
             told(team, ticket, Optional.empty());
             return;
         }
-        parts.courier().send(dealer.get(), question, () -> told(team, ticket, Optional.empty()));
-    }
-
-    /** Deals permits, unless this node is not the one to do so. */
-    private Optional<Deal> deal(String node, String team, Demand demand) {
-        Optional<Team> known = parts.teams().apply(team);
-        if (known.isEmpty() || !parts.dealers().here(team) || !parts.dealers().settled()) {
-            return Optional.empty();
-        }
-        Optional<RateLimit> limit = known.get().limit();
-        if (limit.isEmpty()) {
-            return Optional.of(new Deal(demand.wanted(), 0));
-        }
-        long now = parts.timers().nanos();
-        Account account = accounts.computeIfAbsent(
-                team, t -> new Account(settings, parts.dealers().sinceNanos()));
-        synchronized (account) {
-            return Optional.of(
-                    account.deal(node, demand, limit.get(), parts.dealers().share(), now));
-        }
+        Message.QuotaAsk question = new Message.QuotaAsk(
+                ticket, parts.self(), team, demand.held(), demand.returned(), demand.needed(), demand.wanted());
+        parts.courier().send(node.get(), question, () -> told(team, ticket, Optional.empty()));
     }
 
+    /** Takes the answer to a question; empty if the node that was asked does not deal the team's permits now. */
     private void told(String team, long ticket, Optional<Deal> deal) {
         Permits p = permits.get(team);
         if (p == null) {
@@ -208,7 +193,7 @@
             boolean soon = afterMillis * NANOS_PER_MILLI <= settings.holdNanos() || deal.isEmpty();
             if (p.waits() && (!soon || p.waitedNanos(now) > settings.patienceNanos())) {
                 refused = p.giveUp();
-                p.block(Math.min(settings.blockMostNanos(), afterMillis * NANOS_PER_MILLI), now);
+                p.block(deal.isEmpty() ? 0 : Math.min(settings.blockMostNanos(), afterMillis * NANOS_PER_MILLI), now);
             }
             waits = p.waits();
         }
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
@@ -61,6 +61,18 @@
         return "{\"name\":\"%s\",\"api-keys\":[%s],\"priority\":%d}".formatted(name, list, priority);
     }
 
+    /**
+     * Words a team with a rate limit and no burst.
+     *
+     * @param name its name
+     * @param perSecond how many requests a second it may send
+     * @param key its key
+     * @return the team as a JSON object
+     */
+    public static String limitedTeam(String name, int perSecond, String key) {
+        return "{\"name\":\"%s\",\"api-keys\":[\"%s\"],\"rate-per-s\":%d}".formatted(name, key, perSecond);
+    }
+
     /**
      * Words a server's report.
      *
