--- a/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/link/LinkSession.java
@@ -14,9 +14,6 @@
 final class LinkSession implements Link, Transport.Handler {
     private static final int IDLE_PERIODS_MOST = 4;
 
-    /** How often a link in use sends its clock, so that the other side seldom finds it old. */
-    private static final int LENDS_IN_IDLE_TIME = 3;
-
     private final Message.Hello self;
     private final TimerService timers;
     private final LinkSettings settings;
@@ -29,7 +26,6 @@
     private volatile long peerClock;
     private volatile long heardNanos;
     private volatile long clockNanos;
-    private volatile long lentNanos;
     private final AtomicInteger awaited = new AtomicInteger();
     private volatile long unansweredSince;
     private volatile boolean ready;
@@ -62,21 +58,8 @@
     @Override
     public void send(Message message) {
         Channel c = channel;
-        if (c == null || closed.get()) {
-            return;
-        }
-        if (!opener && ready) {
-            lendClock(c);
-        }
-        c.write(message);
-    }
-
-    /** Sends the clock along with an answer now and then, so that a link in use needs no messages for it alone. */
-    private void lendClock(Channel c) {
-        long now = timers.nanos();
-        if (now - lentNanos > settings.idleNanos() / LENDS_IN_IDLE_TIME) {
-            lentNanos = now;
-            c.write(new Message.Heartbeat(now));
+        if (c != null && !closed.get()) {
+            c.write(message);
         }
     }
 
@@ -145,8 +128,7 @@
         peerClock = beat.senderClock();
         clockNanos = timers.nanos();
         if (!opener) {
-            lentNanos = timers.nanos();
-            channel.write(new Message.Heartbeat(lentNanos));
+            send(new Message.Heartbeat(timers.nanos()));
         }
         if (!ready && peer != null) {
             ready = true;
