Read and log the rate limit and the leaving that an upstream states

An upstream names in its answers how many requests a second it accepts, and whether it is leaving. No node read either, so that the three hypotheses of the incident could not be told apart: nothing showed which node had heard a limit, which one, since when, and how many calls went out under it.

Five counters and a gauge go with it. Nothing is decided by it yet.

An answer without a limit ends it only if its call was handed over after the limit was last received, as answers overtake each other; a lower limit counts at once, a higher one under the same condition. Bad values change nothing.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.notice.AnnouncedRate;
 
 /**
  * Admits calls to the colocated upstream: at once while a slot is free, otherwise from a short queue in order of
@@ -14,6 +15,7 @@
     private final ConcurrencyLimit limit;
     private final LevelControl level;
     private final AdmissionQueue queue;
+    private final AnnouncedRate announcedRate = AnnouncedRate.unlimited();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ServiceTime serviceTime = ServiceTime.unknown();
     private final SlotHoldTime holdTime = SlotHoldTime.unknown();
@@ -151,6 +153,15 @@
         return limit.current();
     }
 
+    /**
+     * Returns the rate limit that the upstream names in its answers.
+     *
+     * @return the rate limit
+     */
+    public AnnouncedRate announcedRate() {
+        return announcedRate;
+    }
+
     /**
      * Returns the number of waiting calls.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -56,6 +56,16 @@
     QUARANTINE_BEGUN,
     /** A quarantined request was answered in a trial, and is no longer quarantined. */
     QUARANTINE_LIFTED,
+    /** The colocated upstream named a rate limit in its answers. */
+    RATE_LIMIT_NAMED,
+    /** The colocated upstream changed its rate limit. */
+    RATE_LIMIT_CHANGED,
+    /** The colocated upstream names no rate limit any more. */
+    RATE_LIMIT_ENDED,
+    /** An answer of the colocated upstream named a rate limit that can't be read. */
+    RATE_LIMIT_UNREADABLE,
+    /** The colocated upstream stated in an answer that it is leaving. */
+    UPSTREAM_LEAVING,
     /** An invariant was violated. */
     INVARIANT_BREACHED;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.once.SeenCalls;
 import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
@@ -32,6 +33,7 @@
     private final Parts parts;
     private final ServeSettings settings;
     private final SeenCalls seenCalls;
+    private final NoticeHandler notices;
     private final SuspectQueue suspectQueue = SuspectQueue.empty();
     private final Map<CallId, IncomingCall> calls = new ConcurrentHashMap<>();
     private final Map<String, CallContext> contexts = new ConcurrentHashMap<>();
@@ -41,6 +43,7 @@
     private CallServer(Parts parts, ServeSettings settings) {
         this.parts = parts;
         this.settings = settings;
+        this.notices = new NoticeHandler(parts.counters, parts.decisions);
         this.seenCalls = SeenCalls.startingAt(parts.timers.nanos());
     }
 
@@ -155,6 +158,10 @@
         return settings;
     }
 
+    void received(LocalUpstream local, UpstreamNotice notice, long handedOverNanos) {
+        notices.handle(local, notice, handedOverNanos);
+    }
+
     CallContext openContext(Message.Call call, long deadline, Supplier<Link> link) {
         String token = Long.toHexString(parts.random.get().nextLong()) + "-" + tokens.incrementAndGet();
         CallContext context = CallContext.of(token, call, deadline, link);
@@ -220,6 +227,7 @@
 
     void recordHandOver(Message.Call call, LocalUpstream local, long receivedNanos) {
         parts.counters.count(Event.HANDED_OVER);
+        local.gate().announcedRate().recordHandOver();
         parts.ledger.handedOver(call.id(), call.key(), call.idempotent());
         if (local.drainingBefore(receivedNanos)) {
             parts.ledger.handedWhileDraining(call.id());
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallTimes.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallTimes.java
@@ -20,6 +20,8 @@
     private final ServeSettings settings;
     private final long receivedNanos;
     private final long deadlineNanos;
+    private long handedOverNanos;
+    private long headNanos;
 
     private CallTimes(Message.Call call, TimerService timers, ServeSettings settings) {
         this.call = call;
@@ -51,6 +53,26 @@
         return receivedNanos + call.dueMicros() * NANOS_PER_MICRO;
     }
 
+    /** Records that the call is about to be handed over. */
+    void recordHandOver() {
+        handedOverNanos = now();
+    }
+
+    /** Returns when the call was handed over, 0 if it wasn't. */
+    long handedOver() {
+        return handedOverNanos;
+    }
+
+    /** Records that the head of the answer has arrived. */
+    void recordHead() {
+        headNanos = now();
+    }
+
+    /** Returns how long the upstream took to begin its answer, or how long the call was there without one. */
+    long latency(long nowNanos) {
+        return (headNanos == 0 ? nowNanos : headNanos) - handedOverNanos;
+    }
+
     /** Returns whether the call may have waited unread for longer than its time to live. */
     boolean isStale() {
         return Freshness.isStale(call, now(), settings.fenceGraceNanos());
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -15,6 +15,7 @@
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.once.StoredOutcome;
 import org.verbenadyke.kernel.time.Subscription;
 
@@ -36,8 +37,6 @@
     private volatile long finishedNanos;
     private CallContext context;
     private UpstreamPort.Exchange exchange;
-    private long handedOverNanos;
-    private long headNanos;
     private int status;
     private boolean keyClaimed;
     private boolean deadlinePassed;
@@ -93,10 +92,7 @@
     }
 
     void granted(long ticket, boolean granted) {
-        CallContext c = context;
-        if (c != null) {
-            c.budget().decided(ticket, granted);
-        }
+        Optional.ofNullable(context).ifPresent(c -> c.budget().decided(ticket, granted));
     }
 
     void cancelled() {
@@ -187,11 +183,16 @@
         failNotRun(RefusalReason.UPSTREAM_REFUSED, ConcurrencyLimit.Outcome.SHED);
     }
 
+    @Override
+    public void notice(UpstreamNotice notice) {
+        serial.run(() -> server.received(local, notice, times.handedOver()));
+    }
+
     @Override
     public void head(int newStatus, List<HeaderField> headers) {
         ifHandedOver(() -> {
             status = newStatus;
-            headNanos = times.now();
+            times.recordHead();
             timer.cancel();
             stallTimeout = StallTimeout.start(
                     server.parts().timers(), server.settings().stallNanos(), serial, answer::wantsMore, this::onStall);
@@ -280,22 +281,22 @@
     }
 
     private void handOver() {
-        handedOverNanos = times.now();
+        times.recordHandOver();
         if (phase != Phase.WAITING || refusedOrDelayed()) {
-            local.gate().release(handedOverNanos, 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
+            local.gate().release(times.handedOver(), 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
             return;
         }
         phase = Phase.HANDED;
         server.recordHandOver(call, local, times.received());
         context = server.openContext(call, times.deadline(), this::link);
-        exchange = local.port().start(server.handOver(call, context, times.deadline() - handedOverNanos), this);
+        exchange = local.port().start(server.handOver(call, context, times.deadline() - times.handedOver()), this);
     }
 
     /**
      * Refuses the call if it is too late, or leaves it waiting if it must not run concurrently with another suspect.
      */
     private boolean refusedOrDelayed() {
-        boolean late = handedOverNanos >= times.deadline();
+        boolean late = times.handedOver() >= times.deadline();
         if (late || times.isStale()) {
             refuseNotRun(late ? RefusalReason.DEADLINE : RefusalReason.FENCED);
             return true;
@@ -375,14 +376,13 @@
     private void finish(ConcurrencyLimit.Outcome outcome) {
         phase = Phase.FINISHED;
         long now = times.now();
-        long latency = headNanos == 0 ? now - handedOverNanos : headNanos - handedOverNanos;
         if (keyClaimed) {
             Optional<Refusal> refusal = Optional.ofNullable(lastRefusal);
             KeySettlement.settle(local.keys(), server.parts().ledger(), call.key(), refusal, answer.stored(), now);
         }
         server.closeContext(context);
         complete();
-        local.gate().release(now, latency, outcome, call.depth());
+        local.gate().release(now, times.latency(now), outcome, call.depth());
     }
 
     private void complete() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.kernel.serve;
 
+import java.util.concurrent.atomic.AtomicBoolean;
+
 import org.verbenadyke.kernel.admission.Gate;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.time.TimerService;
@@ -14,17 +16,26 @@
     private final Gate gate;
     private final KeyTable keys;
     private final TimerService timers;
+    private final AtomicBoolean leavingNoticed;
     private volatile long acceptingSinceNanos;
     private volatile boolean draining;
     private volatile long drainingSinceNanos;
 
-    private LocalUpstream(String id, String service, UpstreamPort port, Gate gate, KeyTable keys, TimerService timers) {
+    private LocalUpstream(
+            String id,
+            String service,
+            UpstreamPort port,
+            Gate gate,
+            KeyTable keys,
+            TimerService timers,
+            AtomicBoolean leavingNoticed) {
         this.id = id;
         this.service = service;
         this.port = port;
         this.gate = gate;
         this.keys = keys;
         this.timers = timers;
+        this.leavingNoticed = leavingNoticed;
         this.acceptingSinceNanos = timers.nanos();
     }
 
@@ -41,7 +52,7 @@
      */
     public static LocalUpstream of(
             String id, String service, UpstreamPort port, Gate gate, KeyTable keys, TimerService timers) {
-        return new LocalUpstream(id, service, port, gate, keys, timers);
+        return new LocalUpstream(id, service, port, gate, keys, timers, new AtomicBoolean());
     }
 
     /**
@@ -51,7 +62,7 @@
      * @return the upstream, with the same gate and keys
      */
     public LocalUpstream withId(String newId) {
-        LocalUpstream renamed = new LocalUpstream(newId, service, port, gate, keys, timers);
+        LocalUpstream renamed = new LocalUpstream(newId, service, port, gate, keys, timers, leavingNoticed);
         renamed.draining = draining;
         return renamed;
     }
@@ -139,6 +150,15 @@
         }
     }
 
+    /**
+     * Records that the upstream stated in an answer that it is leaving.
+     *
+     * @return whether that is new
+     */
+    boolean recordLeavingNotice() {
+        return leavingNoticed.compareAndSet(false, true);
+    }
+
     /**
      * Returns when the upstream got its id or began to accept calls again.
      *
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
@@ -0,0 +1,43 @@
+package org.verbenadyke.kernel.serve;
+
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.notice.RateChange;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
+import org.verbenadyke.kernel.trace.Decision;
+import org.verbenadyke.kernel.trace.DecisionLog;
+
+/**
+ * Handles what the colocated upstream states about itself in its answers.
+ */
+final class NoticeHandler {
+    private final Counters counters;
+    private final DecisionLog decisions;
+
+    NoticeHandler(Counters counters, DecisionLog decisions) {
+        this.counters = counters;
+        this.decisions = decisions;
+    }
+
+    void handle(LocalUpstream local, UpstreamNotice notice, long handedOverNanos) {
+        RateChange change = local.gate().announcedRate().received(notice.rate(), handedOverNanos, local.now());
+        if (!(change instanceof RateChange.Unchanged)) {
+            counters.count(event(change));
+            decisions.note(new Decision.RateLimit(local.id(), change));
+        }
+        if (notice.leaving() && local.recordLeavingNotice()) {
+            counters.count(Event.UPSTREAM_LEAVING);
+            decisions.note(new Decision.UpstreamLeaving(local.id()));
+        }
+    }
+
+    private static Event event(RateChange change) {
+        return switch (change) {
+            case RateChange.Named n -> Event.RATE_LIMIT_NAMED;
+            case RateChange.Ended e -> Event.RATE_LIMIT_ENDED;
+            case RateChange.Rejected r -> Event.RATE_LIMIT_UNREADABLE;
+            case RateChange.Changed c -> Event.RATE_LIMIT_CHANGED;
+            case RateChange.Unchanged u -> throw new IllegalStateException("no change");
+        };
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
@@ -6,6 +6,7 @@
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
 
 /**
  * The connection to the colocated upstream.
@@ -58,6 +59,16 @@
         /** Called when no connection could be opened, so that the upstream never received the call. */
         void unreachable();
 
+        /**
+         * Receives what an answer states about the upstream, before the answer itself. Called for each answer, also for
+         * one that states nothing.
+         *
+         * @param notice what the answer states
+         */
+        default void notice(UpstreamNotice notice) {
+            // A listener that makes no decisions ignores it.
+        }
+
         /**
          * Receives the head.
          *
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -5,6 +5,7 @@
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.notice.RateChange;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
 
 /**
@@ -154,6 +155,21 @@
      */
     record Ejected(String upstream, RequestId chain) implements Decision {}
 
+    /**
+     * The colocated upstream named, changed or ended its rate limit, or named one that can't be read.
+     *
+     * @param upstream the upstream
+     * @param change what changed
+     */
+    record RateLimit(String upstream, RateChange change) implements Decision {}
+
+    /**
+     * The colocated upstream stated in an answer that it is leaving.
+     *
+     * @param upstream the upstream
+     */
+    record UpstreamLeaving(String upstream) implements Decision {}
+
     /**
      * Another node was discovered, or changed its state.
      *
--- a/node/src/main/java/org/verbenadyke/node/http/HeaderNames.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HeaderNames.java
@@ -34,6 +34,12 @@
     /** Identifies a non-idempotent request, so that it can safely be sent again. */
     public static final String IDEMPOTENCY_KEY = "idempotency-key";
 
+    /** The requests per second that an upstream accepts, named in its answers. */
+    public static final String RATE_LIMIT = "verbenadyke-limit";
+
+    /** States in an answer that the upstream is leaving, if the value is 1. */
+    public static final String LEAVING = "verbenadyke-leaving";
+
     private static final String PREFIX = "verbenadyke-";
     private static final Set<String> HOP_BY_HOP = Set.of(
             "connection",
--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.notice.NoticeReader;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.node.transport.ServerProbe;
@@ -147,6 +148,7 @@
             List<HeaderField> fields = endToEndFields(response);
             int status = response.status().code();
             SourceAdapters.toSource(response.payloadBody()).subscribe(this);
+            listener.notice(NoticeReader.read(fields, HeaderNames.RATE_LIMIT, HeaderNames.LEAVING));
             listener.head(status, fields);
         }
 
--- a/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 
 /**
@@ -94,6 +95,11 @@
             status = newStatus;
             fields = HttpFields.endToEnd(newFields);
             answerKind = dialect.classify(newStatus, newFields);
+            UpstreamNotice notice = dialect.notice(newFields);
+            // An unusable answer may be one to an earlier request, so that its silence says nothing.
+            if (answerKind != UpstreamDialect.AnswerKind.UNUSABLE || !notice.isEmpty()) {
+                listener.notice(notice);
+            }
         }
 
         @Override
--- a/node/src/main/java/org/verbenadyke/node/http1/UpstreamDialect.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/UpstreamDialect.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 
 /**
@@ -43,6 +44,14 @@
      */
     AnswerKind classify(int status, List<HeaderField> fields);
 
+    /**
+     * Reads what an answer states about the upstream.
+     *
+     * @param fields the answer's header fields
+     * @return the notice
+     */
+    UpstreamNotice notice(List<HeaderField> fields);
+
     /**
      * Called when a call has ended, whatever its outcome.
      *
--- a/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -10,6 +10,7 @@
 import org.verbenadyke.kernel.core.NodeCore;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.notice.AnnouncedRate;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 
 import com.codahale.metrics.Gauge;
@@ -21,6 +22,8 @@
 public final class MetricsText {
     private static final String PREFIX = "verbenadyke_";
 
+    private static final double NO_RATE_LIMIT = -1;
+
     private static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
 
     private final MetricRegistry registry = new MetricRegistry();
@@ -53,6 +56,15 @@
         text.gauge("upstream_queued", () -> gateValue(core, Gate::queued));
         text.gauge("upstream_limit", () -> gateValue(core, Gate::limit));
         text.gauge("upstream_level", () -> gateValue(core, Gate::level));
+        text.gauge(
+                "upstream_rate_limit",
+                () -> core.engine()
+                        .server()
+                        .upstream()
+                        .map(u -> u.gate().announcedRate())
+                        .filter(AnnouncedRate::limited)
+                        .map(AnnouncedRate::perSecond)
+                        .orElse(NO_RATE_LIMIT));
         text.gauge("configuration_version", () -> core.engine().configuration().version());
         text.gauge("links", () -> core.engine().links().size());
         text.gauge("members_present", () -> core.members().present().size());
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -3,6 +3,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.verbenadyke.kernel.notice.RateChange;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.kernel.trace.Decision;
 import org.verbenadyke.kernel.trace.DecisionLog;
@@ -30,6 +31,7 @@
     private static final String ROUTE = "route";
     private static final String PLAN = "plan";
     private static final String EVIDENCE = "evidence";
+    private static final String PER_SECOND = "perSecond";
     private static final Logger LOG = LogManager.getLogger("decision");
 
     /**
@@ -98,6 +100,18 @@
             case Decision.Ejected d -> "upstream-ejected";
             case Decision.Member d -> "member";
             case Decision.RecordSkipped d -> "record-skipped";
+            case Decision.RateLimit d -> kind(d.change());
+            case Decision.UpstreamLeaving d -> "upstream-leaving";
+        };
+    }
+
+    private static String kind(RateChange change) {
+        return switch (change) {
+            case RateChange.Unchanged c -> "rate-limit-unchanged";
+            case RateChange.Named c -> "rate-limit-named";
+            case RateChange.Changed c -> "rate-limit-changed";
+            case RateChange.Ended c -> "rate-limit-ended";
+            case RateChange.Rejected c -> "rate-limit-unreadable";
         };
     }
 
@@ -144,6 +158,21 @@
                         .with("service", d.service());
             case Decision.RecordSkipped d ->
                 line.with("source", d.source()).with("key", d.key()).with("why", d.reason());
+            case Decision.RateLimit d -> addFields(line.with("upstream", d.upstream()), d.change());
+            case Decision.UpstreamLeaving d -> line.with("upstream", d.upstream());
+        }
+    }
+
+    private static void addFields(StringMapMessage line, RateChange change) {
+        switch (change) {
+            case RateChange.Unchanged c -> line.with(PER_SECOND, "");
+            case RateChange.Named c -> line.with(PER_SECOND, c.perSecond());
+            case RateChange.Changed c -> line.with(PER_SECOND, c.perSecond()).with("before", c.before());
+            case RateChange.Ended c ->
+                line.with(PER_SECOND, c.perSecond())
+                        .with("heldMs", c.heldMillis())
+                        .with("handedOver", c.handedOver());
+            case RateChange.Rejected c -> line.with(PER_SECOND, c.perSecond()).with("received", c.text());
         }
     }
 
--- a/node/src/test/java/org/verbenadyke/node/ServerCrashTest.java
+++ b/node/src/test/java/org/verbenadyke/node/ServerCrashTest.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.node.http.HttpUpstream;
@@ -189,6 +190,11 @@
             return AnswerKind.ANSWER;
         }
 
+        @Override
+        public UpstreamNotice notice(List<HeaderField> fields) {
+            return UpstreamNotice.NONE;
+        }
+
         @Override
         public void onCallEnded(UpstreamPort.HandOver handOver) {
             // No state is kept for a call.
