Replay two upstreams that name a rate limit, failing

Virtual time, 12 nodes, four upstreams of a service under 430 lookups a second; two begin to name 44.9 and 30.2 requests a second at 4 s of the load. The check counts what arrives at the upstream from nodes that passed on an answer with the limit half a second before, in windows of 4 s, from 3 s after the first naming, against 1.5 times the limit and 5.

--- /dev/null
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -0,0 +1,245 @@
+package org.verbenadyke.bench.lab;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.verbenadyke.kernel.call.AnswerSink;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.core.CoreSettings;
+import org.verbenadyke.kernel.engine.RoutedRequest;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Location;
+
+/**
+ * A fleet whose upstreams of one service name rate limits and leave by what they state in their answers. Callers send
+ * lookups to random nodes and retry a refused one once.
+ */
+final class AnnouncingFleet {
+    private static final List<Location> LOCATIONS =
+            List.of(new Location("r", "dc-1"), new Location("r", "dc-2"), new Location("r", "dc-3"));
+    private static final FleetOperation LOOKUP = FleetOperation.of("lookup", "well-index", 90, 1_200, 5_000);
+    private static final int SLOTS = 237;
+    private static final long TTL_NANOS = 5 * Lab.SECOND;
+    private static final long NODE_DOWN_NANOS = 800 * Lab.MILLI;
+    private static final long MAX_RETRY_DELAY_MILLIS = 1_600;
+    private static final int MAX_TRIES = 2;
+
+    private final Lab lab;
+    private final Map<LabServer, AnnouncingUpstream> upstreams = new LinkedHashMap<>();
+    private final Map<String, AnnouncingUpstream> processes = new HashMap<>();
+    private final Set<Endpoint> isolated = new HashSet<>();
+    private int started;
+    private int sent;
+    private int answered;
+    private int refused;
+    private int notRun;
+
+    private AnnouncingFleet(long seed, int servers) {
+        this.lab = Lab.create(seed, CoreSettings.with(CallerFleet.policy()), false);
+        lab.add(ServiceSpec.of("well-index", servers, SLOTS, 1), LOCATIONS);
+        lab.add(ServiceSpec.of("permit-desk", servers * 2, SLOTS, 1), LOCATIONS);
+        lab.startAll();
+        lab.advance(Lab.SECOND);
+        lab.servers("well-index").forEach(this::startProcess);
+        lab.advance(ArrivalCheck.STABILITY_NANOS);
+    }
+
+    /** Starts a fleet with some upstreams and twice as many other nodes. */
+    static AnnouncingFleet start(long seed, int servers) {
+        return new AnnouncingFleet(seed, servers);
+    }
+
+    /** Sends lookups at random times for the given time. */
+    void generateLoad(double perSecond, long nanos) {
+        generateLoadUntil(perSecond, lab.clock().nanos() + nanos);
+    }
+
+    void advance(long nanos) {
+        lab.advance(nanos);
+    }
+
+    Lab lab() {
+        return lab;
+    }
+
+    /** Lets an upstream name a limit from now on; an infinite one ends it. */
+    void limit(int index, double perSecond) {
+        upstream(index).limit(perSecond, lab.clock().nanos());
+    }
+
+    /** Lets an upstream state in all its answers that it is leaving. */
+    void leave(int index) {
+        upstream(index).leave();
+    }
+
+    /** Kills and restarts the node beside an upstream, which goes on running. */
+    void restartNode(int index) {
+        LabServer server = server(index);
+        if (server.node().process().killed()) {
+            return;
+        }
+        lab.crashNode(server);
+        excuse(server);
+        lab.clock().after(NODE_DOWN_NANOS, () -> {
+            lab.restartNode(server, 1_000 * Lab.SECOND);
+            lab.clock().after(200 * Lab.MILLI, () -> attach(server));
+        });
+    }
+
+    /** Replaces an upstream by a new process that states nothing. */
+    void replaceProcess(int index) {
+        startProcess(server(index));
+    }
+
+    /** Pauses the node beside an upstream. */
+    void pauseNode(int index, long nanos) {
+        LabServer server = server(index);
+        ProcessTimers process = server.node().process();
+        process.pause();
+        excuse(server);
+        lab.clock().after(nanos, () -> {
+            excuse(server);
+            process.resume();
+        });
+    }
+
+    /** Isolates the node beside an upstream from all others for the given time. */
+    void isolate(int index, long nanos) {
+        Endpoint at = server(index).endpoint();
+        isolated.add(at);
+        lab.net().partition((a, b) -> isolated.contains(a) != isolated.contains(b));
+        lab.clock().after(nanos, () -> isolated.remove(at));
+    }
+
+    AnnouncingUpstream upstream(int index) {
+        return upstreams.get(server(index));
+    }
+
+    /** Returns each arrival that exceeded a limit, or came after its sender knew that the upstream was leaving. */
+    List<String> violations() {
+        List<String> all = new ArrayList<>();
+        processes.values().forEach(u -> {
+            all.addAll(u.check().violations());
+            all.addAll(u.lateArrivals());
+        });
+        return all;
+    }
+
+    double answeredShare() {
+        return sent == 0 ? 1 : (double) answered / sent;
+    }
+
+    /** Returns the highest share of the allowed arrivals that was reached at any upstream. */
+    double worstShare() {
+        return processes.values().stream()
+                .mapToDouble(u -> u.check().worstShare())
+                .max()
+                .orElse(0);
+    }
+
+    @Override
+    public String toString() {
+        List<String> all = violations();
+        return answered + " of " + sent + " answered, " + notRun + " of " + refused + " refusals as not run, up to "
+                + Math.round(worstShare() * 100) + " % of what is allowed, " + all.size() + " violations, "
+                + all.stream().limit(3).toList();
+    }
+
+    private LabServer server(int index) {
+        return lab.servers("well-index").get(index);
+    }
+
+    private void startProcess(LabServer server) {
+        AnnouncingUpstream process =
+                new AnnouncingUpstream(server.id() + "#" + ++started, Map.of(LOOKUP.name(), LOOKUP), lab.random());
+        upstreams.put(server, process);
+        processes.put(process.name(), process);
+        attach(server);
+    }
+
+    private void attach(LabServer server) {
+        LabNode node = server.node();
+        AnnouncingUpstream process = upstreams.get(server);
+        node.process().run(() -> node.core().attachUpstream(server.spec().name(), process.portAt(node), SLOTS));
+    }
+
+    private void excuse(LabServer server) {
+        processes.values().forEach(u -> u.excuse(server.id()));
+    }
+
+    private void generateLoadUntil(double perSecond, long end) {
+        long gap = (long) (-Math.log(1 - lab.random().nextDouble()) * Lab.SECOND / perSecond);
+        lab.clock().after(gap, () -> {
+            if (lab.clock().nanos() < end) {
+                new CallerRequest().send();
+                generateLoadUntil(perSecond, end);
+            }
+        });
+    }
+
+    /** One request of a caller, which retries a refused request once at a random node. */
+    private final class CallerRequest implements AnswerSink {
+        private final String path = "/lookup/" + sent++;
+        private int tries;
+        private LabServer entry;
+
+        void send() {
+            tries++;
+            List<LabServer> working = lab.servers().stream()
+                    .filter(s -> s.up() && !s.node().process().paused())
+                    .toList();
+            entry = working.get(lab.random().nextInt(working.size()));
+            Message.Content content = new Message.Content(
+                    "GET", path, List.of(new HeaderField(AnnouncingUpstream.SENT_BY, entry.id())), new byte[0]);
+            RoutedRequest routed = new RoutedRequest(
+                    LOOKUP.route(), LOOKUP.service(), content, Importance.NORMAL, Optional.empty(), TTL_NANOS, 0);
+            entry.node().core().engine().submit(routed, this);
+        }
+
+        @Override
+        public void head(int status, List<HeaderField> headers) {
+            headers.stream()
+                    .filter(h -> h.name().equals(AnnouncingUpstream.PROCESS))
+                    .forEach(h -> processes
+                            .get(h.value())
+                            .relayed(entry.id(), lab.clock().nanos()));
+        }
+
+        @Override
+        public void data(byte[] bytes) {
+            // Only the end of the answer counts.
+        }
+
+        @Override
+        public void end() {
+            answered++;
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            refused++;
+            if (refusal.state() == RunState.NOT_RUN) {
+                notRun++;
+            }
+            if (tries < MAX_TRIES && refusal.state() == RunState.NOT_RUN) {
+                long after = Math.min(refusal.retryAfterMillis(), MAX_RETRY_DELAY_MILLIS);
+                lab.clock().after(after * Lab.MILLI + Lab.MILLI, this::send);
+            }
+        }
+
+        @Override
+        public void aborted() {
+            // The caller doesn't retry.
+        }
+    }
+}
