Replay an upstream that states in its answers that it is leaving, failing

The same fleet; one upstream states from some moment on in all its answers that it is leaving, and says it nowhere else.

--- /dev/null
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/LeavingNoticeTest.java
@@ -0,0 +1,29 @@
+package org.verbenadyke.bench.lab;
+
+import java.util.List;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests that upstreams which state in their answers that they are leaving get no new work. */
+final class LeavingNoticeTest {
+    private static final int SERVERS = 4;
+    private static final double LOOKUPS_PER_SECOND = 430;
+
+    /** Guards against sending work to an upstream that announces its departure in answers only. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4})
+    void sendsNothingToAnUpstreamThatIsLeaving(long seed) {
+        AnnouncingFleet fleet = AnnouncingFleet.start(seed, SERVERS);
+        fleet.generateLoad(LOOKUPS_PER_SECOND, 12 * Lab.SECOND);
+        fleet.advance(4 * Lab.SECOND);
+        fleet.leave(0);
+        fleet.advance(10 * Lab.SECOND);
+        System.out.println("leaving notice, seed " + seed + ": " + fleet);
+        assertEquals(List.of(), fleet.violations());
+        assertTrue(fleet.answeredShare() > 0.99, fleet.toString());
+    }
+}
