Hand an upstream no more calls than the rate limit that it names

Callers saw nothing; an upstream in need that named 44.6 requests a second in its answers got up to 221 (614 in 4 s, allowed are 273). Cause: the answer's header went on to the caller and no decision knew of it.

Every call for an upstream passes the gate of the node beside it, so the limit is kept there alone, by one token bucket for all senders: first tries, retries, filings by key, calls that waited for a slot or behind a suspect. A limit kept by each sender would need a share for each, and a share of 44.9 for 13 senders is lost while their loads differ. The bucket fills at the rate named and holds half a second of it, two at least, so that 4 s see 4.5 times the limit at most where 6 times and 5 are allowed. A limit begins with an empty bucket. Below 0.5 a second one call each 2 s still goes through: only an answer tells that the limit ended.

A call waits at most 50 ms for the bucket; the least important goes first, refused as not run (upstream-limited), and is sent to another upstream that it wasn't sent to yet, without a retry. The level of the service knows of the limit, so that entries refuse before any work is done.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -1,10 +1,12 @@
 package org.verbenadyke.kernel.admission;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.notice.AnnouncedRate;
+import org.verbenadyke.kernel.time.TimerService;
 
 /**
  * Admits calls to the colocated upstream: at once while a slot is free, otherwise from a short queue in order of
@@ -15,28 +17,47 @@
     private final ConcurrencyLimit limit;
     private final LevelControl level;
     private final AdmissionQueue queue;
-    private final AnnouncedRate announcedRate = AnnouncedRate.unlimited();
+    private final UpstreamRateLimit rateLimit;
+    private final Optional<TimerService> timers;
+    private final AtomicBoolean wakeUpPending = new AtomicBoolean();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ServiceTime serviceTime = ServiceTime.unknown();
     private final SlotHoldTime holdTime = SlotHoldTime.unknown();
     private final SlotHoldTime directHoldTime = SlotHoldTime.unknown();
 
-    private Gate(GateSettings settings, ConcurrencyLimit limit) {
+    private Gate(
+            GateSettings settings, ConcurrencyLimit limit, AnnouncedRate announcedRate, Optional<TimerService> timers) {
         this.settings = settings;
         this.limit = limit;
+        this.rateLimit = UpstreamRateLimit.following(announcedRate);
+        this.timers = timers;
         this.queue = AdmissionQueue.in(settings.order());
         this.level = settings.order() == QueueOrder.DUE ? LoadLevel.open() : AdmissionLevel.open();
     }
 
     /**
-     * Creates a gate.
+     * Creates a gate to an upstream that names no rate limit.
      *
      * @param settings the settings of the queue
      * @param limit how many calls may be in flight
      * @return the gate
      */
     public static Gate of(GateSettings settings, ConcurrencyLimit limit) {
-        return new Gate(settings, limit);
+        return new Gate(settings, limit, AnnouncedRate.unlimited(), Optional.empty());
+    }
+
+    /**
+     * Creates a gate to an upstream that may name a rate limit.
+     *
+     * @param settings the settings of the queue
+     * @param limit how many calls may be in flight
+     * @param announcedRate the rate limit that the upstream names
+     * @param timers wakes up the calls that wait for the rate limit
+     * @return the gate
+     */
+    public static Gate of(
+            GateSettings settings, ConcurrencyLimit limit, AnnouncedRate announcedRate, TimerService timers) {
+        return new Gate(settings, limit, announcedRate, Optional.of(timers));
     }
 
     /**
@@ -46,6 +67,7 @@
      * @param nowNanos the time
      */
     public void offer(WaitingCall call, long nowNanos) {
+        rateLimit.offered(nowNanos);
         if (!settings.sheds()) {
             queue.add(call, nowNanos);
             admitQueued(nowNanos);
@@ -55,14 +77,15 @@
             call.shed(RefusalReason.SHED_LEVEL);
             return;
         }
-        if (queue.size() == 0 && tryAcquire()) {
+        if (queue.size() == 0 && tryAcquire(nowNanos)) {
             call.admitted();
             return;
         }
         queue.add(call, nowNanos);
         if (queue.size() > settings.maxQueueLength(limit.current(), serviceTime.minNanos())) {
-            level.overloaded();
-            queue.pollToShed().ifPresent(e -> e.call().shed(RefusalReason.SHED_QUEUE));
+            shedOne(RefusalReason.SHED_QUEUE);
+        } else if (queue.size() > rateLimit.maxWaiting(nowNanos)) {
+            shedOne(RefusalReason.UPSTREAM_LIMITED);
         }
         admitQueued(nowNanos);
     }
@@ -104,6 +127,26 @@
         admitQueued(nowNanos);
     }
 
+    /**
+     * Releases the slot of a call that was admitted but not handed over.
+     *
+     * @param nowNanos the time
+     * @param depth the depth in the call chain, 0 for a request from a caller
+     */
+    public void releaseUnused(long nowNanos, int depth) {
+        rateLimit.putBack();
+        release(nowNanos, 0, ConcurrencyLimit.Outcome.IGNORED, depth);
+    }
+
+    /**
+     * Admits waiting calls after the rate limit of the upstream has changed.
+     *
+     * @param nowNanos the time
+     */
+    public void rateLimitChanged(long nowNanos) {
+        admitQueued(nowNanos);
+    }
+
     /** Refuses all waiting calls, since the upstream is draining. */
     public void flush() {
         for (Optional<AdmissionQueue.Entry> e = queue.pollNext(); e.isPresent(); e = queue.pollNext()) {
@@ -113,8 +156,13 @@
 
     /** Ends a window of the admission level; called every {@link AdmissionLevel#WINDOW_NANOS}. */
     public void endWindow() {
-        level.endWindow(
-                new GateLoad(limit.current(), inFlight.get(), queue.size(), holdTime.nanos(), directHoldTime.nanos()));
+        level.endWindow(new GateLoad(
+                limit.current(),
+                inFlight.get(),
+                queue.size(),
+                holdTime.nanos(),
+                directHoldTime.nanos(),
+                rateLimit.perSecond()));
     }
 
     /**
@@ -159,7 +207,26 @@
      * @return the rate limit
      */
     public AnnouncedRate announcedRate() {
-        return announcedRate;
+        return rateLimit.announced();
+    }
+
+    /**
+     * Returns the demand as a share of the rate limit.
+     *
+     * @param nowNanos the time
+     * @return the share, above 1 when more calls arrive than may be handed over; 0 without a rate limit
+     */
+    public double rateLimitUse(long nowNanos) {
+        return rateLimit.use(nowNanos);
+    }
+
+    /**
+     * Returns the rate at which calls are handed over at most.
+     *
+     * @return the calls per second, {@link AnnouncedRate#UNLIMITED} without a rate limit
+     */
+    public double maxCallsPerSecond() {
+        return rateLimit.perSecond();
     }
 
     /**
@@ -171,26 +238,62 @@
         return queue.size();
     }
 
-    private boolean tryAcquire() {
+    private void shedOne(RefusalReason reason) {
+        level.overloaded();
+        queue.pollToShed().ifPresent(e -> e.call().shed(reason));
+    }
+
+    /** Acquires a slot, and a token of the rate limit. */
+    private boolean tryAcquire(long nowNanos) {
         int seen = inFlight.get();
         while (seen < limit.current()) {
             if (inFlight.compareAndSet(seen, seen + 1)) {
-                return true;
+                return tryTakeToken(nowNanos);
             }
             seen = inFlight.get();
         }
         return false;
     }
 
+    private boolean tryTakeToken(long nowNanos) {
+        if (rateLimit.tryTake(nowNanos)) {
+            return true;
+        }
+        inFlight.decrementAndGet();
+        return false;
+    }
+
+    private void cancelAcquired() {
+        rateLimit.putBack();
+        inFlight.decrementAndGet();
+    }
+
     private void admitQueued(long nowNanos) {
-        while (queue.size() > 0 && tryAcquire()) {
+        while (queue.size() > 0 && tryAcquire(nowNanos)) {
             Optional<AdmissionQueue.Entry> first = queue.pollNext();
             if (first.isEmpty()) {
-                inFlight.decrementAndGet();
+                cancelAcquired();
                 return;
             }
             admit(first.get(), nowNanos);
         }
+        scheduleWakeUp(nowNanos);
+    }
+
+    /** Schedules the admission of the next waiting call, if it waits for the rate limit and not for a slot. */
+    private void scheduleWakeUp(long nowNanos) {
+        if (timers.isEmpty() || queue.size() == 0) {
+            return;
+        }
+        long waitNanos = rateLimit.waitNanos(nowNanos);
+        if (waitNanos > 0 && wakeUpPending.compareAndSet(false, true)) {
+            timers.get().after(waitNanos, this::wakeUp);
+        }
+    }
+
+    private void wakeUp() {
+        wakeUpPending.set(false);
+        timers.ifPresent(t -> admitQueued(t.nanos()));
     }
 
     private void admit(AdmissionQueue.Entry entry, long nowNanos) {
@@ -203,7 +306,7 @@
             level.overloaded();
         }
         if (nowNanos + serviceTime.minNanos() > call.deadlineNanos()) {
-            inFlight.decrementAndGet();
+            cancelAcquired();
             call.shed(RefusalReason.DEADLINE);
             return;
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/GateLoad.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/GateLoad.java
@@ -9,5 +9,7 @@
  * @param holdNanos how long a call holds its slot, smoothed, in nanoseconds; 0 if unknown
  * @param directHoldNanos how long a request that comes from a caller and not from another upstream holds its slot,
  *     smoothed, in nanoseconds; 0 if unknown
+ * @param maxCallsPerSecond how many calls per second may be handed over; infinite without a rate limit
  */
-public record GateLoad(int limit, int inFlight, int queued, long holdNanos, long directHoldNanos) {}
+public record GateLoad(
+        int limit, int inFlight, int queued, long holdNanos, long directHoldNanos, double maxCallsPerSecond) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -27,6 +27,8 @@
     /** Windows per period: 300 ms, in which about half of the calls of an admitted request have arrived. */
     static final int PERIOD_WINDOWS = 6;
 
+    private static final double PERIOD_SECONDS = PERIOD_WINDOWS * AdmissionLevel.WINDOW_NANOS / 1e9;
+
     /** The target load; the rest is spare capacity for random variation of arrivals within a period. */
     private static final double TARGET_LOAD = 0.97;
 
@@ -125,8 +127,12 @@
         }
         double offered = (arrived + load.queued()) * (double) load.holdNanos();
         double capacity = (double) load.limit() * PERIOD_WINDOWS * AdmissionLevel.WINDOW_NANOS;
-        adjust(offered / capacity, (double) inBand / Math.max(1, arrived));
-        direct = (int) Math.round(level * directShare(load));
+        double slotLoad = offered / capacity;
+        double rateLoad = (arrived + load.queued()) / (load.maxCallsPerSecond() * PERIOD_SECONDS);
+        adjust(Math.max(slotLoad, rateLoad), (double) inBand / Math.max(1, arrived));
+        // A rate limit counts calls, however long they hold a slot.
+        double share = rateLoad > slotLoad ? 1 : directShare(load);
+        direct = (int) Math.round(level * share);
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -26,6 +26,8 @@
     DEADLINE(504),
     /** The upstream reported that it did not run the call. */
     UPSTREAM_REFUSED(503),
+    /** The upstream accepts only so many requests per second, and names that limit in its answers. */
+    UPSTREAM_LIMITED(503),
     /** The node has received no routes yet. */
     NO_PLAN(503),
     /** The upstream is draining. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -134,7 +134,8 @@
     void refused(Request request, String pathClass, Message.Refused refused, long nowNanos) {
         applyReport(request, pathClass, refused.report(), nowNanos);
         conclude();
-        if (refused.refusal().reason() == RefusalReason.UPSTREAM_REFUSED) {
+        RefusalReason reason = refused.refusal().reason();
+        if (reason == RefusalReason.UPSTREAM_REFUSED || reason == RefusalReason.UPSTREAM_LIMITED) {
             candidate.shed(nowNanos);
         }
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/CallerRetryPolicy.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/CallerRetryPolicy.java
@@ -46,12 +46,13 @@
     }
 
     /**
-     * Sets the Retry-After delay of a refusal. The delay of a quarantined request stays: an earlier retry would only be
-     * refused again.
+     * Sets the Retry-After delay of a refusal. The delay of a quarantined request, or of one over the rate limit of an
+     * upstream, stays: an earlier retry would only be refused again.
      */
     Refusal withRetryAfter(Request request, Refusal refusal, long nowNanos) {
-        boolean hasRetryAfter = refusal.retryAfterMillis() > 0 && refusal.reason() != RefusalReason.QUARANTINED;
-        if (request.depth() > 0 || !hasRetryAfter) {
+        boolean exact =
+                refusal.reason() == RefusalReason.QUARANTINED || refusal.reason() == RefusalReason.UPSTREAM_LIMITED;
+        if (request.depth() > 0 || exact || refusal.retryAfterMillis() <= 0) {
             return refusal;
         }
         long slackMillis = slackNanos(request, nowNanos) / NANOS_PER_MILLI;
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -18,7 +18,6 @@
 import org.verbenadyke.kernel.quarantine.QuarantineStatus;
 import org.verbenadyke.kernel.routing.Candidate;
 import org.verbenadyke.kernel.routing.Choice;
-import org.verbenadyke.kernel.routing.RouteQuery;
 import org.verbenadyke.kernel.time.Subscription;
 
 /**
@@ -77,11 +76,10 @@
     @Override
     public void cancel() {
         serial.run(() -> {
-            if (finished) {
-                return;
+            if (!finished) {
+                parts.counters().refused(runState, RefusalReason.CANCELLED);
+                finish();
             }
-            parts.counters().refused(runState, RefusalReason.CANCELLED);
-            finish();
         });
     }
 
@@ -123,13 +121,7 @@
         if (finished || expected != current) {
             return;
         }
-        RouteQuery query = new RouteQuery(
-                request.service(),
-                pathClass,
-                dispatcher.rank(request),
-                request.idempotent() ? "" : request.key(),
-                dispatcher.excludedUpstreams(request, tried));
-        switch (parts.router().route(query, parts.timers().nanos())) {
+        switch (dispatcher.route(request, pathClass, tried)) {
             case Choice.Selected to -> openAttempt(dispatcher.open(this, to.candidate()));
             case Choice.Shed shed -> {
                 request.observer().serviceReached(request.service());
@@ -256,6 +248,7 @@
                 reroute(attempt, refusal.reason());
             }
             case SEALED, FENCED, KEY_NOT_OWNER, SHED_LEVEL -> reroute(attempt, refusal.reason());
+            case UPSTREAM_LIMITED -> rerouteToUntried(attempt, refusal);
             case UPSTREAM_UNREACHABLE -> {
                 attempt.upstreamFailed(parts);
                 reroute(attempt, refusal.reason());
@@ -319,6 +312,15 @@
         routeNext(current);
     }
 
+    private void rerouteToUntried(Attempt attempt, Refusal refusal) {
+        tried.add(attempt.candidate().upstream().id());
+        if (!dispatcher.hasUntriedUpstream(request, tried)) {
+            finishRefused(refusal);
+            return;
+        }
+        reroute(attempt, refusal.reason());
+    }
+
     private void requestRetry(RetryReason reason, Runnable ifDenied) {
         awaitingRetryDecision = true;
         RetryPermit.request(dispatcher, request, reason, ok -> serial.run(() -> onDecision(ok, reason, ifDenied)));
@@ -384,9 +386,7 @@
         Refusal given = runState == RunState.NOT_RUN ? refusal : refusal.withState(runState);
         request.observer().childFailed();
         parts.counters().refused(given.state(), given.reason());
-        sink.refused(dispatcher
-                .callerRetries()
-                .withRetryAfter(request, given, parts.timers().nanos()));
+        sink.refused(dispatcher.withRetryAfter(request, given));
         finish();
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.concurrent.SerialExecutor;
@@ -24,6 +25,8 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.routing.Candidate;
+import org.verbenadyke.kernel.routing.Choice;
+import org.verbenadyke.kernel.routing.RouteQuery;
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.kernel.trace.Decision;
@@ -167,6 +170,26 @@
                 .collect(Collectors.toSet());
     }
 
+    Choice route(Request request, String pathClass, Set<String> tried) {
+        RouteQuery query = new RouteQuery(
+                request.service(),
+                pathClass,
+                rank(request),
+                request.idempotent() ? "" : request.key(),
+                excludedUpstreams(request, tried));
+        return parts.router.route(query, parts.timers.nanos());
+    }
+
+    /** Returns whether a request may be sent to an upstream that it was not sent to before. */
+    boolean hasUntriedUpstream(Request request, Set<String> tried) {
+        boolean boundToOwner = !request.idempotent() && !request.key().isEmpty();
+        return !boundToOwner && parts.router.hasOther(request.service(), tried);
+    }
+
+    Refusal withRetryAfter(Request request, Refusal refusal) {
+        return callerRetries.withRetryAfter(request, refusal, parts.timers.nanos());
+    }
+
     long retryAfterMillis() {
         return RetryAfter.spread(settings.retryAfterMillis(), parts.random.get());
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -25,6 +25,7 @@
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.notice.AnnouncedRate;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.route.Route;
 import org.verbenadyke.kernel.routing.Router;
@@ -236,7 +237,7 @@
      * @return the upstream
      */
     public LocalUpstream attach(String id, String service, UpstreamPort port, ConcurrencyLimit limit) {
-        Gate gate = Gate.of(policy.gate(), limit);
+        Gate gate = Gate.of(policy.gate(), limit, AnnouncedRate.unlimited(), parts.timers());
         LocalUpstream local = LocalUpstream.of(id, service, port, gate, keys, parts.timers());
         server.attach(local);
         return local;
--- a/kernel/src/main/java/org/verbenadyke/kernel/notice/AnnouncedRate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/notice/AnnouncedRate.java
@@ -15,7 +15,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private volatile double perSecond = UNLIMITED;
-    private long namedNanos;
+    private volatile long namedNanos;
     private long receivedNanos;
     private long handedOver;
 
@@ -78,6 +78,25 @@
         return perSecond != UNLIMITED;
     }
 
+    /**
+     * Returns when the upstream began to name the limit.
+     *
+     * @return the time in nanoseconds; meaningless without a limit
+     */
+    public long namedNanos() {
+        return namedNanos;
+    }
+
+    /**
+     * Returns how long ago the limit was last received.
+     *
+     * @param nowNanos the time
+     * @return the age in milliseconds; meaningless without a limit
+     */
+    public synchronized long ageMillis(long nowNanos) {
+        return (nowNanos - receivedNanos) / NANOS_PER_MILLI;
+    }
+
     private RateChange change(double next, long handedOverNanos, long nowNanos) {
         double before = perSecond;
         if (before == UNLIMITED) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
@@ -109,6 +110,19 @@
         return routeAmongFit(fit(accepting, nowNanos), query, nowNanos);
     }
 
+    /**
+     * Returns whether a service has an upstream that accepts work and is not among some others.
+     *
+     * @param service the service
+     * @param tried the ids of the others
+     * @return whether there is one
+     */
+    public boolean hasOther(String service, Set<String> tried) {
+        return Optional.ofNullable(table.get().get(service)).stream()
+                .flatMap(r -> r.all.values().stream())
+                .anyMatch(c -> c.accepting() && !tried.contains(c.upstream().id()));
+    }
+
     /**
      * Returns all candidates.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -30,6 +30,11 @@
  * Serves the calls of other nodes for the colocated upstream. Thread-safe.
  */
 public final class CallServer {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** The shortest Retry-After delay of a call over a rate limit: a new demand shows in the reports by then. */
+    private static final long MIN_LIMITED_RETRY_MILLIS = 100;
+
     private final Parts parts;
     private final ServeSettings settings;
     private final SeenCalls seenCalls;
@@ -180,14 +185,18 @@
 
     void refuse(Link link, Message.Call call, Refusal refusal, Optional<CallContext> context) {
         Message.Report report = report(context);
-        parts.decisions.note(new Decision.CallRefused(
-                call.request(),
-                call.target().upstream(),
-                refusal.state(),
-                refusal.reason(),
-                report.inFlight(),
-                report.limit(),
-                report.pathLevel()));
+        if (refusal.reason() == RefusalReason.UPSTREAM_LIMITED) {
+            upstream().ifPresent(u -> notices.noteOverLimit(u, call, refusal));
+        } else {
+            parts.decisions.note(new Decision.CallRefused(
+                    call.request(),
+                    call.target().upstream(),
+                    refusal.state(),
+                    refusal.reason(),
+                    report.inFlight(),
+                    report.limit(),
+                    report.pathLevel()));
+        }
         refuse(link, call.id(), refusal, report);
     }
 
@@ -202,6 +211,16 @@
         return Refusal.notRun(reason, after);
     }
 
+    /** Returns the refusal of a call that the gate of an upstream shed. */
+    Refusal notRun(RefusalReason reason, LocalUpstream local) {
+        if (reason != RefusalReason.UPSTREAM_LIMITED) {
+            return notRun(reason);
+        }
+        double millisPerCall = MILLIS_PER_SECOND / local.gate().maxCallsPerSecond();
+        long after = RetryAfter.spread(Math.max(MIN_LIMITED_RETRY_MILLIS, (long) millisPerCall), parts.random.get());
+        return Refusal.notRun(reason, after);
+    }
+
     Message.Report report(Optional<CallContext> context) {
         Message.DeeperLevel deeperLevel = context.map(
                         c -> parts.levels.strictestLevel(c.services(), parts.timers.nanos()))
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -168,7 +168,7 @@
     public void shed(RefusalReason reason) {
         serial.run(() -> {
             if (phase == Phase.WAITING) {
-                refuseNotRun(reason);
+                refuseNow(server.notRun(reason, local));
             }
         });
     }
@@ -283,7 +283,7 @@
     private void handOver() {
         times.recordHandOver();
         if (phase != Phase.WAITING || refusedOrDelayed()) {
-            local.gate().release(times.handedOver(), 0, ConcurrencyLimit.Outcome.IGNORED, call.depth());
+            local.gate().releaseUnused(times.handedOver(), call.depth());
             return;
         }
         phase = Phase.HANDED;
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
@@ -1,7 +1,10 @@
 package org.verbenadyke.kernel.serve;
 
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.notice.AnnouncedRate;
 import org.verbenadyke.kernel.notice.RateChange;
 import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.trace.Decision;
@@ -24,6 +27,7 @@
         if (!(change instanceof RateChange.Unchanged)) {
             counters.count(event(change));
             decisions.note(new Decision.RateLimit(local.id(), change));
+            local.gate().rateLimitChanged(local.now());
         }
         if (notice.leaving() && local.recordLeavingNotice()) {
             counters.count(Event.UPSTREAM_LEAVING);
@@ -31,6 +35,17 @@
         }
     }
 
+    /** Logs that a call was refused because of the rate limit of the upstream. */
+    void noteOverLimit(LocalUpstream local, Message.Call call, Refusal refusal) {
+        AnnouncedRate rate = local.gate().announcedRate();
+        decisions.note(new Decision.OverRateLimit(
+                call.request(),
+                call.target().upstream(),
+                rate.perSecond(),
+                rate.ageMillis(local.now()),
+                refusal.retryAfterMillis()));
+    }
+
     private static Event event(RateChange change) {
         return switch (change) {
             case RateChange.Named n -> Event.RATE_LIMIT_NAMED;
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -74,6 +74,18 @@
             RequestId chain, String upstream, RunState state, RefusalReason reason, int inFlight, int limit, int level)
             implements Decision {}
 
+    /**
+     * A node refused a call that another node sent to it, since the upstream accepts only so many calls per second.
+     *
+     * @param chain the request that the call belongs to
+     * @param upstream the upstream it was for
+     * @param perSecond the rate limit that the upstream names
+     * @param ageMillis how long ago the upstream last named it, in milliseconds
+     * @param retryAfterMillis the Retry-After delay, in milliseconds
+     */
+    record OverRateLimit(RequestId chain, String upstream, double perSecond, long ageMillis, long retryAfterMillis)
+            implements Decision {}
+
     /**
      * A retry was requested.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -206,6 +206,21 @@
         assertNotEquals(first, calls().get(1).target().upstream());
     }
 
+    /** A call over the rate limit of one upstream never ran, so that its budget is not touched. */
+    @Test
+    void reroutesACallOverARateLimitToEachOtherUpstreamOnce() {
+        send(false, 0);
+        refuse(0, RunState.NOT_RUN, RefusalReason.UPSTREAM_LIMITED);
+        assertEquals(2, calls().size());
+        assertNotEquals(
+                calls().getFirst().target().upstream(), calls().get(1).target().upstream());
+        dispatcher.received(
+                link,
+                new Message.Refused(calls().get(1).id(), Refusal.notRun(RefusalReason.UPSTREAM_LIMITED, 2_345), CALM));
+        assertEquals(2, calls().size());
+        assertEquals(List.of("refused NOT_RUN UPSTREAM_LIMITED 2345"), got);
+    }
+
     @Test
     void avoidsAnUpstreamThatShedsOnItsOwn() {
         send(true, 0);
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -90,6 +90,7 @@
             case Decision.CallerUnidentified d -> "caller-unidentified";
             case Decision.Failed d -> "answered-failed";
             case Decision.CallRefused d -> "turned-away-" + d.reason().label();
+            case Decision.OverRateLimit d -> "turned-away-upstream-limited";
             case Decision.Retried d -> "retried-" + d.reason().label();
             case Decision.Rerouted d -> "rerouted-" + d.reason().label();
             case Decision.StatusInquired d -> "fate-asked";
@@ -127,6 +128,12 @@
                         .with("inFlight", d.inFlight())
                         .with("limit", d.limit())
                         .with("level", d.level());
+            case Decision.OverRateLimit d ->
+                line.with(CHAIN, d.chain())
+                        .with("upstream", d.upstream())
+                        .with(PER_SECOND, d.perSecond())
+                        .with("namedMsAgo", d.ageMillis())
+                        .with("retryAfterMs", d.retryAfterMillis());
             case Decision.Retried d ->
                 line.with(CHAIN, d.chain())
                         .with("service", d.service())
