Drain an upstream that states in an answer that it is leaving

Cause: the same as with the rate limit, the header was passed on unread. It now binds as an acknowledged drain does: the node beside the upstream refuses new and waiting calls as not run, the very answer carries "draining" to the node where the request entered, which sends it nothing more, in touch or not, and the others learn it from the node's record.

A start of an upstream can't take it back: what a start has stated is kept with it (StartNotices) when the node loses and finds it again, and a heartbeat of that start that still says ready changes nothing. Another start, by id or by time of start, is judged anew.

To make room for it the registration of the upstream moves out of NodeCore (UpstreamLifecycle, UpstreamRegistration, Attachment); what it does is as before.

Stand-ins of servers and upstreams name limits and leave by header (/switches?limit=30&leaving=1).

--- a/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -15,6 +15,7 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.core.CoreSettings;
+import org.verbenadyke.kernel.core.UpstreamRegistration;
 import org.verbenadyke.kernel.engine.RoutedRequest;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -170,7 +171,11 @@
     private void attach(LabServer server) {
         LabNode node = server.node();
         AnnouncingUpstream process = upstreams.get(server);
-        node.process().run(() -> node.core().attachUpstream(server.spec().name(), process.portAt(node), SLOTS));
+        UpstreamRegistration registration = UpstreamRegistration.of(
+                        server.spec().name(), process.portAt(node))
+                .withSlots(SLOTS)
+                .withStart(process.name().hashCode());
+        node.process().run(() -> node.core().attachUpstream(registration));
     }
 
     private void excuse(LabServer server) {
--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.core.CoreSettings;
+import org.verbenadyke.kernel.core.UpstreamRegistration;
 import org.verbenadyke.kernel.dispatch.DispatchSettings;
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.engine.RoutedRequest;
@@ -59,7 +60,10 @@
         for (LabServer s : lab.servers()) {
             double speed = speeds[at++ % speeds.length];
             FleetUpstream upstream = new FleetUpstream(s.node(), byName, lab.random(), speed);
-            s.node().core().attachUpstream(s.spec().name(), upstream, s.spec().slots());
+            s.node()
+                    .core()
+                    .attachUpstream(UpstreamRegistration.of(s.spec().name(), upstream)
+                            .withSlots(s.spec().slots()));
         }
         lab.advance(WARM_UP_NANOS);
         return new CallerFleet(lab);
--- a/bench/src/test/java/org/verbenadyke/bench/lab/CrashingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CrashingFleet.java
@@ -14,6 +14,7 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.core.CoreSettings;
+import org.verbenadyke.kernel.core.UpstreamRegistration;
 import org.verbenadyke.kernel.engine.RoutedRequest;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.quarantine.QuarantineStatus;
@@ -201,7 +202,10 @@
         }
         CrashingUpstream upstream = new CrashingUpstream(node.process(), lab.random(), new ColocatedHost(server));
         upstreams.put(server, upstream);
-        node.process().run(() -> node.core().attachUpstream(server.spec().name(), upstream, SLOTS));
+        node.process()
+                .run(() -> node.core()
+                        .attachUpstream(UpstreamRegistration.of(server.spec().name(), upstream)
+                                .withSlots(SLOTS)));
     }
 
     private void restart(LabServer server) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -204,15 +204,6 @@
         return limit.current();
     }
 
-    /**
-     * Returns the rate limit that the upstream names in its answers.
-     *
-     * @return the rate limit
-     */
-    public AnnouncedRate announcedRate() {
-        return rateLimit.announced();
-    }
-
     /**
      * Returns the demand as a share of the rate limit.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/UpstreamRateLimit.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/UpstreamRateLimit.java
@@ -44,10 +44,6 @@
         return new UpstreamRateLimit(announced);
     }
 
-    AnnouncedRate announced() {
-        return announced;
-    }
-
     boolean limited() {
         return announced.limited();
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.verbenadyke.kernel.admission.SlotLimit;
 import org.verbenadyke.kernel.config.ConfigState;
 import org.verbenadyke.kernel.config.ConfigStore;
 import org.verbenadyke.kernel.config.Configuration;
@@ -46,13 +45,13 @@
     private final KeyOwners owners;
     private final Engine engine;
     private final Gossip gossip;
+    private final UpstreamLifecycle lifecycle;
     private final ConfigStore config;
     private final MemberLog memberLog;
     private final FollowDuty followDuty;
     private final PlanExchange planExchange;
     private final TeamLimiter limiter;
     private final Debounce refresh;
-    private volatile boolean selfDraining;
 
     private NodeCore(CoreParts parts, CoreSettings settings) {
         this.parts = parts;
@@ -79,6 +78,7 @@
                 parts.self(),
                 parts.seeds(),
                 new GossipListener());
+        this.lifecycle = new UpstreamLifecycle(engine, gossip, refresh::request);
         this.config = ConfigStore.start(
                 new ConfigStore.Parts(
                         parts.timers(),
@@ -115,33 +115,24 @@
      * @param port sends calls to the upstream
      */
     public void attachUpstream(String service, UpstreamPort port) {
-        selfDraining = false;
-        MemberRecord record = gossip.change(MemberState.ALIVE, service);
-        engine.attach(record.upstreamId(), service, port);
-        memberLog.write();
-        refresh.request();
+        attachUpstream(UpstreamRegistration.of(service, port));
     }
 
     /**
-     * Attaches an announced upstream that reports how many calls it runs concurrently.
+     * Attaches the announced upstream that is colocated with the node.
      *
-     * @param service the service that the upstream serves
-     * @param port sends calls to the upstream
-     * @param slots how many calls the upstream runs concurrently
+     * @param registration the upstream
      */
-    public void attachUpstream(String service, UpstreamPort port, int slots) {
-        selfDraining = false;
-        gossip.renew();
-        MemberRecord record = gossip.change(MemberState.ALIVE, service);
-        engine.attach(record.upstreamId(), service, port, SlotLimit.of(slots));
-        refresh.request();
+    public void attachUpstream(UpstreamRegistration registration) {
+        lifecycle.attach(registration);
+        if (registration.slots().isEmpty()) {
+            memberLog.write();
+        }
     }
 
     /** Detaches the upstream, which is gone; the node goes on without one. */
     public void detachUpstream() {
-        engine.server().detach();
-        gossip.change(selfDraining ? MemberState.DRAINING : MemberState.ALIVE, "");
-        refresh.request();
+        lifecycle.detach();
     }
 
     /** Informs other nodes that this one has new routes. */
@@ -151,9 +142,7 @@
 
     /** Called when the upstream reports that it is leaving. */
     public void drain() {
-        selfDraining = true;
-        engine.server().upstream().ifPresent(u -> u.drain(true));
-        gossip.change(MemberState.DRAINING, gossip.self().service());
+        lifecycle.drain();
     }
 
     /** Transfers the keys and announces that the node stops as planned; called when nothing is in flight any more. */
@@ -333,18 +322,12 @@
         engine.router().update(accepting);
         limiter.membersChanged();
         boolean leavingByOperators = leaving(gossip.self(), configuration);
-        upstream().ifPresent(u -> u.drain(selfDraining || leavingByOperators));
+        upstream().ifPresent(u -> u.drain(lifecycle.draining() || leavingByOperators));
     }
 
     private void paused() {
         parts.counters().count(Event.PAUSE_DETECTED);
-        renameUpstream(gossip.renew());
-    }
-
-    /** Gives the upstream its new id: others may have assigned the keys of the old id to another owner. */
-    private void renameUpstream(MemberRecord renewed) {
-        upstream().ifPresent(u -> engine.server().attach(u.withId(renewed.upstreamId())));
-        refresh.request();
+        lifecycle.rename(gossip.renew());
     }
 
     /**
@@ -358,7 +341,7 @@
 
         @Override
         public void declaredDead(MemberRecord renewed) {
-            renameUpstream(renewed);
+            lifecycle.rename(renewed);
         }
 
         @Override
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
@@ -0,0 +1,82 @@
+package org.verbenadyke.kernel.core;
+
+import org.verbenadyke.kernel.admission.SlotLimit;
+import org.verbenadyke.kernel.engine.Engine;
+import org.verbenadyke.kernel.membership.Gossip;
+import org.verbenadyke.kernel.membership.MemberRecord;
+import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.serve.Attachment;
+import org.verbenadyke.kernel.serve.LocalUpstream;
+
+/**
+ * Attaches, drains and detaches the colocated upstream, and informs the other nodes.
+ */
+final class UpstreamLifecycle {
+    private final Engine engine;
+    private final Gossip gossip;
+    private final Runnable changed;
+    private volatile boolean draining;
+
+    /** Creates a lifecycle without an upstream; the task runs when an upstream was attached or detached. */
+    UpstreamLifecycle(Engine engine, Gossip gossip, Runnable changed) {
+        this.engine = engine;
+        this.gossip = gossip;
+        this.changed = changed;
+    }
+
+    void attach(UpstreamRegistration registration) {
+        draining = false;
+        if (registration.slots().isPresent()) {
+            gossip.renew();
+        }
+        MemberRecord record = gossip.change(MemberState.ALIVE, registration.service());
+        LocalUpstream local = attach(registration, record.upstreamId());
+        if (local.draining()) {
+            drain();
+        }
+        changed.run();
+    }
+
+    void detach() {
+        engine.server().detach();
+        gossip.change(draining ? MemberState.DRAINING : MemberState.ALIVE, "");
+        changed.run();
+    }
+
+    void drain() {
+        draining = true;
+        engine.server().upstream().ifPresent(u -> u.drain(true));
+        gossip.change(MemberState.DRAINING, gossip.self().service());
+    }
+
+    /** Returns whether the upstream or the node is draining. */
+    boolean draining() {
+        return draining;
+    }
+
+    /** Gives the upstream its new id: others may have assigned the keys of the old id to another owner. */
+    void rename(MemberRecord renewed) {
+        engine.server().upstream().ifPresent(u -> engine.server().attach(u.withId(renewed.upstreamId())));
+        changed.run();
+    }
+
+    private LocalUpstream attach(UpstreamRegistration registration, String id) {
+        Runnable onLeaving = registration.onLeaving().orElse(() -> drainIfCurrent(registration));
+        Attachment attachment =
+                new Attachment(id, registration.service(), registration.port(), registration.start(), onLeaving);
+        return registration.slots().isPresent()
+                ? engine.attach(attachment, SlotLimit.of(registration.slots().getAsInt()))
+                : engine.attach(attachment);
+    }
+
+    /** Drains the upstream, unless another one has registered meanwhile. */
+    private void drainIfCurrent(UpstreamRegistration registration) {
+        boolean current = engine.server()
+                .upstream()
+                .filter(u -> u.port() == registration.port())
+                .isPresent();
+        if (current) {
+            drain();
+        }
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -25,10 +25,11 @@
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
-import org.verbenadyke.kernel.notice.AnnouncedRate;
+import org.verbenadyke.kernel.notice.StartNotices;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.route.Route;
 import org.verbenadyke.kernel.routing.Router;
+import org.verbenadyke.kernel.serve.Attachment;
 import org.verbenadyke.kernel.serve.CallContext;
 import org.verbenadyke.kernel.serve.CallServer;
 import org.verbenadyke.kernel.serve.LocalUpstream;
@@ -47,6 +48,7 @@
     private final CallServer server;
     private final KeyedBudgets keyedBudgets;
     private final KeyTable keys;
+    private volatile StartNotices notices = StartNotices.of(StartNotices.UNKNOWN_START);
     private final AtomicLong requests = new AtomicLong();
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
 
@@ -218,27 +220,39 @@
      * Attaches the upstream that registered with this node. The idempotency keys that ran here are retained, even
      * while no upstream is attached.
      *
+     * @param attachment the upstream
+     * @return the upstream
+     */
+    public LocalUpstream attach(Attachment attachment) {
+        return attach(attachment, PlugIns.limit(policy.limit(), policy.limits()));
+    }
+
+    /**
+     * Attaches an upstream of an unknown start.
+     *
      * @param id its id
      * @param service the service it serves
      * @param port the connection to it
      * @return the upstream
      */
     public LocalUpstream attach(String id, String service, UpstreamPort port) {
-        return attach(id, service, port, PlugIns.limit(policy.limit(), policy.limits()));
+        return attach(Attachment.of(id, service, port));
     }
 
     /**
-     * Attaches the upstream that registered with this node, with its own concurrency limit.
+     * Attaches the upstream that registered with this node, with its own concurrency limit. What the same start of the
+     * upstream has stated about itself still holds.
      *
-     * @param id its id
-     * @param service the service it serves
-     * @param port the connection to it
+     * @param attachment the upstream
      * @param limit how many calls it may have in flight
      * @return the upstream
      */
-    public LocalUpstream attach(String id, String service, UpstreamPort port, ConcurrencyLimit limit) {
-        Gate gate = Gate.of(policy.gate(), limit, AnnouncedRate.unlimited(), parts.timers());
-        LocalUpstream local = LocalUpstream.of(id, service, port, gate, keys, parts.timers());
+    public LocalUpstream attach(Attachment attachment, ConcurrencyLimit limit) {
+        if (!notices.isOf(attachment.start())) {
+            notices = StartNotices.of(attachment.start());
+        }
+        Gate gate = Gate.of(policy.gate(), limit, notices.rate(), parts.timers());
+        LocalUpstream local = LocalUpstream.of(attachment, gate, keys, notices, parts.timers());
         server.attach(local);
         return local;
     }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/notice/StartNotices.java
@@ -0,0 +1,66 @@
+package org.verbenadyke.kernel.notice;
+
+/**
+ * What one start of an upstream has stated about itself in its answers. Thread-safe.
+ */
+public final class StartNotices {
+    /** Identifies a start whose identity isn't known. */
+    public static final long UNKNOWN_START = 0;
+
+    private final long start;
+    private final AnnouncedRate rate = AnnouncedRate.unlimited();
+    private boolean leaving;
+
+    private StartNotices(long start) {
+        this.start = start;
+    }
+
+    /**
+     * Creates the notices of a start that has stated nothing.
+     *
+     * @param start identifies the start, {@link #UNKNOWN_START} if its identity isn't known
+     * @return the notices
+     */
+    public static StartNotices of(long start) {
+        return new StartNotices(start);
+    }
+
+    /**
+     * Returns whether these are the notices of a start.
+     *
+     * @param other identifies the start
+     * @return whether both are known and the same
+     */
+    public boolean isOf(long other) {
+        return start != UNKNOWN_START && start == other;
+    }
+
+    /**
+     * Returns the rate limit that the upstream names.
+     *
+     * @return the rate limit
+     */
+    public AnnouncedRate rate() {
+        return rate;
+    }
+
+    /**
+     * Records that the upstream stated that it is leaving. It can't take that back.
+     *
+     * @return whether that is new
+     */
+    public synchronized boolean recordLeaving() {
+        boolean first = !leaving;
+        leaving = true;
+        return first;
+    }
+
+    /**
+     * Returns whether the upstream stated that it is leaving.
+     *
+     * @return whether it did
+     */
+    public synchronized boolean leaving() {
+        return leaving;
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -246,7 +246,7 @@
 
     void recordHandOver(Message.Call call, LocalUpstream local, long receivedNanos) {
         parts.counters.count(Event.HANDED_OVER);
-        local.gate().announcedRate().recordHandOver();
+        local.notices().rate().recordHandOver();
         parts.ledger.handedOver(call.id(), call.key(), call.idempotent());
         if (local.drainingBefore(receivedNanos)) {
             parts.ledger.handedWhileDraining(call.id());
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -1,8 +1,7 @@
 package org.verbenadyke.kernel.serve;
 
-import java.util.concurrent.atomic.AtomicBoolean;
-
 import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.notice.StartNotices;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.time.TimerService;
 
@@ -10,37 +9,42 @@
  * The colocated upstream, as it announced itself.
  */
 public final class LocalUpstream {
-    private final String id;
-    private final String service;
-    private final UpstreamPort port;
+    private final Attachment attachment;
     private final Gate gate;
     private final KeyTable keys;
+    private final StartNotices notices;
     private final TimerService timers;
-    private final AtomicBoolean leavingNoticed;
     private volatile long acceptingSinceNanos;
     private volatile boolean draining;
     private volatile long drainingSinceNanos;
 
-    private LocalUpstream(
-            String id,
-            String service,
-            UpstreamPort port,
-            Gate gate,
-            KeyTable keys,
-            TimerService timers,
-            AtomicBoolean leavingNoticed) {
-        this.id = id;
-        this.service = service;
-        this.port = port;
+    private LocalUpstream(Attachment attachment, Gate gate, KeyTable keys, StartNotices notices, TimerService timers) {
+        this.attachment = attachment;
         this.gate = gate;
         this.keys = keys;
+        this.notices = notices;
         this.timers = timers;
-        this.leavingNoticed = leavingNoticed;
         this.acceptingSinceNanos = timers.nanos();
+        this.draining = notices.leaving();
     }
 
     /**
-     * Creates an upstream that accepts calls.
+     * Creates an upstream that accepts calls, unless it has stated that it is leaving.
+     *
+     * @param attachment the upstream
+     * @param gate admits calls to the upstream
+     * @param keys the keys that the upstream owns
+     * @param notices what the upstream has stated about itself
+     * @param timers the clock
+     * @return the upstream
+     */
+    public static LocalUpstream of(
+            Attachment attachment, Gate gate, KeyTable keys, StartNotices notices, TimerService timers) {
+        return new LocalUpstream(attachment, gate, keys, notices, timers);
+    }
+
+    /**
+     * Creates an upstream that accepts calls, of an unknown start.
      *
      * @param id its id
      * @param service the service it serves
@@ -52,17 +56,17 @@
      */
     public static LocalUpstream of(
             String id, String service, UpstreamPort port, Gate gate, KeyTable keys, TimerService timers) {
-        return new LocalUpstream(id, service, port, gate, keys, timers, new AtomicBoolean());
+        return of(Attachment.of(id, service, port), gate, keys, StartNotices.of(StartNotices.UNKNOWN_START), timers);
     }
 
     /**
      * Returns the same upstream under a new id.
      *
      * @param newId the id
-     * @return the upstream, with the same gate and keys
+     * @return the upstream, with the same gate, keys and notices
      */
     public LocalUpstream withId(String newId) {
-        LocalUpstream renamed = new LocalUpstream(newId, service, port, gate, keys, timers, leavingNoticed);
+        LocalUpstream renamed = new LocalUpstream(attachment.withId(newId), gate, keys, notices, timers);
         renamed.draining = draining;
         return renamed;
     }
@@ -73,7 +77,7 @@
      * @return the id
      */
     public String id() {
-        return id;
+        return attachment.id();
     }
 
     /**
@@ -82,7 +86,7 @@
      * @return the service
      */
     public String service() {
-        return service;
+        return attachment.service();
     }
 
     /**
@@ -91,7 +95,7 @@
      * @return the port
      */
     public UpstreamPort port() {
-        return port;
+        return attachment.port();
     }
 
     /**
@@ -132,11 +136,12 @@
     }
 
     /**
-     * Starts or ends draining.
+     * Starts or ends draining. An upstream that has stated that it is leaving goes on draining.
      *
-     * @param enabled whether new calls are refused
+     * @param requested whether new calls are refused
      */
-    public void drain(boolean enabled) {
+    public void drain(boolean requested) {
+        boolean enabled = requested || notices.leaving();
         if (enabled && !draining) {
             drainingSinceNanos = timers.nanos();
         }
@@ -151,12 +156,18 @@
     }
 
     /**
-     * Records that the upstream stated in an answer that it is leaving.
+     * Returns what the upstream has stated about itself.
      *
-     * @return whether that is new
+     * @return the notices
      */
-    boolean recordLeavingNotice() {
-        return leavingNoticed.compareAndSet(false, true);
+    public StartNotices notices() {
+        return notices;
+    }
+
+    /** Drains the upstream, which has stated in an answer that it is leaving. */
+    void leave() {
+        drain(true);
+        attachment.onLeaving().run();
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
@@ -23,21 +23,22 @@
     }
 
     void handle(LocalUpstream local, UpstreamNotice notice, long handedOverNanos) {
-        RateChange change = local.gate().announcedRate().received(notice.rate(), handedOverNanos, local.now());
+        RateChange change = local.notices().rate().received(notice.rate(), handedOverNanos, local.now());
         if (!(change instanceof RateChange.Unchanged)) {
             counters.count(event(change));
             decisions.note(new Decision.RateLimit(local.id(), change));
             local.gate().rateLimitChanged(local.now());
         }
-        if (notice.leaving() && local.recordLeavingNotice()) {
+        if (notice.leaving() && local.notices().recordLeaving()) {
             counters.count(Event.UPSTREAM_LEAVING);
             decisions.note(new Decision.UpstreamLeaving(local.id()));
+            local.leave();
         }
     }
 
     /** Logs that a call was refused because of the rate limit of the upstream. */
     void noteOverLimit(LocalUpstream local, Message.Call call, Refusal refusal) {
-        AnnouncedRate rate = local.gate().announcedRate();
+        AnnouncedRate rate = local.notices().rate();
         decisions.note(new Decision.OverRateLimit(
                 call.request(),
                 call.target().upstream(),
--- a/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -61,7 +61,7 @@
                 () -> core.engine()
                         .server()
                         .upstream()
-                        .map(u -> u.gate().announcedRate())
+                        .map(u -> u.notices().rate())
                         .filter(AnnouncedRate::limited)
                         .map(AnnouncedRate::perSecond)
                         .orElse(NO_RATE_LIMIT));
--- a/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -54,6 +55,7 @@
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<String, Boolean> refusedOnce = new ConcurrentHashMap<>();
     private volatile Optional<HttpRequestMessage> lastRequest = Optional.empty();
+    private volatile List<HeaderField> notices = List.of();
     private HttpServer server;
 
     private ServerStandIn(String id, TimerService timers) {
@@ -105,6 +107,25 @@
         return lastRequest;
     }
 
+    /**
+     * Names a rate limit in all answers from now on.
+     *
+     * @param limit the value of the header field; any text, so that invalid ones can be sent too
+     */
+    public void nameRateLimit(String limit) {
+        notices = List.of(new HeaderField("server-limit", limit));
+    }
+
+    /** States in all answers from now on that the server is leaving. */
+    public void nameLeaving() {
+        notices = List.of(new HeaderField("server-leaving", "1"));
+    }
+
+    /** States nothing in answers any more. */
+    public void nameNothing() {
+        notices = List.of();
+    }
+
     @Override
     public void close() {
         server.close();
@@ -123,7 +144,8 @@
         String lastSegment = request.target().substring(request.target().lastIndexOf('/') + 1);
         if (lastSegment.equals(SHED)
                 || lastSegment.equals(SHED_ONCE) && refusedOnce.putIfAbsent(requestId, true) == null) {
-            exchange.answer(UNAVAILABLE, List.of(requestIdField, new HeaderField("x-not-executed", "1")), EMPTY_BODY);
+            exchange.answer(
+                    UNAVAILABLE, withNotices(requestIdField, new HeaderField("x-not-executed", "1")), EMPTY_BODY);
             return;
         }
         runs.computeIfAbsent(requestId, r -> new AtomicInteger()).incrementAndGet();
@@ -134,7 +156,7 @@
         answer(exchange, requestId, lastSegment);
     }
 
-    private static void answer(HttpExchange exchange, String requestId, String lastSegment) {
+    private void answer(HttpExchange exchange, String requestId, String lastSegment) {
         byte[] body = ("answer to " + requestId).getBytes(StandardCharsets.UTF_8);
         HeaderField requestIdField = new HeaderField("x-request-id", requestId);
         HeaderField signatureField = new HeaderField("x-server-signature", "signed");
@@ -145,7 +167,11 @@
                 exchange.abort();
             }
             case UNSIGNED -> exchange.answer(OK, List.of(requestIdField), body);
-            default -> exchange.answer(OK, List.of(requestIdField, signatureField), body);
+            default -> exchange.answer(OK, withNotices(requestIdField, signatureField), body);
         }
     }
+
+    private List<HeaderField> withNotices(HeaderField... fields) {
+        return Stream.concat(Stream.of(fields), notices.stream()).toList();
+    }
 }
--- a/standins/src/main/java/org/verbenadyke/standins/upstream/Behaviour.java
+++ b/standins/src/main/java/org/verbenadyke/standins/upstream/Behaviour.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.standins.upstream;
 
+import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 
 /**
@@ -15,6 +16,7 @@
     private volatile double slowdownFactor = 1;
     private volatile int failPercent;
     private volatile double loadOverride = -1;
+    private volatile Map<String, String> notices = Map.of();
 
     Behaviour(UpstreamSettings settings) {
         this.settings = settings;
@@ -34,6 +36,15 @@
         loadOverride = load;
     }
 
+    /** Sets the header fields in which answers state something about the upstream. */
+    void stateInAnswers(Map<String, String> newNotices) {
+        notices = Map.copyOf(newNotices);
+    }
+
+    Map<String, String> notices() {
+        return notices;
+    }
+
     long serviceMillis() {
         boolean cold = System.currentTimeMillis() - startMillis < settings.coldMillis();
         return Math.round(settings.serviceMillis() * slowdownFactor * (cold ? COLD_START_FACTOR : 1));
--- a/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
@@ -3,7 +3,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
@@ -36,6 +38,8 @@
 public final class UpstreamStandIn implements AutoCloseable {
     private static final String CONTEXT_HEADER = "verbenadyke-context";
     private static final String DEADLINE_HEADER = "verbenadyke-deadline-ms";
+    private static final String LIMIT_HEADER = "verbenadyke-limit";
+    private static final String LEAVING_HEADER = "verbenadyke-leaving";
     private static final int FRAGMENT_BYTES = 16 * 1024;
     private static final HttpResponseStatus NESTED_CALL_FAILED = HttpResponseStatus.of(502, "");
     private static final int MAX_SUCCESS_STATUS = 299;
@@ -127,7 +131,10 @@
                 applySwitches(request);
                 yield Single.succeeded(responses.noContent());
             }
-            default -> request.toRequest().flatMap(r -> serve(context, r.toStreamingRequest(), responses));
+            default ->
+                request.toRequest()
+                        .flatMap(r -> serve(context, r.toStreamingRequest(), responses))
+                        .map(this::addNotices);
         };
     }
 
@@ -225,6 +232,23 @@
                 .ifPresent(v -> behaviour.failPercent(Integer.parseInt(v)));
         Optional.ofNullable(request.queryParameter("load"))
                 .ifPresent(v -> behaviour.overrideLoad(Double.parseDouble(v)));
+        if (request.hasQueryParameter("limit") || request.hasQueryParameter("leaving")) {
+            Map<String, String> notices = new HashMap<>();
+            putIfSet(notices, LIMIT_HEADER, request.queryParameter("limit"));
+            putIfSet(notices, LEAVING_HEADER, request.queryParameter("leaving"));
+            behaviour.stateInAnswers(notices);
+        }
+    }
+
+    private StreamingHttpResponse addNotices(StreamingHttpResponse response) {
+        behaviour.notices().forEach(response::setHeader);
+        return response;
+    }
+
+    private static void putIfSet(Map<String, String> notices, String name, String value) {
+        if (value != null && !value.isEmpty()) {
+            notices.put(name, value);
+        }
     }
 
     private static StreamingHttpResponse textResponse(StreamingHttpResponse response, String body) {
