Give a node that restarts back what its upstream stated

What was heard stood only where it was lost.

Each answer between nodes now carries what the upstream has stated, with a number that identifies its start; a node keeps the last of it by the address of the upstream's node, and each call carries it back (one byte when there is nothing). The node beside the upstream takes it over if the start is the same and it has not heard the upstream itself: a limit until the first answer, that it leaves for good. So the first call after a restart brings the knowledge with it, before it is handed over. A new start of the upstream isn't held to what another start said.

Weighed: the statement in the member record, which costs gossip and is as late as gossip when out of touch; few calls only until the first answer, which slows each start of a node and still lets calls through to one that leaves.

Protocol version 6: nodes of 5 and 6 don't talk.

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -93,6 +93,7 @@
                 1,
                 true,
                 "",
+                Message.Stated.NOTHING,
                 new Message.Content(
                         "GET", "/lookup?id=1", List.of(new HeaderField("accept", "*/*")), new byte[BODY_BYTES]));
         frame = FrameCodec.encode(message);
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
@@ -58,6 +58,7 @@
                 attempt.link().peerClock(),
                 request.idempotent(),
                 request.key(),
+                attempt.candidate().stated(),
                 request.content());
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -14,7 +14,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 5;
+    int VERSION = 6;
 
     /**
      * The first message of both sides.
@@ -46,6 +46,7 @@
      *     nanoseconds; 0 if none
      * @param idempotent whether the request may run more than once
      * @param key the idempotency key, empty if none
+     * @param known what the sender knows the upstream to have stated about itself
      * @param content the request that the upstream receives
      */
     record Call(
@@ -59,6 +60,7 @@
             long receiverClock,
             boolean idempotent,
             String key,
+            Stated known,
             Content content)
             implements Message {}
 
@@ -121,6 +123,27 @@
         }
     }
 
+    /**
+     * What one start of an upstream has stated about itself in its answers.
+     *
+     * @param start identifies the start, 0 if its identity isn't known
+     * @param perSecond the requests per second that the upstream accepts, infinite if it named no limit
+     * @param leaving whether it stated that it is leaving
+     */
+    record Stated(long start, double perSecond, boolean leaving) {
+        /** The upstream has stated nothing. */
+        public static final Stated NOTHING = new Stated(0, Double.POSITIVE_INFINITY, false);
+
+        /**
+         * Returns whether the upstream has stated nothing.
+         *
+         * @return whether it neither named a limit nor stated that it is leaving
+         */
+        public boolean isEmpty() {
+            return !leaving && perSecond == Double.POSITIVE_INFINITY;
+        }
+    }
+
     /**
      * The load of the answering node, sent with each answer.
      *
@@ -130,9 +153,31 @@
      * @param directLevel the admission level of the node for requests that come from callers and not from another
      *     upstream
      * @param draining whether the upstream is draining
+     * @param stated what the upstream has stated about itself
      * @param deeperLevel the highest admission level among the services that were called for the answer
      */
-    record Report(int inFlight, int limit, int level, int directLevel, boolean draining, DeeperLevel deeperLevel) {
+    record Report(
+            int inFlight,
+            int limit,
+            int level,
+            int directLevel,
+            boolean draining,
+            Stated stated,
+            DeeperLevel deeperLevel) {
+        /**
+         * Creates the report of a node whose upstream has stated nothing about itself.
+         *
+         * @param inFlight calls handed to the upstream
+         * @param limit the concurrency limit
+         * @param level the admission level of the node itself
+         * @param directLevel the admission level of the node for requests that come from callers
+         * @param draining whether the upstream is draining
+         * @param deeperLevel the highest admission level among the services that were called for the answer
+         */
+        public Report(int inFlight, int limit, int level, int directLevel, boolean draining, DeeperLevel deeperLevel) {
+            this(inFlight, limit, level, directLevel, draining, Stated.NOTHING, deeperLevel);
+        }
+
         /**
          * Returns the admission level of the call's path: the highest of the node and of the services deeper in the
          * call chain.
--- a/kernel/src/main/java/org/verbenadyke/kernel/notice/AnnouncedRate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/notice/AnnouncedRate.java
@@ -18,6 +18,7 @@
     private volatile long namedNanos;
     private long receivedNanos;
     private long handedOver;
+    private volatile boolean heard;
 
     private AnnouncedRate() {}
 
@@ -40,9 +41,11 @@
      */
     public RateChange received(RateNotice notice, long handedOverNanos, long nowNanos) {
         if (notice instanceof RateNotice.None && !limited()) {
+            heard = true;
             return UNCHANGED;
         }
         synchronized (this) {
+            heard |= !(notice instanceof RateNotice.Unreadable);
             return switch (notice) {
                 case RateNotice.None n -> end(handedOverNanos, nowNanos);
                 case RateNotice.Limit l -> change(l.perSecond(), handedOverNanos, nowNanos);
@@ -51,6 +54,17 @@
         }
     }
 
+    /**
+     * Takes over the limit that another node heard the upstream name, unless the upstream has answered here.
+     *
+     * @param known the limit, in requests per second
+     * @param nowNanos the time
+     * @return how that changed the limit
+     */
+    public synchronized RateChange recall(double known, long nowNanos) {
+        return heard || limited() || known == UNLIMITED ? UNCHANGED : change(known, nowNanos, nowNanos);
+    }
+
     /** Counts a call that is handed over. */
     public void recordHandOver() {
         if (limited()) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/notice/StartNotices.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/notice/StartNotices.java
@@ -35,6 +35,15 @@
         return start != UNKNOWN_START && start == other;
     }
 
+    /**
+     * Returns the identity of the start.
+     *
+     * @return a number, {@link #UNKNOWN_START} if the identity isn't known
+     */
+    public long start() {
+        return start;
+    }
+
     /**
      * Returns the rate limit that the upstream names.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -47,6 +47,7 @@
     private final AtomicInteger inFlight = new AtomicInteger();
     private final AtomicInteger consecutiveFailures = new AtomicInteger();
     private final ServiceLevels levels;
+    private final StatedNotices stated;
     private volatile ReportedLevel level = ReportedLevel.NONE;
     private volatile double latencyNanos;
     private volatile double errorRate;
@@ -58,10 +59,11 @@
     private volatile double shedRate;
     private volatile long shedNanos;
 
-    private Candidate(Upstream upstream, boolean local, ServiceLevels levels) {
+    private Candidate(Upstream upstream, boolean local, ServiceLevels levels, StatedNotices stated) {
         this.upstream = upstream;
         this.local = local;
         this.levels = levels;
+        this.stated = stated;
     }
 
     /**
@@ -72,12 +74,12 @@
      * @return the candidate
      */
     public static Candidate of(Upstream upstream, boolean local) {
-        return new Candidate(upstream, local, ServiceLevels.empty());
+        return new Candidate(upstream, local, ServiceLevels.empty(), StatedNotices.empty());
     }
 
-    /** Creates a candidate that adds the admission levels reported by its node to the given levels. */
-    static Candidate withLevels(Upstream upstream, boolean local, ServiceLevels levels) {
-        return new Candidate(upstream, local, levels);
+    /** Creates a candidate that adds what its node reports to the given levels and notices. */
+    static Candidate sharing(Upstream upstream, boolean local, ServiceLevels levels, StatedNotices stated) {
+        return new Candidate(upstream, local, levels, stated);
     }
 
     /**
@@ -179,6 +181,7 @@
         reportedLimit = report.limit();
         draining |= report.draining();
         level = new ReportedLevel(report.directLevel(), nowNanos);
+        stated.reported(upstream.node(), report.stated());
         levels.received(upstream, pathClass, report, nowNanos);
     }
 
@@ -202,6 +205,16 @@
         return reportedLoad < 0 ? Optional.empty() : Optional.of(reportedLoad);
     }
 
+    /**
+     * Returns what the upstream beside its node was last known to state about itself, also to an earlier start of the
+     * node.
+     *
+     * @return what it stated
+     */
+    public Message.Stated stated() {
+        return stated.of(upstream.node());
+    }
+
     /** Records that the upstream is draining. */
     public void drain() {
         draining = true;
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -30,6 +30,7 @@
     private final Supplier<RandomGenerator> random;
     private final boolean sheds;
     private final ServiceLevels levels = ServiceLevels.empty();
+    private final StatedNotices stated = StatedNotices.empty();
     private final AtomicReference<Map<String, Routes>> table = new AtomicReference<>(Map.of());
 
     private Router(
@@ -213,7 +214,7 @@
                     u.id(),
                     known != null && known.upstream().equals(u)
                             ? known
-                            : Candidate.withLevels(u, u.location().equals(location), levels));
+                            : Candidate.sharing(u, u.location().equals(location), levels, stated));
         }
         List<Candidate> subset = Rendezvous.subset(upstreams, self, this::weight, subsetSize).stream()
                 .map(u -> all.get(u.id()))
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -236,6 +236,7 @@
                 gate.level(),
                 gate.directLevel(),
                 local.draining(),
+                local.stated(),
                 deeperLevel);
     }
 
@@ -292,6 +293,7 @@
             refuseUntracked(link, call, RefusalReason.UPSTREAM_UNREACHABLE);
             return;
         }
+        notices.recall(local, call.known());
         if (local.draining()) {
             refuseUntracked(link, call, RefusalReason.DRAINING);
             return;
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.serve;
 
 import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.notice.StartNotices;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.time.TimerService;
@@ -164,6 +165,14 @@
         return notices;
     }
 
+    /** Returns what the upstream has stated about itself, as other nodes are told. */
+    Message.Stated stated() {
+        if (!notices.rate().limited() && !notices.leaving()) {
+            return Message.Stated.NOTHING;
+        }
+        return new Message.Stated(notices.start(), notices.rate().perSecond(), notices.leaving());
+    }
+
     /** Drains the upstream, which has stated in an answer that it is leaving. */
     void leave() {
         drain(true);
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
@@ -23,13 +23,33 @@
     }
 
     void handle(LocalUpstream local, UpstreamNotice notice, long handedOverNanos) {
-        RateChange change = local.notices().rate().received(notice.rate(), handedOverNanos, local.now());
+        handle(local, local.notices().rate().received(notice.rate(), handedOverNanos, local.now()));
+        if (notice.leaving()) {
+            handleLeaving(local);
+        }
+    }
+
+    /** Handles what the sender of a call knows the upstream to have stated, since this node may have restarted. */
+    void recall(LocalUpstream local, Message.Stated known) {
+        if (known.isEmpty() || !local.notices().isOf(known.start())) {
+            return;
+        }
+        handle(local, local.notices().rate().recall(known.perSecond(), local.now()));
+        if (known.leaving()) {
+            handleLeaving(local);
+        }
+    }
+
+    private void handle(LocalUpstream local, RateChange change) {
         if (!(change instanceof RateChange.Unchanged)) {
             counters.count(event(change));
             decisions.note(new Decision.RateLimit(local.id(), change));
             local.gate().rateLimitChanged(local.now());
         }
-        if (notice.leaving() && local.notices().recordLeaving()) {
+    }
+
+    private void handleLeaving(LocalUpstream local) {
+        if (local.notices().recordLeaving()) {
             counters.count(Event.UPSTREAM_LEAVING);
             decisions.note(new Decision.UpstreamLeaving(local.id()));
             local.leave();
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -236,6 +236,7 @@
                 clock.nanos(),
                 idempotent,
                 key,
+                Message.Stated.NOTHING,
                 new Message.Content(idempotent ? "GET" : "POST", "/p", List.of(), new byte[0]));
     }
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
@@ -117,6 +117,7 @@
                 clock.nanos(),
                 false,
                 "",
+                Message.Stated.NOTHING,
                 new Message.Content("POST", "/p", List.of(), new byte[0]));
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/control/LocalService.java
+++ b/node/src/main/java/org/verbenadyke/node/control/LocalService.java
@@ -5,7 +5,10 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.verbenadyke.kernel.core.NodeCore;
+import org.verbenadyke.kernel.core.UpstreamRegistration;
+import org.verbenadyke.kernel.notice.StartNotices;
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Rendezvous;
 import org.verbenadyke.node.http.HttpUpstream;
 import org.verbenadyke.node.settings.IniReader;
 
@@ -75,7 +78,8 @@
                     String service = node.path("service").asText();
                     Endpoint address =
                             IniReader.parseEndpoint(node.path("address").asText());
-                    core.attachUpstream(service, HttpUpstream.to(address, executor));
+                    core.attachUpstream(UpstreamRegistration.of(service, HttpUpstream.to(address, executor))
+                            .withStart(startOf(node)));
                     LOG.info("The upstream registered for service {}.", service);
                     return responses.noContent();
                 })
@@ -89,6 +93,12 @@
                 responses.ok().setHeader("verbenadyke-unfinished", "" + core.unfinishedUpstreamCalls()));
     }
 
+    /** Returns a number that identifies the start of the upstream, if the registration tells one start from another. */
+    private static long startOf(JsonNode registration) {
+        String start = registration.path("start").asText();
+        return start.isEmpty() ? StartNotices.UNKNOWN_START : Rendezvous.hash(start, "");
+    }
+
     private static JsonNode parse(String text) {
         try {
             return JSON.readTree(text);
--- a/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 
@@ -45,6 +46,7 @@
     private static final int MAX_SUCCESS_STATUS = 299;
 
     private final UpstreamSettings settings;
+    private final String start = UUID.randomUUID().toString();
     private final Behaviour behaviour;
     private final ConcurrencyLimit limit;
     private final EffectRecorder effects;
@@ -85,7 +87,8 @@
      * @return whether the node accepted the announcement
      */
     public boolean announce() {
-        String body = "{\"service\":\"" + settings.service() + "\",\"address\":\"" + settings.listen() + "\"}";
+        String body = "{\"service\":\"" + settings.service() + "\",\"address\":\"" + settings.listen()
+                + "\",\"start\":\"" + start + "\"}";
         try {
             return node.request(node.put("/.verbenadyke/upstream").payloadBody(utf8(body)))
                             .toFuture()
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -159,6 +159,7 @@
         p.packInt(m.importance().ordinal()).packInt(m.depth());
         p.packLong(m.ttlMicros()).packLong(m.dueMicros()).packLong(m.receiverClock());
         p.packBoolean(m.idempotent()).packString(m.key());
+        StatedCodec.pack(p, m.known());
         p.packString(m.content().method()).packString(m.content().path());
         packHeaders(p, m.content().headers());
         packBytes(p, m.content().body());
@@ -177,6 +178,7 @@
                 u.unpackLong(),
                 u.unpackBoolean(),
                 u.unpackString(),
+                StatedCodec.unpack(u),
                 new Message.Content(
                         u.unpackString(), u.unpackString(), unpackHeaders(u), unpackBytes(u), u.unpackString()));
     }
@@ -223,6 +225,7 @@
                 .packInt(r.level())
                 .packInt(r.directLevel())
                 .packBoolean(r.draining());
+        StatedCodec.pack(p, r.stated());
         p.packString(r.deeperLevel().service())
                 .packInt(r.deeperLevel().level())
                 .packInt(r.deeperLevel().ageMillis());
@@ -230,7 +233,13 @@
 
     private static Message.Report unpackReport(MessageUnpacker u) throws IOException {
         return new Message.Report(
-                u.unpackInt(), u.unpackInt(), u.unpackInt(), u.unpackInt(), u.unpackBoolean(), unpackDeeperLevel(u));
+                u.unpackInt(),
+                u.unpackInt(),
+                u.unpackInt(),
+                u.unpackInt(),
+                u.unpackBoolean(),
+                StatedCodec.unpack(u),
+                unpackDeeperLevel(u));
     }
 
     private static Message.DeeperLevel unpackDeeperLevel(MessageUnpacker u) throws IOException {
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -23,8 +23,8 @@
 /** Tests {@link FrameCodec}, also with randomly changed bytes. */
 final class FrameCodecTest {
     private static final CallId ID = new CallId(-3, 9);
-    private static final Message.Report REPORT =
-            new Message.Report(1, 2, 4, 3, true, new Message.DeeperLevel("deep", 4, 5));
+    private static final Message.Report REPORT = new Message.Report(
+            1, 2, 4, 3, true, new Message.Stated(-6, 44.9, true), new Message.DeeperLevel("deep", 4, 5));
     private static final List<HeaderField> HEADERS = List.of(new HeaderField("a", "b"), new HeaderField("ü", ""));
     private static final int MUTATED_FRAMES = 20_000;
 
@@ -42,6 +42,7 @@
                     6,
                     true,
                     "key",
+                    new Message.Stated(7, 0, false),
                     new Message.Content("GET", "/x?y", HEADERS, new byte[] {1, 2, 3})),
             new Message.Head(ID, 200, HEADERS, true, REPORT),
             new Message.Data(ID, 1L << 40, new byte[20_000]),
