Let upstreams of the randomised runs name limits and leave by notice

The virtual-time soak gets two faults more: an upstream names a limit (0, 0.3, 2, 8 or 25 a second), another one halfway, and ends it; an upstream states in its answers that it is leaving and is replaced later. They overlap with kills, pauses, cuts, restarts, drains and the log's troubles. Checked is what arrives at the upstream: calls say at which node they began, and a node counts once it has passed on such an answer, until it restarts or was paused.

What the level doesn't need any more goes: a measure of the demand on a limit.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FakeUpstream.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.dispatch.CallHandle;
 import org.verbenadyke.kernel.engine.InboundRequest;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 
 /**
@@ -37,6 +38,8 @@
     private final ProcessTimers process;
     private final RandomGenerator random;
     private final Effects effects;
+    private final Statements statements;
+    private final UpstreamStatement statement;
     private final Deque<Work> queue = new ArrayDeque<>();
     private final List<Work> active = new ArrayList<>();
     private LabNode node;
@@ -46,8 +49,11 @@
     private double failShare;
     private boolean unbounded;
 
-    FakeUpstream(ServiceSpec spec, ProcessTimers process, RandomGenerator random, Effects effects) {
-        this.spec = spec;
+    FakeUpstream(
+            LabServer server, ProcessTimers process, RandomGenerator random, Effects effects, Statements statements) {
+        this.spec = server.spec();
+        this.statements = statements;
+        this.statement = statements.open(server.id());
         this.process = process;
         this.random = random;
         this.effects = effects;
@@ -58,6 +64,11 @@
         node = newNode;
     }
 
+    /** Returns what the process states about itself in its answers. */
+    UpstreamStatement statement() {
+        return statement;
+    }
+
     ServiceSpec spec() {
         return spec;
     }
@@ -121,6 +132,7 @@
         if (work.ended) {
             return;
         }
+        statement.arrived(work.handOver.content().headers(), process.nanos());
         if (busy < spec.slots()) {
             begin(work);
         } else if (queue.size() < maxQueue) {
@@ -242,7 +254,7 @@
             String service = target.substring(0, target.indexOf('/'));
             String path = target.substring(target.indexOf('/')) + "?id=" + id();
             InboundRequest inbound = new InboundRequest(
-                    service, new Message.Content("GET", path, List.of(), new byte[0]), "", Optional.empty());
+                    service, new Message.Content("GET", path, LabNode.sentBy(node), new byte[0]), "", Optional.empty());
             NestedCallSink sink = new NestedCallSink(this, callback);
             pendingSinks.add(sink);
             if (node.process().killed()) {
@@ -272,7 +284,12 @@
                 finish();
                 return;
             }
-            notifyNode(() -> listener.head(status, List.of(new HeaderField("content-type", "text/plain"))));
+            UpstreamNotice notice = statement.notice();
+            List<HeaderField> fields = statement.fields(List.of(new HeaderField("content-type", "text/plain")));
+            notifyNode(() -> {
+                listener.notice(notice);
+                listener.head(status, fields);
+            });
         }
 
         @Override
@@ -343,6 +360,12 @@
             this.callback = callback;
         }
 
+        @Override
+        public void head(int newStatus, List<HeaderField> headers) {
+            super.head(newStatus, headers);
+            statements.relayed(headers, LabNode.identity(work.startedUnder), process.nanos());
+        }
+
         @Override
         public void end() {
             complete(status() == OK ? Optional.of(text()) : Optional.empty());
--- a/bench/src/main/java/org/verbenadyke/bench/lab/FaultKind.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/FaultKind.java
@@ -26,6 +26,10 @@
     RACE,
     /** An upstream drains and is announced again. */
     DRAIN,
+    /** An upstream names a rate limit in its answers. */
+    RATE_LIMIT,
+    /** An upstream states in its answers that it is leaving, and is replaced later. */
+    LEAVING_NOTICE,
     /** A server stops gracefully and is replaced. */
     RESTART,
     /** A service slows down. */
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
@@ -8,6 +8,7 @@
 import java.util.random.RandomGeneratorFactory;
 
 import org.verbenadyke.kernel.core.CoreSettings;
+import org.verbenadyke.kernel.core.UpstreamRegistration;
 import org.verbenadyke.kernel.ledger.Breach;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
@@ -33,6 +34,7 @@
     private final VirtualNet net;
     private final FakeLog log;
     private final Effects effects = new Effects();
+    private final Statements statements = new Statements();
     private final CoreSettings settings;
     private final List<LabServer> servers = new ArrayList<>();
     private final Map<Endpoint, Location> locations = new LinkedHashMap<>();
@@ -69,7 +71,7 @@
 
     /** Starts a server's node and upstream without any state of an earlier run. */
     void start(LabServer server) {
-        FakeUpstream upstream = new FakeUpstream(server.spec(), new ProcessTimers(clock), random, effects);
+        FakeUpstream upstream = newUpstream(server);
         if (naive) {
             upstream.naive();
         }
@@ -83,8 +85,7 @@
     void restartNode(LabServer server, long announcedAfterNanos) {
         FakeUpstream old = server.upstream();
         boolean killed = old.killed();
-        FakeUpstream upstream =
-                killed ? new FakeUpstream(server.spec(), new ProcessTimers(clock), random, effects) : old;
+        FakeUpstream upstream = killed ? newUpstream(server) : old;
         startNode(server, upstream, announcedAfterNanos);
     }
 
@@ -105,9 +106,7 @@
         LabNode node = LabNode.start(self, nodeProcess, net, log.seenBy(nodeProcess), random, settings, breaches::add);
         upstream.colocateWith(node);
         server.setProcesses(node, upstream, clock.nanos());
-        nodeProcess.after(
-                announcedAfterNanos,
-                () -> node.core().attachUpstream(server.spec().name(), upstream));
+        nodeProcess.after(announcedAfterNanos, () -> node.core().attachUpstream(registration(server, upstream)));
     }
 
     /** Kills a server's node and upstream. */
@@ -125,12 +124,20 @@
 
     /** Replaces a killed upstream whose node kept running. */
     void replaceUpstream(LabServer server) {
-        FakeUpstream upstream = new FakeUpstream(server.spec(), new ProcessTimers(clock), random, effects);
+        FakeUpstream upstream = newUpstream(server);
         upstream.colocateWith(server.node());
         server.setProcesses(server.node(), upstream, clock.nanos());
-        server.node()
-                .process()
-                .run(() -> server.node().core().attachUpstream(server.spec().name(), upstream));
+        server.node().process().run(() -> server.node().core().attachUpstream(registration(server, upstream)));
+    }
+
+    /** Returns the registration of an upstream with its node. */
+    static UpstreamRegistration registration(LabServer server, FakeUpstream upstream) {
+        return UpstreamRegistration.of(server.spec().name(), upstream)
+                .withStart(upstream.statement().process().hashCode());
+    }
+
+    private FakeUpstream newUpstream(LabServer server) {
+        return new FakeUpstream(server, new ProcessTimers(clock), random, effects, statements);
     }
 
     void advance(long nanos) {
@@ -153,6 +160,10 @@
         return log;
     }
 
+    Statements statements() {
+        return statements;
+    }
+
     Effects effects() {
         return effects;
     }
--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabCaller.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabCaller.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
+import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.engine.InboundRequest;
 import org.verbenadyke.kernel.message.Message;
@@ -29,19 +30,22 @@
     void send(LabRequest kind, String id, String key, long ttlNanos, LabServer entry, Consumer<LabAnswer> callback) {
         String service = kind.target().substring(0, kind.target().indexOf('/'));
         String path = kind.target().substring(kind.target().indexOf('/')) + "?id=" + id;
-        Message.Content content = new Message.Content(kind.once() ? "POST" : "GET", path, List.of(), new byte[0]);
-        InboundRequest inbound = new InboundRequest(service, content, key, Optional.of(ttlNanos));
         String expected = expected(kind.target(), id);
+        LabNode node = entry.node();
         CheckingSink sink = new CheckingSink(
+                node,
                 expected,
                 operation(kind.target()).bytes(),
                 answer -> lab.clock().after(CLIENT_NANOS, () -> callback.accept(answer)));
-        LabNode node = entry.node();
         lab.clock()
                 .after(
                         CLIENT_NANOS,
-                        () -> node.process()
-                                .run(() -> sink.setHandle(node.core().engine().submit(inbound, sink))));
+                        () -> node.process().run(() -> {
+                            Message.Content content = new Message.Content(
+                                    kind.once() ? "POST" : "GET", path, LabNode.sentBy(node), new byte[0]);
+                            InboundRequest inbound = new InboundRequest(service, content, key, Optional.of(ttlNanos));
+                            sink.setHandle(node.core().engine().submit(inbound, sink));
+                        }));
     }
 
     private Operation operation(String target) {
@@ -62,17 +66,26 @@
     /**
      * Collects one answer and compares it with the expected text.
      */
-    private static final class CheckingSink extends CollectingSink {
+    private final class CheckingSink extends CollectingSink {
+        private final LabNode node;
         private final String expected;
         private final int bytes;
         private final Consumer<LabAnswer> callback;
 
-        private CheckingSink(String expected, int bytes, Consumer<LabAnswer> callback) {
+        private CheckingSink(LabNode node, String expected, int bytes, Consumer<LabAnswer> callback) {
+            this.node = node;
             this.expected = expected;
             this.bytes = bytes;
             this.callback = callback;
         }
 
+        @Override
+        public void head(int newStatus, List<HeaderField> headers) {
+            super.head(newStatus, headers);
+            lab.statements()
+                    .relayed(headers, LabNode.identity(node), lab.clock().nanos());
+        }
+
         @Override
         public void end() {
             if (status() != OK) {
--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
+import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.core.CoreParts;
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.core.NodeCore;
@@ -66,6 +67,16 @@
         return node;
     }
 
+    /** Returns a name of the process of a node, which changes when the node restarts or notices that it was paused. */
+    static String identity(LabNode node) {
+        return node.core().self().upstreamId();
+    }
+
+    /** Returns the field that names the node where a call begins. */
+    static List<HeaderField> sentBy(LabNode node) {
+        return List.of(new HeaderField(UpstreamStatement.SENT_BY, identity(node)));
+    }
+
     Endpoint endpoint() {
         return endpoint;
     }
--- a/bench/src/main/java/org/verbenadyke/bench/lab/Soak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Soak.java
@@ -34,6 +34,7 @@
         for (Breach b : lab.breaches()) {
             violations.add(b.invariant() + " " + b.subject() + ": " + b.history());
         }
+        violations.addAll(lab.statements().violations());
         violations.addAll(callers.violations());
         violations.addAll(operators.violations());
         return new SoakReport(
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakFaults.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakFaults.java
@@ -17,6 +17,7 @@
     private static final long MEAN_GAP_NANOS = 2 * Lab.SECOND;
     private static final long LENGTH_SPREAD_NANOS = 9 * Lab.SECOND;
     private static final long MIN_LENGTH_NANOS = 300 * Lab.MILLI;
+    private static final double[] RATE_LIMITS = {0, 0.3, 2, 8, 25};
     private static final long POLL_NANOS = 50 * Lab.MILLI;
     private static final long LEAVE_PAUSE_NANOS = 300 * Lab.MILLI;
     private static final long MAX_GRACEFUL_STOP_NANOS = 40 * Lab.SECOND;
@@ -104,6 +105,8 @@
                 yield true;
             }
             case DRAIN -> onServer(s -> drain(s, length));
+            case RATE_LIMIT -> onServer(s -> limitRate(s, length));
+            case LEAVING_NOTICE -> onServer(s -> leaveByNotice(s, length));
             case RESTART -> onServer(this::restart);
             case SLOW -> slow(length);
             case FAIL ->
@@ -168,6 +171,34 @@
         });
     }
 
+    /** Lets an upstream name a limit, change it halfway, and end it. */
+    private void limitRate(LabServer s, long length) {
+        UpstreamStatement statement = s.upstream().statement();
+        nameLimit(statement);
+        lab.clock().after(length, () -> nameLimit(statement));
+        lab.clock()
+                .after(
+                        2 * length,
+                        () -> statement.limit(
+                                Double.POSITIVE_INFINITY, lab.clock().nanos()));
+    }
+
+    private void nameLimit(UpstreamStatement statement) {
+        double perSecond = RATE_LIMITS[lab.random().nextInt(RATE_LIMITS.length)];
+        statement.limit(perSecond, lab.clock().nanos());
+    }
+
+    private void leaveByNotice(LabServer s, long length) {
+        s.setLeaving(true);
+        s.upstream().statement().leave();
+        LabNode node = s.node();
+        lab.clock().after(length + MIN_UPTIME_NANOS, () -> {
+            if (s.node() == node && s.up()) {
+                lab.replaceUpstream(s);
+            }
+        });
+    }
+
     private void drain(LabServer s, long length) {
         s.setLeaving(true);
         LabNode node = s.node();
@@ -175,7 +206,7 @@
         lab.clock().after(length, () -> {
             if (s.node() == node && s.up()) {
                 s.setLeaving(false);
-                node.process().run(() -> node.core().attachUpstream(s.spec().name(), s.upstream()));
+                node.process().run(() -> node.core().attachUpstream(Lab.registration(s, s.upstream())));
             }
         });
     }
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakSettings.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakSettings.java
@@ -14,6 +14,7 @@
  */
 public record SoakSettings(long seed, int seconds, int requestsPerSecond, Set<FaultKind> kinds, double unkeyedShare) {
     private static final double UNKEYED_SHARE = 0.5;
+    private static final EnumSet<FaultKind> NOTICES = EnumSet.of(FaultKind.RATE_LIMIT, FaultKind.LEAVING_NOTICE);
 
     /**
      * Returns the settings with every kind of fault, and filings with and without keys.
@@ -27,6 +28,18 @@
         return new SoakSettings(seed, seconds, requestsPerSecond, EnumSet.allOf(FaultKind.class), UNKEYED_SHARE);
     }
 
+    /**
+     * Returns the settings with every kind of fault but upstreams that state something about themselves.
+     *
+     * @param seed the seed
+     * @param seconds the length in virtual seconds
+     * @param requestsPerSecond the mean demand
+     * @return the settings
+     */
+    public static SoakSettings mixed(long seed, int seconds, int requestsPerSecond) {
+        return new SoakSettings(seed, seconds, requestsPerSecond, EnumSet.complementOf(NOTICES), UNKEYED_SHARE);
+    }
+
     /**
      * Returns the settings with a key on every filing and without series of crashes.
      *
@@ -36,7 +49,8 @@
      * @return the settings
      */
     public static SoakSettings keyed(long seed, int seconds, int requestsPerSecond) {
-        Set<FaultKind> kinds = EnumSet.complementOf(EnumSet.of(FaultKind.CRASH_NODES, FaultKind.CRASH_SERVERS));
+        Set<FaultKind> kinds = EnumSet.complementOf(NOTICES);
+        kinds.removeAll(EnumSet.of(FaultKind.CRASH_NODES, FaultKind.CRASH_SERVERS));
         return new SoakSettings(seed, seconds, requestsPerSecond, kinds, 0);
     }
 
--- a/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -1,7 +1,5 @@
 package org.verbenadyke.bench.lab;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,6 +11,7 @@
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.core.UpstreamRegistration;
@@ -42,9 +41,7 @@
     private final FleetOperation request;
     private final FleetOperation announced;
     private final Map<LabServer, AnnouncingUpstream> upstreams = new LinkedHashMap<>();
-    private final Map<String, AnnouncingUpstream> processes = new HashMap<>();
     private final Set<Endpoint> isolated = new HashSet<>();
-    private int started;
     private int sent;
     private int answered;
     private int failed;
@@ -139,24 +136,26 @@
         lab.clock().after(nanos, () -> isolated.remove(at));
     }
 
-    AnnouncingUpstream upstream(int index) {
-        return upstreams.get(server(index));
+    UpstreamStatement upstream(int index) {
+        return upstreams.get(server(index)).statement();
     }
 
     /** Returns each arrival that exceeded a limit, or came after its sender knew that the upstream was leaving. */
     List<String> violations() {
-        List<String> all = new ArrayList<>();
-        processes.values().forEach(u -> {
-            all.addAll(u.check().violations());
-            all.addAll(u.lateArrivals());
-        });
-        return all;
+        return lab.statements().violations();
     }
 
     /** Returns how many calls arrived at all upstreams. */
     long arrivals() {
-        return processes.values().stream()
-                .mapToLong(AnnouncingUpstream::arrivals)
+        return lab.statements().all().stream()
+                .mapToLong(UpstreamStatement::arrivals)
+                .sum();
+    }
+
+    /** Returns how many calls were sent to another upstream, since the one before did not run them. */
+    long reroutes() {
+        return lab.servers().stream()
+                .mapToLong(s -> s.node().counters().retries(RetryReason.REROUTED))
                 .sum();
     }
 
@@ -170,8 +169,8 @@
 
     /** Returns the highest share of the allowed arrivals that was reached at any upstream. */
     double worstShare() {
-        return processes.values().stream()
-                .mapToDouble(u -> u.check().worstShare())
+        return lab.statements().all().stream()
+                .mapToDouble(UpstreamStatement::worstShare)
                 .max()
                 .orElse(0);
     }
@@ -179,7 +178,8 @@
     @Override
     public String toString() {
         List<String> all = violations();
-        return answered + " of " + sent + " answered, " + failed + " failed, " + notRun + " of " + refused
+        return answered + " of " + sent + " answered, " + reroutes() + " rerouted, " + failed + " failed, " + notRun
+                + " of " + refused
                 + " refusals as not run, up to "
                 + Math.round(worstShare() * 100) + " % of what is allowed, " + all.size() + " violations, "
                 + all.stream().limit(3).toList();
@@ -191,15 +191,15 @@
 
     private void startProcess(LabServer server) {
         AnnouncingUpstream process = new AnnouncingUpstream(
-                server.id() + "#" + ++started, Map.of(announced.name(), announced), lab.random());
+                lab.statements().open(server.id()), Map.of(announced.name(), announced), lab.random());
         upstreams.put(server, process);
-        processes.put(process.name(), process);
         attach(server);
     }
 
     private void attachWorker(LabServer server) {
         LabNode node = server.node();
-        FleetUpstream worker = new FleetUpstream(node, Map.of(request.name(), request), lab.random(), 1);
+        FleetUpstream worker =
+                new FleetUpstream(node, Map.of(request.name(), request), lab.random(), 1, lab.statements());
         node.core()
                 .attachUpstream(
                         UpstreamRegistration.of(server.spec().name(), worker).withSlots(SLOTS));
@@ -211,12 +211,12 @@
         UpstreamRegistration registration = UpstreamRegistration.of(
                         server.spec().name(), process.portAt(node))
                 .withSlots(SLOTS)
-                .withStart(process.name().hashCode());
+                .withStart(process.statement().process().hashCode());
         node.process().run(() -> node.core().attachUpstream(registration));
     }
 
     private void excuse(LabServer server) {
-        processes.values().forEach(u -> u.excuse(server.id()));
+        lab.statements().all().forEach(u -> u.excuse(server.id()));
     }
 
     private void generateLoadUntil(double perSecond, long end) {
@@ -243,7 +243,7 @@
                     .toList();
             entry = working.get(lab.random().nextInt(working.size()));
             Message.Content content = new Message.Content(
-                    "GET", path, List.of(new HeaderField(AnnouncingUpstream.SENT_BY, entry.id())), new byte[0]);
+                    "GET", path, List.of(new HeaderField(UpstreamStatement.SENT_BY, entry.id())), new byte[0]);
             RoutedRequest routed = new RoutedRequest(
                     request.route(), request.service(), content, Importance.NORMAL, Optional.empty(), TTL_NANOS, 0);
             entry.node().core().engine().submit(routed, this);
@@ -252,11 +252,7 @@
         @Override
         public void head(int status, List<HeaderField> headers) {
             succeeded = status < MIN_FAILED_STATUS;
-            headers.stream()
-                    .filter(h -> h.name().equals(AnnouncingUpstream.PROCESS))
-                    .forEach(h -> processes
-                            .get(h.value())
-                            .relayed(entry.id(), lab.clock().nanos()));
+            lab.statements().relayed(headers, entry.id(), lab.clock().nanos());
         }
 
         @Override
--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
@@ -26,8 +26,19 @@
     private final Map<String, FleetOperation> operations;
     private final RandomGenerator random;
     private final double speed;
+    private final Statements statements;
 
     FleetUpstream(LabNode node, Map<String, FleetOperation> operations, RandomGenerator random, double speed) {
+        this(node, operations, random, speed, new Statements());
+    }
+
+    FleetUpstream(
+            LabNode node,
+            Map<String, FleetOperation> operations,
+            RandomGenerator random,
+            double speed,
+            Statements statements) {
+        this.statements = statements;
         this.node = node;
         this.operations = operations;
         this.random = random;
@@ -86,7 +97,12 @@
                 return;
             }
             long left = Math.min(deadline - node.process().nanos(), nested.timeoutMillis() * Lab.MILLI);
-            Message.Content content = new Message.Content("GET", "/" + nested.name() + "/x", List.of(), new byte[0]);
+            Message.Content content = new Message.Content(
+                    "GET",
+                    "/" + nested.name() + "/x",
+                    List.of(new HeaderField(
+                            UpstreamStatement.SENT_BY, node.core().self().nodeId())),
+                    new byte[0]);
             RoutedRequest routed =
                     new RoutedRequest(nested.route(), nested.service(), content, Importance.NORMAL, parent, left, 0);
             node.core().engine().submit(routed, new NestedCallSink());
@@ -133,6 +149,8 @@
             @Override
             public void head(int newStatus, List<HeaderField> headers) {
                 status = newStatus;
+                statements.relayed(
+                        headers, node.core().self().nodeId(), node.process().nanos());
             }
 
             @Override
--- a/bench/src/test/java/org/verbenadyke/bench/lab/SoakTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SoakTest.java
@@ -37,13 +37,20 @@
         Stream<SoakSettings> crashes =
                 LongStream.of(CRASH_SEEDS).mapToObj(s -> SoakSettings.crashes(s, SECONDS, CRASH_REQUESTS_PER_SECOND));
         Stream<SoakSettings> mixed =
-                LongStream.of(MIXED_SEEDS).mapToObj(s -> SoakSettings.all(s, SECONDS, CRASH_REQUESTS_PER_SECOND));
+                LongStream.of(MIXED_SEEDS).mapToObj(s -> SoakSettings.mixed(s, SECONDS, CRASH_REQUESTS_PER_SECOND));
         return Stream.concat(crashes, mixed);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+    void sendsUpstreamsNoMoreThanTheyState(long seed) {
+        SoakReport report = Soak.run(SoakSettings.all(seed, SECONDS, REQUESTS_PER_SECOND));
+        assertEquals(List.of(), report.violations());
+    }
+
     @Test
     void sameSeedGivesSameRun() {
-        SoakSettings settings = SoakSettings.all(5, 8, REQUESTS_PER_SECOND);
+        SoakSettings settings = SoakSettings.mixed(5, 8, REQUESTS_PER_SECOND);
         assertEquals(Soak.run(settings).digest(), Soak.run(settings).digest());
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -76,7 +76,6 @@
             call.shed(RefusalReason.SHED_LEVEL);
             return;
         }
-        rateLimit.offered(nowNanos);
         if (queue.size() == 0 && tryAcquire(nowNanos)) {
             call.admitted();
             return;
@@ -204,16 +203,6 @@
         return limit.current();
     }
 
-    /**
-     * Returns the demand as a share of the rate limit.
-     *
-     * @param nowNanos the time
-     * @return the share, above 1 when more calls arrive than may be handed over; 0 without a rate limit
-     */
-    public double rateLimitUse(long nowNanos) {
-        return rateLimit.use(nowNanos);
-    }
-
     /**
      * Returns the rate at which calls are handed over at most.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/UpstreamRateLimit.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/UpstreamRateLimit.java
@@ -27,17 +27,12 @@
     /** How long a call may wait for a token, in nanoseconds; a call that would wait longer is better off elsewhere. */
     private static final long MAX_WAIT_NANOS = 50_000_000L;
 
-    /** The time constant of the measured demand, in seconds: some answers' worth of calls. */
-    private static final double DEMAND_SECONDS = 0.5;
-
     private static final double NANOS_PER_SECOND = 1e9;
 
     private final AnnouncedRate announced;
     private double rate;
     private double tokens;
     private long refilledNanos = Long.MIN_VALUE;
-    private double demand;
-    private long demandNanos;
 
     private UpstreamRateLimit(AnnouncedRate announced) {
         this.announced = announced;
@@ -56,26 +51,6 @@
         return Math.max(MIN_PER_SECOND, announced.perSecond());
     }
 
-    /** Records that a call asks for a token for the first time. */
-    void offered(long nowNanos) {
-        if (announced.limited()) {
-            synchronized (this) {
-                demand = decayedDemand(nowNanos) + 1 / DEMAND_SECONDS;
-                demandNanos = nowNanos;
-            }
-        }
-    }
-
-    /** Returns the demand as a share of the limit, above 1 when more calls are offered than may be handed over. */
-    double use(long nowNanos) {
-        if (!announced.limited()) {
-            return 0;
-        }
-        synchronized (this) {
-            return decayedDemand(nowNanos) / perSecond();
-        }
-    }
-
     /** Takes a token, if there is one. */
     boolean tryTake(long nowNanos) {
         if (!announced.limited()) {
@@ -132,11 +107,6 @@
         refilledNanos = nowNanos;
     }
 
-    private double decayedDemand(long nowNanos) {
-        double elapsedSeconds = (nowNanos - demandNanos) / NANOS_PER_SECOND;
-        return demand * Math.exp(-elapsedSeconds / DEMAND_SECONDS);
-    }
-
     private static double burst(double perSecond) {
         return Math.max(MIN_BURST, perSecond * BURST_SECONDS);
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/UpstreamRateLimitTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/UpstreamRateLimitTest.java
@@ -27,7 +27,6 @@
         for (int i = 0; i < 1_000; i++) {
             assertTrue(limit.tryTake(0));
         }
-        assertEquals(0, limit.use(0));
     }
 
     /** The users allow 1.5 times the limit and 5 more in any 4 s; bursts must not add up beyond that. */
@@ -101,16 +100,6 @@
         assertTrue(limit.tryTake(SECOND));
     }
 
-    @Test
-    void tellsHowMuchIsAskedOf() {
-        name(100, 0);
-        for (long now = 0; now <= 3 * SECOND; now += SECOND / 300) {
-            limit.offered(now);
-        }
-        assertEquals(3, limit.use(3 * SECOND), 0.1);
-        assertTrue(limit.use(6 * SECOND) < 0.1);
-    }
-
     private void name(double perSecond, long nowNanos) {
         announced.received(new RateNotice.Limit(perSecond), nowNanos, nowNanos);
     }
