--- a/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
@@ -37,7 +37,10 @@
     @CommandLine.Option(names = "--processes", description = "Use real processes and signals instead of the emulator.")
     private boolean processes;
 
-    @CommandLine.Option(names = "--faults", defaultValue = "all", description = "all, mixed, keyed or crashes.")
+    @CommandLine.Option(
+            names = "--faults",
+            defaultValue = "all",
+            description = "all, mixed, keyed, crashes or notices.")
     private String faults;
 
     @CommandLine.Option(names = "--trace", description = "Print each fault.")
@@ -83,6 +86,7 @@
     private SoakSettings settings(long oneSeed) {
         return switch (faults) {
             case "keyed" -> SoakSettings.keyed(oneSeed, seconds, rate);
+            case "notices" -> SoakSettings.notices(oneSeed, seconds, rate);
             case "mixed" -> SoakSettings.mixed(oneSeed, seconds, rate);
             case "crashes" -> SoakSettings.crashes(oneSeed, seconds, rate);
             default -> SoakSettings.all(oneSeed, seconds, rate);
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakSettings.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakSettings.java
@@ -54,6 +54,29 @@
         return new SoakSettings(seed, seconds, requestsPerSecond, kinds, 0);
     }
 
+    /**
+     * Returns the settings with upstreams that state something about themselves, while nodes and upstreams are killed,
+     * paused, cut off, drained and restarted.
+     *
+     * @param seed the seed
+     * @param seconds the length in virtual seconds
+     * @param requestsPerSecond the mean demand
+     * @return the settings
+     */
+    public static SoakSettings notices(long seed, int seconds, int requestsPerSecond) {
+        Set<FaultKind> kinds = EnumSet.copyOf(NOTICES);
+        kinds.addAll(EnumSet.of(
+                FaultKind.KILL,
+                FaultKind.PAUSE,
+                FaultKind.KILL_UPSTREAM,
+                FaultKind.SILENCE,
+                FaultKind.DRAIN,
+                FaultKind.RESTART,
+                FaultKind.CRASH_NODES,
+                FaultKind.PARTITION));
+        return new SoakSettings(seed, seconds, requestsPerSecond, kinds, UNKEYED_SHARE);
+    }
+
     /**
      * Returns the settings with series of crashes as the only faults, and filings with and without keys.
      *
