Name limits in the soak of real processes, checked from what upstreams see

While signals, crashes and outages go on, one stand-in upstream after the other names a limit (0, 0.5, 3, 10 a second) for 8 s. It checks its own arrivals: from 3 s on, any 4 s, counting requests whose chain began at a node that was sent an answer with the limit half a second before. An upstream that is killed meanwhile has nothing to tell; the run prints how many were seen to the end. Its upstreams don't leave by notice; the virtual-time soak does that.

--- a/bench/src/main/java/org/verbenadyke/bench/real/ProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/ProcessSoak.java
@@ -85,12 +85,18 @@
             soak.caller = Caller.of(
                     workload, fleet.servers().stream().map(Server::entry).toList());
             soak.awaitReady();
+            LimitSeries limits = new LimitSeries(fleet, seed);
+            Thread series = Thread.startVirtualThread(limits::run);
             soak.load(seconds * 1_000L);
+            limits.stop();
+            series.join();
+            soak.violations.addAll(limits.violations());
             Thread.sleep(SETTLE_MILLIS);
             soak.check();
             soak.caller.close();
             System.out.println("answers " + soak.answers);
             System.out.println("faults " + soak.faults);
+            System.out.println(limits);
             int n = soak.faults.values().stream().mapToInt(Integer::intValue).sum();
             System.out.println("soak: seed " + seed + ", " + soak.sent + " requests, " + n + " faults, "
                     + soak.violations.size() + " violations");
--- a/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/upstream/UpstreamStandIn.java
@@ -39,6 +39,8 @@
 public final class UpstreamStandIn implements AutoCloseable {
     private static final String CONTEXT_HEADER = "verbenadyke-context";
     private static final String DEADLINE_HEADER = "verbenadyke-deadline-ms";
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final String REQUEST_HEADER = "verbenadyke-request";
     private static final String LIMIT_HEADER = "verbenadyke-limit";
     private static final String LEAVING_HEADER = "verbenadyke-leaving";
     private static final int FRAGMENT_BYTES = 16 * 1024;
@@ -49,6 +51,7 @@
     private final String start = UUID.randomUUID().toString();
     private final Behaviour behaviour;
     private final ConcurrencyLimit limit;
+    private final ArrivalLog arrivals = new ArrivalLog(() -> System.nanoTime() / NANOS_PER_MILLI);
     private final EffectRecorder effects;
     private final HttpClient node;
     private HttpServerContext server;
@@ -130,6 +133,8 @@
             case "/health" ->
                 Single.succeeded(textResponse(
                         responses.ok(), "{\"load\":" + behaviour.reportedLoad(limit.activeAndQueued()) + "}"));
+            case "/arrivals" ->
+                Single.succeeded(textResponse(responses.ok(), String.join("\n", arrivals.violations())));
             case "/switches" -> {
                 applySwitches(request);
                 yield Single.succeeded(responses.noContent());
@@ -137,12 +142,13 @@
             default ->
                 request.toRequest()
                         .flatMap(r -> serve(context, r.toStreamingRequest(), responses))
-                        .map(this::addNotices);
+                        .map(r -> addNotices(request, r));
         };
     }
 
     private Single<StreamingHttpResponse> serve(
             HttpServiceContext context, StreamingHttpRequest request, StreamingHttpResponseFactory responses) {
+        arrivals.arrived(senderOf(request));
         Optional<Completable> slot = limit.acquire();
         if (slot.isEmpty()) {
             return Single.succeeded(responses.serviceUnavailable().setHeader("retry-after", "1"));
@@ -240,14 +246,24 @@
             putIfSet(notices, LIMIT_HEADER, request.queryParameter("limit"));
             putIfSet(notices, LEAVING_HEADER, request.queryParameter("leaving"));
             behaviour.stateInAnswers(notices);
+            arrivals.limit(Optional.ofNullable(notices.get(LIMIT_HEADER))
+                    .map(Double::parseDouble)
+                    .orElse(Double.POSITIVE_INFINITY));
         }
     }
 
-    private StreamingHttpResponse addNotices(StreamingHttpResponse response) {
+    private StreamingHttpResponse addNotices(StreamingHttpRequest request, StreamingHttpResponse response) {
         behaviour.notices().forEach(response::setHeader);
+        arrivals.answered(senderOf(request));
         return response;
     }
 
+    /** Returns the incarnation of the node where the chain of a request began. */
+    private static String senderOf(StreamingHttpRequest request) {
+        CharSequence id = request.headers().get(REQUEST_HEADER);
+        return id == null ? "" : id.toString().split("-")[0];
+    }
+
     private static void putIfSet(Map<String, String> notices, String name, String value) {
         if (value != null && !value.isEmpty()) {
             notices.put(name, value);
