Keep the notices of an upstream out of the answers of the product's interface

verbenadyke-limit and verbenadyke-leaving are meant for the node beside the upstream. They went on to the caller; a caller that is an upstream itself and copies fields to its own answers would have named the limit of another one as its own. Found by reading.

--- a/node/src/main/java/org/verbenadyke/node/http/HeaderNames.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HeaderNames.java
@@ -1,8 +1,11 @@
 package org.verbenadyke.node.http;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
+import org.verbenadyke.kernel.call.HeaderField;
+
 /**
  * The names of the HTTP header fields that nodes read and set.
  */
@@ -64,6 +67,19 @@
         return !HOP_BY_HOP.contains(name.toLowerCase(Locale.ROOT));
     }
 
+    /**
+     * Removes the fields that an upstream addresses to its node. A caller that is an upstream itself might copy them to
+     * its own answers.
+     *
+     * @param fields the fields of an answer
+     * @return the other fields
+     */
+    static List<HeaderField> withoutNotices(List<HeaderField> fields) {
+        return fields.stream()
+                .filter(f -> !f.name().equals(RATE_LIMIT) && !f.name().equals(LEAVING))
+                .toList();
+    }
+
     /**
      * Returns whether a field controls the nodes' decisions. Such fields are never forwarded, and of those that
      * external callers send, only the deadline is used.
--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -149,7 +149,7 @@
             int status = response.status().code();
             SourceAdapters.toSource(response.payloadBody()).subscribe(this);
             listener.notice(NoticeReader.read(fields, HeaderNames.RATE_LIMIT, HeaderNames.LEAVING));
-            listener.head(status, fields);
+            listener.head(status, HeaderNames.withoutNotices(fields));
         }
 
         @Override
