Follow the slots that an upstream announces in later heartbeats

The number of slots was taken from the first heartbeat of a start; a later number was read and dropped, so that a server that has fewer got as many calls as before. The limit of the gate now follows it (SlotLimit). UpstreamMonitorTest and GateTest failed before (no such event, no such limit).

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -19,6 +19,7 @@
     private final AdmissionQueue queue;
     private final UpstreamRateLimit rateLimit;
     private final Optional<TimerService> timers;
+    private volatile boolean wasRateLimited;
     private final AtomicBoolean wakeUpPending = new AtomicBoolean();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ServiceTime serviceTime = ServiceTime.unknown();
@@ -138,14 +139,16 @@
     }
 
     /**
-     * Admits waiting calls after the rate limit of the upstream has changed.
+     * Admits waiting calls after the rate limit or the concurrency limit of the upstream has changed.
      *
      * @param nowNanos the time
      */
-    public void rateLimitChanged(long nowNanos) {
-        if (!rateLimit.limited()) {
+    public void limitsChanged(long nowNanos) {
+        boolean limited = rateLimit.limited();
+        if (wasRateLimited && !limited) {
             level.reset();
         }
+        wasRateLimited = limited;
         admitQueued(nowNanos);
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -135,6 +135,15 @@
         lifecycle.detach();
     }
 
+    /**
+     * Follows another number of slots that the upstream announces.
+     *
+     * @param slots how many calls the upstream runs concurrently from now on
+     */
+    public void resizeUpstream(int slots) {
+        lifecycle.resize(slots);
+    }
+
     /** Informs other nodes that this one has new routes. */
     public void plansChanged() {
         gossip.pushPlan();
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.kernel.core;
 
+import java.util.Optional;
+
 import org.verbenadyke.kernel.admission.SlotLimit;
 import org.verbenadyke.kernel.engine.Engine;
 import org.verbenadyke.kernel.membership.Gossip;
@@ -15,6 +17,7 @@
     private final Engine engine;
     private final Gossip gossip;
     private final Runnable changed;
+    private volatile Optional<SlotLimit> slots = Optional.empty();
     private volatile boolean draining;
 
     /** Creates a lifecycle without an upstream; the task runs when an upstream was attached or detached. */
@@ -60,13 +63,18 @@
         changed.run();
     }
 
+    /** Follows another number of slots that the upstream announces. */
+    void resize(int newSlots) {
+        slots.ifPresent(s -> s.announce(newSlots));
+        engine.server().upstream().ifPresent(LocalUpstream::limitsChanged);
+    }
+
     private LocalUpstream attach(UpstreamRegistration registration, String id) {
         Runnable onLeaving = registration.onLeaving().orElse(() -> drainIfCurrent(registration));
         Attachment attachment =
                 new Attachment(id, registration.service(), registration.port(), registration.start(), onLeaving);
-        return registration.slots().isPresent()
-                ? engine.attach(attachment, SlotLimit.of(registration.slots().getAsInt()))
-                : engine.attach(attachment);
+        slots = registration.slots().stream().mapToObj(SlotLimit::of).findFirst();
+        return slots.map(s -> engine.attach(attachment, s)).orElseGet(() -> engine.attach(attachment));
     }
 
     /** Drains the upstream, unless another one has registered meanwhile. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
@@ -91,6 +91,7 @@
         }
         boolean known = current != null && current.start().equals(heartbeat.start());
         boolean working = present;
+        boolean resized = known && current.slots() != heartbeat.slots();
         if (current != null && !known) {
             finished.finish(current.start());
         }
@@ -101,6 +102,8 @@
             listener.arrived(heartbeat);
         } else if (working && !present) {
             listener.leaving(heartbeat);
+        } else if (present && resized) {
+            listener.resized(heartbeat);
         }
     }
 
@@ -171,6 +174,13 @@
          */
         void arrived(UpstreamHeartbeat heartbeat);
 
+        /**
+         * Called when an upstream that gets work announces another number of slots than before.
+         *
+         * @param heartbeat the heartbeat of the upstream
+         */
+        void resized(UpstreamHeartbeat heartbeat);
+
         /**
          * Called when the upstream must get no more work; it finishes its work in progress.
          *
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -165,6 +165,11 @@
         return notices;
     }
 
+    /** Admits waiting calls after the upstream has announced or named other limits. */
+    public void limitsChanged() {
+        gate.limitsChanged(timers.nanos());
+    }
+
     /** Returns what the upstream has stated about itself, as other nodes are told. */
     Message.Stated stated() {
         if (!notices.rate().limited() && !notices.leaving()) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/NoticeHandler.java
@@ -44,7 +44,7 @@
         if (!(change instanceof RateChange.Unchanged)) {
             counters.count(event(change));
             decisions.note(new Decision.RateLimit(local.id(), change));
-            local.gate().rateLimitChanged(local.now());
+            local.limitsChanged();
         }
     }
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
@@ -79,6 +79,19 @@
         assertTrue(log.contains("late DEADLINE"), log.toString());
     }
 
+    @Test
+    void followsTheSlotsThatTheUpstreamAnnounces() {
+        SlotLimit slots = SlotLimit.of(1);
+        Gate other = Gate.of(new GateSettings(true, 0, 8, 10, QueueOrder.DUE), slots);
+        other.offer(new Call("a", Importance.LOW, 0, FAR), 0);
+        other.offer(new Call("b", Importance.LOW, 0, FAR), 0);
+        assertEquals(List.of("a admitted"), log);
+        slots.announce(100);
+        other.limitsChanged(0);
+        assertEquals(List.of("a admitted", "b admitted"), log);
+        assertEquals(94, other.limit());
+    }
+
     @Test
     void raisesItsLevelUnderOverloadAndLowersItAfter() {
         for (int window = 0; window < 3; window++) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/RateLimitedGateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/RateLimitedGateTest.java
@@ -67,7 +67,7 @@
         limit(20);
         offer("a", Importance.LOW);
         announced.received(new RateNotice.None(), clock.nanos(), clock.nanos());
-        gate.rateLimitChanged(clock.nanos());
+        gate.limitsChanged(clock.nanos());
         assertEquals(List.of("a admitted"), log);
     }
 
@@ -108,13 +108,14 @@
             }
         }
         announced.received(new RateNotice.None(), clock.nanos(), clock.nanos());
-        gate.rateLimitChanged(clock.nanos());
+        gate.limitsChanged(clock.nanos());
         gate.endWindow();
         assertEquals(0, gate.level());
     }
 
     private void limit(double perSecond) {
         announced.received(new RateNotice.Limit(perSecond), clock.nanos(), clock.nanos());
+        gate.limitsChanged(clock.nanos());
     }
 
     private void offer(String name, Importance importance) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
@@ -52,6 +52,15 @@
         assertEquals(List.of("arrived a", "leaving a"), events);
     }
 
+    /** The number of slots would otherwise stay that of the first heartbeat. */
+    @Test
+    void reportsAnotherNumberOfSlots() {
+        monitor.heartbeat(heartbeat("a", 1, false));
+        monitor.heartbeat(new UpstreamHeartbeat(start("a"), "s", new Endpoint("127.0.0.1", 80), 8, false, 0, 2));
+        monitor.heartbeat(new UpstreamHeartbeat(start("a"), "s", new Endpoint("127.0.0.1", 80), 8, false, 0, 3));
+        assertEquals(List.of("arrived a", "resized a"), events);
+    }
+
     @Test
     void reportsSilenceAndReturn() {
         monitor.heartbeat(heartbeat("a", 1, false));
@@ -197,6 +206,11 @@
             record("arrived ", heartbeat);
         }
 
+        @Override
+        public void resized(UpstreamHeartbeat heartbeat) {
+            record("resized ", heartbeat);
+        }
+
         @Override
         public void leaving(UpstreamHeartbeat heartbeat) {
             record("leaving ", heartbeat);
