Begin each gate with an empty bucket of the rate limit

Found by reading: a gate that is made anew for the same start of an upstream (lost and found again by its heartbeats) counted tokens from when the limit was named, so that each began with a second's worth at once; several in a row could exceed the bound. It counts from its own beginning now, and a call that brings an earlier time than the one before takes nothing back. The level opens when a limit ends that was there when the gate was made. Tests in UpstreamRateLimitTest; the first failed before.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -19,18 +19,20 @@
     private final AdmissionQueue queue;
     private final UpstreamRateLimit rateLimit;
     private final Optional<TimerService> timers;
-    private volatile boolean wasRateLimited;
     private final AtomicBoolean wakeUpPending = new AtomicBoolean();
     private final AtomicInteger inFlight = new AtomicInteger();
     private final ServiceTime serviceTime = ServiceTime.unknown();
     private final SlotHoldTime holdTime = SlotHoldTime.unknown();
     private final SlotHoldTime directHoldTime = SlotHoldTime.unknown();
+    private volatile boolean wasRateLimited;
 
     private Gate(
             GateSettings settings, ConcurrencyLimit limit, AnnouncedRate announcedRate, Optional<TimerService> timers) {
         this.settings = settings;
         this.limit = limit;
-        this.rateLimit = UpstreamRateLimit.following(announcedRate);
+        this.rateLimit = UpstreamRateLimit.following(
+                announcedRate, timers.map(TimerService::nanos).orElse(0L));
+        this.wasRateLimited = rateLimit.limited();
         this.timers = timers;
         this.queue = AdmissionQueue.in(settings.order());
         this.level = settings.order() == QueueOrder.DUE ? LoadLevel.open() : AdmissionLevel.open();
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/UpstreamRateLimit.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/UpstreamRateLimit.java
@@ -32,14 +32,16 @@
     private final AnnouncedRate announced;
     private double rate;
     private double tokens;
-    private long refilledNanos = Long.MIN_VALUE;
+    private long refilledNanos;
 
-    private UpstreamRateLimit(AnnouncedRate announced) {
+    private UpstreamRateLimit(AnnouncedRate announced, long nowNanos) {
         this.announced = announced;
+        this.refilledNanos = nowNanos;
     }
 
-    static UpstreamRateLimit following(AnnouncedRate announced) {
-        return new UpstreamRateLimit(announced);
+    /** Creates an empty bucket. */
+    static UpstreamRateLimit following(AnnouncedRate announced, long nowNanos) {
+        return new UpstreamRateLimit(announced, nowNanos);
     }
 
     boolean limited() {
@@ -96,15 +98,16 @@
     /** Adds the tokens since the last refill, at the rate that held; a newly named limit begins without tokens. */
     private void refill(long nowNanos) {
         long namedNanos = announced.namedNanos();
-        if (refilledNanos < namedNanos) {
+        if (rate == 0 || refilledNanos < namedNanos) {
             tokens = 0;
-            refilledNanos = namedNanos;
+            refilledNanos = Math.max(refilledNanos, namedNanos);
             rate = perSecond();
         }
-        tokens += rate * (nowNanos - refilledNanos) / NANOS_PER_SECOND;
+        long elapsed = Math.max(0, nowNanos - refilledNanos);
+        tokens += rate * elapsed / NANOS_PER_SECOND;
         rate = perSecond();
         tokens = Math.min(tokens, burst(rate));
-        refilledNanos = nowNanos;
+        refilledNanos += elapsed;
     }
 
     private static double burst(double perSecond) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/UpstreamRateLimitTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/UpstreamRateLimitTest.java
@@ -20,7 +20,7 @@
     private static final long WINDOW_NANOS = 4 * SECOND;
 
     private final AnnouncedRate announced = AnnouncedRate.unlimited();
-    private final UpstreamRateLimit limit = UpstreamRateLimit.following(announced);
+    private final UpstreamRateLimit limit = UpstreamRateLimit.following(announced, 0);
 
     @Test
     void givesATokenToEveryCallWithoutALimit() {
@@ -71,6 +71,23 @@
         assertFalse(limit.tryTake(3 * SECOND));
     }
 
+    /** A gate is made anew when its upstream was lost and found again; each must not begin with a burst. */
+    @Test
+    void beginsEmptyForAnUpstreamThatHasNamedALimitBefore() {
+        name(100, 0);
+        UpstreamRateLimit next = UpstreamRateLimit.following(announced, 30 * SECOND);
+        assertFalse(next.tryTake(30 * SECOND));
+        assertTrue(next.tryTake(30 * SECOND + SECOND / 50));
+    }
+
+    @Test
+    void aCallWithAnEarlierTimeChangesNothing() {
+        name(100, 0);
+        assertTrue(limit.tryTake(SECOND));
+        limit.tryTake(SECOND / 2);
+        assertEquals(0, limit.waitNanos(SECOND));
+    }
+
     @Test
     void losesTheBurstOfAHigherLimitWhenItIsLowered() {
         name(300, 0);
