--- a/kernel/src/main/java/org/verbenadyke/kernel/notice/NoticeReader.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/notice/NoticeReader.java
@@ -12,6 +12,9 @@
     private static final Pattern DECIMAL = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
     private static final String LEAVING = "1";
 
+    /** The longest part of an unreadable value that is kept for the log: enough to tell what is wrong with it. */
+    private static final int MAX_TEXT_CHARS = 64;
+
     private NoticeReader() {}
 
     /**
@@ -38,7 +41,7 @@
     private static RateNotice parse(String text) {
         return DECIMAL.matcher(text).matches()
                 ? new RateNotice.Limit(Double.parseDouble(text))
-                : new RateNotice.Unreadable(text);
+                : new RateNotice.Unreadable(text.substring(0, Math.min(MAX_TEXT_CHARS, text.length())));
     }
 
     private static RateNotice stricter(RateNotice known, RateNotice next) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/notice/NoticeReaderTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/notice/NoticeReaderTest.java
@@ -27,6 +27,13 @@
         assertEquals(new RateNotice.Unreadable(text), read(text).rate());
     }
 
+    @Test
+    void keepsOnlyTheBeginningOfALongValue() {
+        assertEquals(
+                new RateNotice.Unreadable("x".repeat(64)),
+                read("x".repeat(9_000)).rate());
+    }
+
     @Test
     void takesTheLowestOfSeveralLimits() {
         assertEquals(new RateNotice.Limit(2), read("7", "2", "30").rate());
