--- a/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -83,10 +83,6 @@
         lab.advance(nanos);
     }
 
-    Lab lab() {
-        return lab;
-    }
-
     /** Lets an upstream name a limit from now on; an infinite one ends it. */
     void limit(int index, double perSecond) {
         upstream(index).limit(perSecond, lab.clock().nanos());
