Read without a lock whether an upstream has stated that it is leaving

Each answer between nodes asks for it, and a boolean under a monitor took one lock an answer; an AtomicBoolean says the same in fewer words. Read off the code, not measured; behaviour is as before (UpstreamNoticeTest, CallServerTest and UpstreamCrashTest pass unchanged).

--- a/kernel/src/main/java/org/verbenadyke/kernel/notice/StartNotices.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/notice/StartNotices.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.kernel.notice;
 
+import java.util.concurrent.atomic.AtomicBoolean;
+
 /**
  * What one start of an upstream has stated about itself in its answers. Thread-safe.
  */
@@ -9,7 +11,7 @@
 
     private final long start;
     private final AnnouncedRate rate = AnnouncedRate.unlimited();
-    private boolean leaving;
+    private final AtomicBoolean leaving = new AtomicBoolean();
 
     private StartNotices(long start) {
         this.start = start;
@@ -58,10 +60,8 @@
      *
      * @return whether that is new
      */
-    public synchronized boolean recordLeaving() {
-        boolean first = !leaving;
-        leaving = true;
-        return first;
+    public boolean recordLeaving() {
+        return leaving.compareAndSet(false, true);
     }
 
     /**
@@ -69,7 +69,7 @@
      *
      * @return whether it did
      */
-    public synchronized boolean leaving() {
-        return leaving;
+    public boolean leaving() {
+        return leaving.get();
     }
 }
