Let the tests of gates and of notices share their call and their set-up

RateLimitedGateTest had written GateTest's recording call again (RecordedCall serves both now), and five tests of RateLimitTest and LeavingNoticeTest began with the same three lines (AnnouncingFleet.startLoaded).

--- a/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -74,6 +74,14 @@
         return new AnnouncingFleet(seed, DEEP_LOOKUP, GEO, servers);
     }
 
+    /** Starts a fleet like {@link #start}, under a load that goes on for the given time, of which some has passed. */
+    static AnnouncingFleet startLoaded(long seed, int servers, double perSecond, long seconds, long passedSeconds) {
+        AnnouncingFleet fleet = start(seed, servers);
+        fleet.generateLoad(perSecond, seconds * Lab.SECOND);
+        fleet.advance(passedSeconds * Lab.SECOND);
+        return fleet;
+    }
+
     /** Sends lookups at random times for the given time. */
     void generateLoad(double perSecond, long nanos) {
         generateLoadUntil(perSecond, lab.clock().nanos() + nanos);
--- a/bench/src/test/java/org/verbenadyke/bench/lab/LeavingNoticeTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/LeavingNoticeTest.java
@@ -17,9 +17,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void sendsNothingToAnUpstreamThatIsLeaving(long seed) {
-        AnnouncingFleet fleet = AnnouncingFleet.start(seed, SERVERS);
-        fleet.generateLoad(LOOKUPS_PER_SECOND, 12 * Lab.SECOND);
-        fleet.advance(4 * Lab.SECOND);
+        AnnouncingFleet fleet = AnnouncingFleet.startLoaded(seed, SERVERS, LOOKUPS_PER_SECOND, 12, 4);
         fleet.leave(0);
         fleet.advance(10 * Lab.SECOND);
         System.out.println("leaving notice, seed " + seed + ": " + fleet);
@@ -31,9 +29,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void sendsNothingToALeavingUpstreamWhoseNodeRestarts(long seed) {
-        AnnouncingFleet fleet = AnnouncingFleet.start(seed, SERVERS);
-        fleet.generateLoad(LOOKUPS_PER_SECOND, 20 * Lab.SECOND);
-        fleet.advance(2 * Lab.SECOND);
+        AnnouncingFleet fleet = AnnouncingFleet.startLoaded(seed, SERVERS, LOOKUPS_PER_SECOND, 20, 2);
         fleet.leave(0);
         fleet.advance(4 * Lab.SECOND);
         fleet.restartNode(0);
@@ -48,9 +44,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2})
     void sendsWorkToTheProcessThatReplacesOneThatLeft(long seed) {
-        AnnouncingFleet fleet = AnnouncingFleet.start(seed, SERVERS);
-        fleet.generateLoad(LOOKUPS_PER_SECOND, 20 * Lab.SECOND);
-        fleet.advance(2 * Lab.SECOND);
+        AnnouncingFleet fleet = AnnouncingFleet.startLoaded(seed, SERVERS, LOOKUPS_PER_SECOND, 20, 2);
         fleet.leave(0);
         fleet.advance(4 * Lab.SECOND);
         fleet.replaceProcess(0);
--- a/bench/src/test/java/org/verbenadyke/bench/lab/RateLimitTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/RateLimitTest.java
@@ -19,9 +19,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void sendsNoMoreThanTheUpstreamNames(long seed) {
-        AnnouncingFleet fleet = AnnouncingFleet.start(seed, SERVERS);
-        fleet.generateLoad(LOOKUPS_PER_SECOND, 20 * Lab.SECOND);
-        fleet.advance(4 * Lab.SECOND);
+        AnnouncingFleet fleet = AnnouncingFleet.startLoaded(seed, SERVERS, LOOKUPS_PER_SECOND, 20, 4);
         fleet.limit(0, 44.9);
         fleet.limit(1, 30.2);
         fleet.advance(18 * Lab.SECOND);
@@ -167,10 +165,7 @@
     }
 
     private static AnnouncingFleet loaded(long seed, long seconds) {
-        AnnouncingFleet fleet = AnnouncingFleet.start(seed, SERVERS);
-        fleet.generateLoad(LOOKUPS_PER_SECOND, seconds * Lab.SECOND);
-        fleet.advance(3 * Lab.SECOND);
-        return fleet;
+        return AnnouncingFleet.startLoaded(seed, SERVERS, LOOKUPS_PER_SECOND, seconds, 3);
     }
 
     private static void report(String scenario, long seed, AnnouncingFleet fleet) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/GateTest.java
@@ -5,8 +5,6 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.Importance;
-import org.verbenadyke.kernel.call.RefusalReason;
-import org.verbenadyke.kernel.call.RequestId;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -52,10 +50,10 @@
     @Test
     void servesTheMostImportantThenTheOneDueFirst() {
         Gate other = Gate.of(new GateSettings(true, 0, 8, 10, QueueOrder.DUE), FixedLimit.of(1));
-        other.offer(new Call("running", Importance.LOW, 1, FAR), 0);
-        other.offer(new Call("soon", Importance.LOW, 1, 1_000), 0);
-        other.offer(new Call("late", Importance.HIGH, 1, 9_000), 0);
-        other.offer(new Call("next", Importance.HIGH, 1, 5_000), 0);
+        other.offer(new RecordedCall(log, "running", Importance.LOW, 1, FAR), 0);
+        other.offer(new RecordedCall(log, "soon", Importance.LOW, 1, 1_000), 0);
+        other.offer(new RecordedCall(log, "late", Importance.HIGH, 1, 9_000), 0);
+        other.offer(new RecordedCall(log, "next", Importance.HIGH, 1, 5_000), 0);
         for (int i = 0; i < 3; i++) {
             other.release(10, 10, ConcurrencyLimit.Outcome.ANSWERED, 0);
         }
@@ -69,12 +67,12 @@
         gate.release(2_000_000_000L, 500, ConcurrencyLimit.Outcome.ANSWERED, 0);
         log.clear();
         Gate other = Gate.of(new GateSettings(true, 0, 2, 10, QueueOrder.IMPORTANCE), FixedLimit.of(1));
-        other.offer(new Call("first", Importance.NORMAL, 0, FAR), 0);
+        other.offer(new RecordedCall(log, "first", Importance.NORMAL, 0, FAR), 0);
         other.release(100, 100, ConcurrencyLimit.Outcome.ANSWERED, 0);
-        other.offer(new Call("second", Importance.NORMAL, 0, FAR), 1_100_000_000L);
+        other.offer(new RecordedCall(log, "second", Importance.NORMAL, 0, FAR), 1_100_000_000L);
         other.release(1_100_000_100L, 100, ConcurrencyLimit.Outcome.ANSWERED, 0);
-        other.offer(new Call("third", Importance.NORMAL, 0, FAR), 1_100_000_200L);
-        other.offer(new Call("late", Importance.NORMAL, 0, 1_100_000_300L), 1_100_000_200L);
+        other.offer(new RecordedCall(log, "third", Importance.NORMAL, 0, FAR), 1_100_000_200L);
+        other.offer(new RecordedCall(log, "late", Importance.NORMAL, 0, 1_100_000_300L), 1_100_000_200L);
         other.release(1_100_000_250L, 100, ConcurrencyLimit.Outcome.ANSWERED, 0);
         assertTrue(log.contains("late DEADLINE"), log.toString());
     }
@@ -83,8 +81,8 @@
     void followsTheSlotsThatTheUpstreamAnnounces() {
         SlotLimit slots = SlotLimit.of(1);
         Gate other = Gate.of(new GateSettings(true, 0, 8, 10, QueueOrder.DUE), slots);
-        other.offer(new Call("a", Importance.LOW, 0, FAR), 0);
-        other.offer(new Call("b", Importance.LOW, 0, FAR), 0);
+        other.offer(new RecordedCall(log, "a", Importance.LOW, 0, FAR), 0);
+        other.offer(new RecordedCall(log, "b", Importance.LOW, 0, FAR), 0);
         assertEquals(List.of("a admitted"), log);
         slots.announce(100);
         other.limitsChanged(0);
@@ -109,55 +107,10 @@
     }
 
     private void offer(String name, Importance importance, int depth, long deadline) {
-        gate.offer(new Call(name, importance, depth, deadline), 0);
+        gate.offer(new RecordedCall(log, name, importance, depth, deadline), 0);
     }
 
     private void release() {
         gate.release(0, 0, ConcurrencyLimit.Outcome.ANSWERED, 0);
     }
-
-    /** A call that records its outcome. */
-    private final class Call implements WaitingCall {
-        private final String name;
-        private final Importance importance;
-        private final int depth;
-        private final long deadline;
-
-        private Call(String name, Importance importance, int depth, long deadline) {
-            this.name = name;
-            this.importance = importance;
-            this.depth = depth;
-            this.deadline = deadline;
-        }
-
-        @Override
-        public Importance importance() {
-            return importance;
-        }
-
-        @Override
-        public int rank() {
-            return importance.rank(new RequestId(1, name.hashCode()), false);
-        }
-
-        @Override
-        public int depth() {
-            return depth;
-        }
-
-        @Override
-        public long deadlineNanos() {
-            return deadline;
-        }
-
-        @Override
-        public void admitted() {
-            log.add(name + " admitted");
-        }
-
-        @Override
-        public void shed(RefusalReason reason) {
-            log.add(name + " " + reason);
-        }
-    }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/RateLimitedGateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/RateLimitedGateTest.java
@@ -5,8 +5,6 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.Importance;
-import org.verbenadyke.kernel.call.RefusalReason;
-import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.notice.AnnouncedRate;
 import org.verbenadyke.kernel.notice.RateNotice;
 import org.verbenadyke.kernel.time.VirtualTimerService;
@@ -119,47 +117,6 @@
     }
 
     private void offer(String name, Importance importance) {
-        gate.offer(new Call(name, importance), clock.nanos());
-    }
-
-    /** A call that logs what becomes of it, and ends at once when it is admitted. */
-    private final class Call implements WaitingCall {
-        private final String name;
-        private final Importance importance;
-
-        private Call(String name, Importance importance) {
-            this.name = name;
-            this.importance = importance;
-        }
-
-        @Override
-        public Importance importance() {
-            return importance;
-        }
-
-        @Override
-        public int rank() {
-            return importance.rank(new RequestId(1, 1), false);
-        }
-
-        @Override
-        public int depth() {
-            return 0;
-        }
-
-        @Override
-        public long deadlineNanos() {
-            return Long.MAX_VALUE;
-        }
-
-        @Override
-        public void admitted() {
-            log.add(name + " admitted");
-        }
-
-        @Override
-        public void shed(RefusalReason reason) {
-            log.add(name + " " + reason);
-        }
+        gate.offer(new RecordedCall(log, name, importance, 0, Long.MAX_VALUE), clock.nanos());
     }
 }
