Serve routes of kind upload as non-idempotent

Ruled out: reading it as non-idempotent in the adapter alone. The kernel is to bound what bodies of uploads hold of a node's memory, so it has to know them.

--- a/kernel/src/main/java/org/verbenadyke/kernel/route/RequestKind.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/RequestKind.java
@@ -9,7 +9,9 @@
     /** Must run at most once for each request of a caller. */
     NON_IDEMPOTENT,
     /** May run more than once; answers may be large. */
-    DOWNLOAD;
+    DOWNLOAD,
+    /** Must run at most once for each request of a caller; request bodies may be large. */
+    UPLOAD;
 
     /**
      * Returns whether a request may run more than once.
@@ -17,6 +19,9 @@
      * @return whether it may
      */
     public boolean repeatable() {
-        return this != NON_IDEMPOTENT;
+        return switch (this) {
+            case IDEMPOTENT, DOWNLOAD -> true;
+            case NON_IDEMPOTENT, UPLOAD -> false;
+        };
     }
 }
