Carry the usage of a call in reports, and its request in calls

Cause: the node where a request entered can learn the slot time of the chain only from the answers.

Change: Message.Report gets the usage, Message.Call the boolean usageRequested; the protocol version is 7. Nothing requests usage yet, and all reports carry an empty one, which takes one byte.

Ruled out: nil in place of an empty array, as for Stated; both take one byte.

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -94,6 +94,7 @@
                 true,
                 "",
                 Message.Stated.NOTHING,
+                false,
                 new Message.Content(
                         "GET", "/lookup?id=1", List.of(new HeaderField("accept", "*/*")), new byte[BODY_BYTES]));
         frame = FrameCodec.encode(message);
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
@@ -1,7 +1,9 @@
 package org.verbenadyke.kernel.dispatch;
 
+import org.verbenadyke.kernel.cost.Usage;
+
 /**
- * Observes the calls that an upstream makes while it serves one call.
+ * Observes the calls that an upstream makes while it serves one call, or a request at the node where it entered.
  */
 public interface ChainObserver {
     /**
@@ -14,6 +16,24 @@
     /** Called when a nested call has failed and won't be retried. */
     void childFailed();
 
+    /**
+     * Returns whether the slot time of the calls is collected.
+     *
+     * @return whether the calls must request usage
+     */
+    default boolean collectsUsage() {
+        return false;
+    }
+
+    /**
+     * Called with the slot time that an attempt took, once per attempt that reports any, also if it failed.
+     *
+     * @param usage the usage of the attempt and of the calls nested in it
+     */
+    default void usageReported(Usage usage) {
+        // Not collected.
+    }
+
     /**
      * Returns an observer for requests that enter the system at this node and so have no calling node.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
@@ -59,6 +59,7 @@
                 request.idempotent(),
                 request.key(),
                 attempt.candidate().stated(),
+                request.observer().collectsUsage(),
                 request.content());
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -7,6 +7,7 @@
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.once.StoredOutcome;
 
 /**
@@ -14,7 +15,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 6;
+    int VERSION = 7;
 
     /**
      * The first message of both sides.
@@ -47,6 +48,7 @@
      * @param idempotent whether the request may run more than once
      * @param key the idempotency key, empty if none
      * @param known what the sender knows the upstream to have stated about itself
+     * @param usageRequested whether the reports of the call and of all nested calls carry their usage
      * @param content the request that the upstream receives
      */
     record Call(
@@ -61,6 +63,7 @@
             boolean idempotent,
             String key,
             Stated known,
+            boolean usageRequested,
             Content content)
             implements Message {}
 
@@ -155,6 +158,7 @@
      * @param draining whether the upstream is draining
      * @param stated what the upstream has stated about itself
      * @param deeperLevel the highest admission level among the services that were called for the answer
+     * @param usage the slot time that the answered call took at each service, empty if not requested
      */
     record Report(
             int inFlight,
@@ -163,9 +167,10 @@
             int directLevel,
             boolean draining,
             Stated stated,
-            DeeperLevel deeperLevel) {
+            DeeperLevel deeperLevel,
+            Usage usage) {
         /**
-         * Creates the report of a node whose upstream has stated nothing about itself.
+         * Creates the report of a node whose upstream has stated nothing about itself, without usage.
          *
          * @param inFlight calls handed to the upstream
          * @param limit the concurrency limit
@@ -175,7 +180,7 @@
          * @param deeperLevel the highest admission level among the services that were called for the answer
          */
         public Report(int inFlight, int limit, int level, int directLevel, boolean draining, DeeperLevel deeperLevel) {
-            this(inFlight, limit, level, directLevel, draining, Stated.NOTHING, deeperLevel);
+            this(inFlight, limit, level, directLevel, draining, Stated.NOTHING, deeperLevel, Usage.NONE);
         }
 
         /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -11,6 +11,7 @@
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.dispatch.RetryAfter;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Link;
@@ -225,9 +226,10 @@
         Message.DeeperLevel deeperLevel = context.map(
                         c -> parts.levels.strictestLevel(c.services(), parts.timers.nanos()))
                 .orElse(Message.DeeperLevel.NONE);
+        Usage usage = Usage.NONE;
         LocalUpstream local = upstream;
         if (local == null) {
-            return new Message.Report(0, 0, 0, 0, false, deeperLevel);
+            return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, deeperLevel, usage);
         }
         Gate gate = local.gate();
         return new Message.Report(
@@ -237,7 +239,8 @@
                 gate.directLevel(),
                 local.draining(),
                 local.stated(),
-                deeperLevel);
+                deeperLevel,
+                usage);
     }
 
     UpstreamPort.HandOver handOver(Message.Call call, CallContext context, long remainingNanos) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -237,6 +237,7 @@
                 idempotent,
                 key,
                 Message.Stated.NOTHING,
+                false,
                 new Message.Content(idempotent ? "GET" : "POST", "/p", List.of(), new byte[0]));
     }
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
@@ -118,6 +118,7 @@
                 false,
                 "",
                 Message.Stated.NOTHING,
+                false,
                 new Message.Content("POST", "/p", List.of(), new byte[0]));
     }
 }
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -160,6 +160,7 @@
         p.packLong(m.ttlMicros()).packLong(m.dueMicros()).packLong(m.receiverClock());
         p.packBoolean(m.idempotent()).packString(m.key());
         StatedCodec.pack(p, m.known());
+        p.packBoolean(m.usageRequested());
         p.packString(m.content().method()).packString(m.content().path());
         packHeaders(p, m.content().headers());
         packBytes(p, m.content().body());
@@ -179,6 +180,7 @@
                 u.unpackBoolean(),
                 u.unpackString(),
                 StatedCodec.unpack(u),
+                u.unpackBoolean(),
                 new Message.Content(
                         u.unpackString(), u.unpackString(), unpackHeaders(u), unpackBytes(u), u.unpackString()));
     }
@@ -229,6 +231,7 @@
         p.packString(r.deeperLevel().service())
                 .packInt(r.deeperLevel().level())
                 .packInt(r.deeperLevel().ageMillis());
+        UsageCodec.pack(p, r.usage());
     }
 
     private static Message.Report unpackReport(MessageUnpacker u) throws IOException {
@@ -239,7 +242,8 @@
                 u.unpackInt(),
                 u.unpackBoolean(),
                 StatedCodec.unpack(u),
-                unpackDeeperLevel(u));
+                unpackDeeperLevel(u),
+                UsageCodec.unpack(u));
     }
 
     private static Message.DeeperLevel unpackDeeperLevel(MessageUnpacker u) throws IOException {
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -11,6 +11,7 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.message.Message;
@@ -24,7 +25,14 @@
 final class FrameCodecTest {
     private static final CallId ID = new CallId(-3, 9);
     private static final Message.Report REPORT = new Message.Report(
-            1, 2, 4, 3, true, new Message.Stated(-6, 44.9, true), new Message.DeeperLevel("deep", 4, 5));
+            1,
+            2,
+            4,
+            3,
+            true,
+            new Message.Stated(-6, 44.9, true),
+            new Message.DeeperLevel("deep", 4, 5),
+            new Usage(List.of(new Usage.SlotTime("deep", Long.MAX_VALUE), new Usage.SlotTime("s", 0))));
     private static final List<HeaderField> HEADERS = List.of(new HeaderField("a", "b"), new HeaderField("ü", ""));
     private static final int MUTATED_FRAMES = 20_000;
 
@@ -43,6 +51,7 @@
                     true,
                     "key",
                     new Message.Stated(7, 0, false),
+                    true,
                     new Message.Content("GET", "/x?y", HEADERS, new byte[] {1, 2, 3})),
             new Message.Head(ID, 200, HEADERS, true, REPORT),
             new Message.Data(ID, 1L << 40, new byte[20_000]),
