Report the slot time of a call and of its nested calls

Cause: reports carry a usage, but it is always empty.

Change: the context of a call that requests usage adds up the usage of its nested attempts, also of those that failed, each once. The report adds the slot time of the call itself, from hand-over to the head of its answer or, without one, to its end. Calls of a request that doesn't ask for usage get no sum, and their reports stay empty.

Ruled out: adding up in the dispatcher, which doesn't know the call that it works for; keeping all services of a chain, which leaves the size of a call's context to its callees.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -28,6 +28,7 @@
     private long receivedBytes;
     private boolean concluded;
     private boolean countedOnLink;
+    private boolean usageReported;
 
     Attempt(CallId id, Dispatch dispatch, Candidate candidate, long startNanos) {
         this.id = id;
@@ -128,6 +129,10 @@
         if (!report.deeperLevel().service().isEmpty()) {
             request.observer().serviceReached(report.deeperLevel().service());
         }
+        if (!usageReported && !report.usage().isEmpty()) {
+            usageReported = true;
+            request.observer().usageReported(report.usage());
+        }
     }
 
     /** Handles a refusal, the final message of the called node about the attempt. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.serve;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
@@ -7,6 +8,8 @@
 import org.verbenadyke.kernel.budget.ParentBudget;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.cost.Usage;
+import org.verbenadyke.kernel.cost.UsageSum;
 import org.verbenadyke.kernel.dispatch.ChainObserver;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
@@ -15,35 +18,33 @@
  * The context that an upstream's nested calls inherit from the call it serves. The upstream sees only the token.
  */
 public final class CallContext implements ChainObserver {
+    private static final long NANOS_PER_MICRO = 1_000L;
+
     private final String token;
     private final RequestId request;
     private final Importance importance;
     private final int depth;
-    private final long deadlineNanos;
+    private final CallTimes times;
+    private final String service;
+    private final Optional<UsageSum> nestedUsage;
     private final ParentBudget budget;
     private final Set<String> services = ConcurrentHashMap.newKeySet();
     private volatile boolean childFailed;
 
-    private CallContext(String token, Message.Call call, long deadlineNanos, Supplier<Link> link) {
+    private CallContext(String token, Message.Call call, CallTimes times, Supplier<Link> link) {
         this.token = token;
         this.request = call.request();
         this.importance = call.importance();
         this.depth = call.depth();
-        this.deadlineNanos = deadlineNanos;
+        this.times = times;
+        this.service = call.target().service();
+        this.nestedUsage = call.usageRequested() ? Optional.of(UsageSum.empty()) : Optional.empty();
         this.budget = ParentBudget.of(link, call.id());
     }
 
-    /**
-     * Creates the context of a received call.
-     *
-     * @param token the token that identifies the context
-     * @param call the call
-     * @param deadlineNanos the deadline of the call, on the local clock
-     * @param link the link to the calling node
-     * @return the context
-     */
-    public static CallContext of(String token, Message.Call call, long deadlineNanos, Supplier<Link> link) {
-        return new CallContext(token, call, deadlineNanos, link);
+    /** Creates the context of a received call that is about to be handed over; the link leads to the calling node. */
+    static CallContext of(String token, Message.Call call, CallTimes times, Supplier<Link> link) {
+        return new CallContext(token, call, times, link);
     }
 
     /**
@@ -88,7 +89,7 @@
      * @return the time on the local clock, in nanoseconds
      */
     public long deadlineNanos() {
-        return deadlineNanos;
+        return times.deadline();
     }
 
     /**
@@ -118,6 +119,15 @@
         return services;
     }
 
+    /**
+     * Returns the slot time of the served call and of the nested calls that have been answered; empty if not requested.
+     */
+    Usage usage() {
+        return nestedUsage
+                .map(n -> n.totalWith(service, times.slotNanos() / NANOS_PER_MICRO))
+                .orElse(Usage.NONE);
+    }
+
     @Override
     public void serviceReached(String service) {
         services.add(service);
@@ -127,4 +137,14 @@
     public void childFailed() {
         childFailed = true;
     }
+
+    @Override
+    public boolean collectsUsage() {
+        return nestedUsage.isPresent();
+    }
+
+    @Override
+    public void usageReported(Usage usage) {
+        nestedUsage.ifPresent(n -> n.add(usage));
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -168,9 +168,9 @@
         notices.handle(local, notice, handedOverNanos);
     }
 
-    CallContext openContext(Message.Call call, long deadline, Supplier<Link> link) {
+    CallContext openContext(Message.Call call, CallTimes times, Supplier<Link> link) {
         String token = Long.toHexString(parts.random.get().nextLong()) + "-" + tokens.incrementAndGet();
-        CallContext context = CallContext.of(token, call, deadline, link);
+        CallContext context = CallContext.of(token, call, times, link);
         contexts.put(token, context);
         return context;
     }
@@ -226,7 +226,7 @@
         Message.DeeperLevel deeperLevel = context.map(
                         c -> parts.levels.strictestLevel(c.services(), parts.timers.nanos()))
                 .orElse(Message.DeeperLevel.NONE);
-        Usage usage = Usage.NONE;
+        Usage usage = context.map(CallContext::usage).orElse(Usage.NONE);
         LocalUpstream local = upstream;
         if (local == null) {
             return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, deeperLevel, usage);
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallTimes.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallTimes.java
@@ -22,6 +22,7 @@
     private final long deadlineNanos;
     private long handedOverNanos;
     private long headNanos;
+    private long endNanos;
 
     private CallTimes(Message.Call call, TimerService timers, ServeSettings settings) {
         this.call = call;
@@ -73,6 +74,17 @@
         return (headNanos == 0 ? nowNanos : headNanos) - handedOverNanos;
     }
 
+    /** Records that the call is over, and returns the time. */
+    long recordEnd() {
+        endNanos = now();
+        return endNanos;
+    }
+
+    /** Returns for how long the call has held a slot until the head of its answer, or its end without one. */
+    long slotNanos() {
+        return latency(endNanos == 0 ? now() : endNanos);
+    }
+
     /** Returns whether the call may have waited unread for longer than its time to live. */
     boolean isStale() {
         return Freshness.isStale(call, now(), settings.fenceGraceNanos());
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -288,7 +288,7 @@
         }
         phase = Phase.HANDED;
         server.recordHandOver(call, local, times.received());
-        context = server.openContext(call, times.deadline(), this::link);
+        context = server.openContext(call, times, this::link);
         exchange = local.port().start(server.handOver(call, context, times.deadline() - times.handedOver()), this);
     }
 
@@ -386,7 +386,7 @@
     }
 
     private void complete() {
-        finishedNanos = times.now();
+        finishedNanos = times.recordEnd();
         timer.cancel();
         quarantineCheck.finished();
         if (call.idempotent()) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.admission.FixedLimit;
@@ -13,6 +14,7 @@
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.ledger.Breach;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
@@ -61,6 +63,7 @@
             clock);
     private String token = "";
     private long sequence;
+    private boolean usageRequested;
 
     CallServerTest() {
         clock.advance(MILLI);
@@ -208,6 +211,64 @@
         assertTrue(server.context(token).isEmpty());
     }
 
+    @Test
+    void reportsItsSlotTimeOnlyIfRequested() {
+        server.received(link, call(true, ""));
+        clock.advance(7 * MILLI);
+        answer(0, 200, "");
+        assertEquals(Usage.NONE, lastUsage(link));
+        usageRequested = true;
+        server.received(link, call(true, ""));
+        clock.advance(7 * MILLI);
+        answer(1, 200, "");
+        assertEquals(usage(7_000), lastUsage(link));
+    }
+
+    @Test
+    void reportsNoSlotTimeOfACallThatOnlyWaited() {
+        usageRequested = true;
+        server.received(link, call(false, ""));
+        server.received(link, call(true, ""));
+        Message.Cancel cancel = new Message.Cancel(new CallId(5, sequence));
+        clock.advance(9 * MILLI);
+        server.received(link, cancel);
+        assertEquals(RunState.NOT_RUN, lastRefusal().refusal().state());
+        assertEquals(Usage.NONE, lastUsage(link));
+    }
+
+    /** The time until the calling node inquires must not count as slot time. */
+    @Test
+    void reportsTheSameSlotTimeOverANewConnection() {
+        usageRequested = true;
+        for (Runnable ending : List.<Runnable>of(
+                () -> answer(0, 201, ""), () -> handed.getLast().broken())) {
+            Message.Call call = call(false, "");
+            server.received(link, call);
+            clock.advance(9 * MILLI);
+            server.linkLost(link);
+            ending.run();
+            clock.advance(50 * MILLI);
+            RecordingLink fresh = new RecordingLink();
+            server.received(fresh, new Message.Inquire(call.id(), 1, call.receiverClock()));
+            assertEquals(usage(9_000), lastUsage(fresh));
+        }
+    }
+
+    private static Usage usage(long micros) {
+        return new Usage(List.of(new Usage.SlotTime("s", micros)));
+    }
+
+    private static Usage lastUsage(RecordingLink link) {
+        return link.sent().stream()
+                .flatMap(m -> switch (m) {
+                    case Message.Head head -> Stream.of(head.report().usage());
+                    case Message.Refused refused -> Stream.of(refused.report().usage());
+                    default -> Stream.empty();
+                })
+                .reduce((a, b) -> b)
+                .orElseThrow();
+    }
+
     private UpstreamPort.Exchange start(UpstreamPort.HandOver handOver, UpstreamPort.Listener listener) {
         handed.add(listener);
         token = handOver.contextToken();
@@ -237,7 +298,7 @@
                 idempotent,
                 key,
                 Message.Stated.NOTHING,
-                false,
+                usageRequested,
                 new Message.Content(idempotent ? "GET" : "POST", "/p", List.of(), new byte[0]));
     }
 
