Learn the cost of a request at the node where it entered

Cause: nothing fills RequestCosts.

Change: RoutedRequest says whether the cost of a request is learned, false everywhere today. If so, the calls of its chain request usage, and a complete answer below status 500 is recorded with the usage of all attempts that the entry made.

Ruled out: recording in Dispatch, which would have to tell requests at depth 0 apart; the entry's observer and sink already see all that is needed.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
@@ -36,6 +36,29 @@
         boolean returning,
         RetryBudget budget,
         ChainObserver observer) {
+    /**
+     * Returns the same request with another observer.
+     *
+     * @param other the observer
+     * @return the request
+     */
+    public Request observedBy(ChainObserver other) {
+        return new Request(
+                id,
+                caller,
+                service,
+                content,
+                importance,
+                depth,
+                deadlineNanos,
+                dueNanos,
+                idempotent,
+                key,
+                returning,
+                budget,
+                other);
+    }
+
     /**
      * Returns the class of paths that admission levels are tracked by: method and first segment of the path.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.config.Configuration;
+import org.verbenadyke.kernel.cost.RequestCosts;
 import org.verbenadyke.kernel.dispatch.CallHandle;
 import org.verbenadyke.kernel.dispatch.ChainObserver;
 import org.verbenadyke.kernel.dispatch.Dispatcher;
@@ -48,6 +49,7 @@
     private final CallServer server;
     private final KeyedBudgets keyedBudgets;
     private final KeyTable keys;
+    private final RequestCosts costs = RequestCosts.empty();
     private volatile StartNotices notices = StartNotices.of(StartNotices.UNKNOWN_START);
     private final AtomicLong requests = new AtomicLong();
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
@@ -177,7 +179,11 @@
                 routed.waitedNanos() > 0,
                 parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> RootBudget.of(route.attempts() - 1)),
                 parent.<ChainObserver>map(c -> c).orElseGet(ChainObserver::none));
-        return dispatcher.dispatch(request, sink);
+        if (parent.isPresent() || !routed.usageRequested()) {
+            return dispatcher.dispatch(request, sink);
+        }
+        EntryCost cost = EntryCost.of(request, costs, parts.timers(), sink);
+        return dispatcher.dispatch(request.observedBy(cost), cost);
     }
 
     /**
@@ -315,6 +321,15 @@
         return dispatcher;
     }
 
+    /**
+     * Returns what is known about the slot time of requests that entered at this node.
+     *
+     * @return the costs; nothing is known unless requests ask for it, see {@link RoutedRequest#usageRequested}
+     */
+    public RequestCosts costs() {
+        return costs;
+    }
+
     private long ttlNanos(InboundRequest inbound) {
         long maxTtl = policy.serve().maxTtlNanos();
         return Math.min(maxTtl, inbound.ttlNanos().orElse(policy.defaultTtlNanos()));
