--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
@@ -1,9 +1,13 @@
 package org.verbenadyke.kernel.engine;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.admission.FixedLimit;
@@ -18,7 +22,7 @@
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.Attachment;
-import org.verbenadyke.kernel.serve.LocalUpstream;
+import org.verbenadyke.kernel.serve.CallContext;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 
@@ -30,6 +34,7 @@
 final class ChainUsageTest {
     private static final long MILLI = 1_000_000L;
     private static final long TTL_NANOS = 10_000 * MILLI;
+    private static final Message.Content CONTENT = new Message.Content("GET", "/p/x", List.of(), new byte[0]);
     private static final int OK = 200;
     private static final int FAILED = 500;
 
@@ -39,7 +44,7 @@
     private final MemoryNet net = new MemoryNet();
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final Engine entry = Engines.create(net, "entry", 1, clock, Quarantine.standalone(clock));
-    private final List<Served> served = new ArrayList<>();
+    private final Map<String, Served> last = new HashMap<>();
     private final List<String> outcomes = new ArrayList<>();
     private boolean usageRequested = true;
 
@@ -57,8 +62,7 @@
 
     @Test
     void addsUpNestedAndRepeatedCalls() {
-        repeat(() -> {
-            Served front = enter();
+        repeat(front -> {
             work(10);
             for (int i = 0; i < 2; i++) {
                 Served deep = front.call("deep");
@@ -76,8 +80,7 @@
 
     @Test
     void addsUpParallelCalls() {
-        repeat(() -> {
-            Served front = enter();
+        repeat(front -> {
             Served first = front.call("deep");
             Served second = front.call("deep");
             work(20);
@@ -90,47 +93,30 @@
     }
 
     @Test
-    void countsTheSlotTimeOfAFailedAttemptWhereItWasUsed() {
-        repeat(() -> {
-            Served front = enter();
-            Served deep = front.call("deep");
-            Served base = deep.call("base");
-            work(7);
-            base.answer(OK);
-            work(20);
-            deep.answer(FAILED);
-            Served retried = last("deep");
-            work(30);
-            retried.answer(OK);
-            front.answer(OK);
-        });
-        assertCosts(57, 57, 7);
-    }
-
-    @Test
-    void countsTheSlotTimeOfAnAttemptThatBrokeOff() {
-        repeat(() -> {
-            Served front = enter();
-            Served deep = front.call("deep");
-            work(20);
-            deep.listener.broken();
-            Served retried = last("deep");
-            work(30);
-            retried.answer(OK);
-            front.answer(OK);
-        });
-        assertCosts(50, 50, 0);
+    void countsAFailedAttemptWhereItWasUsed() {
+        for (Consumer<Served> failure : List.<Consumer<Served>>of(s -> s.answer(FAILED), s -> s.listener.broken())) {
+            repeat(front -> {
+                Served deep = front.call("deep");
+                Served base = deep.call("base");
+                work(7);
+                base.answer(OK);
+                work(20);
+                failure.accept(deep);
+                work(30);
+                last.get("deep").answer(OK);
+                front.answer(OK);
+            });
+            assertCosts(57, 57, 7);
+        }
     }
 
     @Test
     void countsAnAttemptThatTheEntryRetried() {
-        repeat(() -> {
-            Served front = enter();
+        repeat(front -> {
             work(20);
             front.answer(FAILED);
-            Served retried = last("front");
             work(30);
-            retried.answer(OK);
+            last.get("front").answer(OK);
         });
         assertCosts(50, 0, 0);
     }
@@ -138,8 +124,7 @@
     /** The report is sent with the head of the answer, so that later calls can't be part of it. */
     @Test
     void ignoresACallThatIsAnsweredAfterTheAnswerOfItsCaller() {
-        repeat(() -> {
-            Served front = enter();
+        repeat(front -> {
             Served deep = front.call("deep");
             work(10);
             front.answer(OK);
@@ -149,51 +134,44 @@
         assertCosts(10, 0, 0);
     }
 
-    /** The slot is held until the end of the body, which depends on how fast the caller reads. */
+    /** Both the head and the refusal that follows it report the slot time, which ends at the head. */
     @Test
-    void countsOnlyTheTimeToTheHead() {
-        repeat(() -> {
-            Served front = enter();
+    void countsACallThatBreaksOffAfterItsHeadOnce() {
+        repeat(front -> {
+            Served deep = front.call("deep");
             work(10);
-            front.listener.head(OK, List.of());
+            deep.listener.head(OK, List.of());
             work(50);
-            front.listener.end();
+            deep.listener.broken();
+            front.answer(OK);
         });
-        assertCosts(10, 0, 0);
+        assertCosts(60, 10, 0);
     }
 
     @Test
     void recordsNoFailedRefusedAbortedOrAbandonedRequest() {
-        repeat(() -> {
-            enter().answer(FAILED);
-            last("front").answer(FAILED);
+        repeat(front -> {
+            front.answer(FAILED);
+            last.get("front").answer(FAILED);
         });
-        repeat(() -> enter().listener.notRun());
-        repeat(() -> {
-            Served front = enter();
+        repeat(front -> front.listener.notRun());
+        repeat(front -> {
             front.listener.head(OK, List.of());
             front.listener.broken();
         });
-        repeat(() -> {
-            CallHandle handle = submit();
-            work(10);
-            handle.cancel();
-        });
+        for (int i = 0; i < ANSWERS; i++) {
+            submit().cancel();
+        }
         assertEquals(OptionalDouble.empty(), cost("front"));
         assertTrue(outcomes.contains("head 500") && outcomes.contains("aborted"), outcomes.toString());
     }
 
     @Test
-    void learnsNothingUnlessUsageIsRequested() {
+    void requestsAndLearnsNothingByDefault() {
         usageRequested = false;
-        repeat(() -> {
-            Served front = enter();
+        repeat(front -> {
             Served deep = front.call("deep");
-            assertFalse(deep.engine
-                    .server()
-                    .context(deep.handOver.contextToken())
-                    .orElseThrow()
-                    .collectsUsage());
+            assertFalse(deep.context().collectsUsage());
             work(10);
             deep.answer(OK);
             front.answer(OK);
@@ -211,9 +189,11 @@
         return entry.costs().slotNanos("front", "GET /p", service, clock.nanos());
     }
 
-    private static void repeat(Runnable request) {
+    /** Sends as many requests as a cost takes to be known, and lets the upstream of each one act. */
+    private void repeat(Consumer<Served> upstream) {
         for (int i = 0; i < ANSWERS; i++) {
-            request.run();
+            submit();
+            upstream.accept(last.get("front"));
         }
     }
 
@@ -221,54 +201,33 @@
         clock.advance(millis * MILLI);
     }
 
-    private Served enter() {
-        submit();
-        return last("front");
-    }
-
     private CallHandle submit() {
         List<ServiceShare> shares = List.of(new ServiceShare("front", 1));
         Route route = new Route("r", "", "/p/", shares, RequestKind.IDEMPOTENT, TTL_NANOS, TTL_NANOS, 2, 0, true);
-        RoutedRequest routed = new RoutedRequest(
-                route, "front", content(), Importance.NORMAL, Optional.empty(), TTL_NANOS, 0, usageRequested);
-        return entry.submit(routed, new RecordingSink(outcomes));
-    }
-
-    private static Message.Content content() {
-        return new Message.Content("GET", "/p/x", List.of(), new byte[0]);
-    }
-
-    private Served last(String service) {
-        return served.reversed().stream()
-                .filter(s ->
-                        s.engine.server().upstream().orElseThrow().service().equals(service))
-                .findFirst()
-                .orElseThrow();
+        Optional<CallContext> none = Optional.empty();
+        return entry.submit(
+                new RoutedRequest(route, "front", CONTENT, Importance.NORMAL, none, TTL_NANOS, 0, usageRequested),
+                new RecordingSink(outcomes));
     }
 
-    private Engine start(String service, int incarnation) {
-        Endpoint endpoint = endpoint(incarnation);
-        Engine engine = Engines.create(net, endpoint.host(), incarnation, clock, Quarantine.standalone(clock));
+    private Engine start(String service, int number) {
+        Endpoint endpoint = new Endpoint("10.0.0." + number, 1);
+        Engine engine = Engines.create(net, endpoint.host(), number, clock, Quarantine.standalone(clock));
         UpstreamPort port = (handOver, listener) -> {
-            served.add(new Served(engine, handOver, listener));
+            last.put(service, new Served(engine, handOver, listener));
             return new Engines.Silent();
         };
-        engine.attach(new Attachment(endpoint.host(), service, port, incarnation, () -> {}), FixedLimit.of(100));
+        engine.attach(new Attachment(endpoint.host(), service, port, number, () -> {}), FixedLimit.of(100));
         net.listen(endpoint, engine::accept);
         return engine;
     }
 
-    private static Endpoint endpoint(int number) {
-        return new Endpoint("10.0.0." + number, 1);
-    }
-
     private static void route(Engine from, Engine... to) {
-        List<Upstream> upstreams = new ArrayList<>();
-        for (Engine engine : to) {
-            LocalUpstream u = engine.server().upstream().orElseThrow();
-            upstreams.add(new Upstream(u.id(), u.service(), new Endpoint(u.id(), 1), Engines.LOCATION));
-        }
-        from.router().update(upstreams);
+        from.router()
+                .update(Stream.of(to)
+                        .map(engine -> engine.server().upstream().orElseThrow())
+                        .map(u -> new Upstream(u.id(), u.service(), new Endpoint(u.id(), 1), Engines.LOCATION))
+                        .toList());
     }
 
     /** A call that an upstream serves; the test makes its nested calls and answers it. */
@@ -283,10 +242,14 @@
             this.listener = listener;
         }
 
+        CallContext context() {
+            return engine.server().context(handOver.contextToken()).orElseThrow();
+        }
+
         Served call(String service) {
-            InboundRequest nested = new InboundRequest(service, content(), "", Optional.of(TTL_NANOS));
+            InboundRequest nested = new InboundRequest(service, CONTENT, "", Optional.of(TTL_NANOS));
             engine.submitNested(handOver.contextToken(), nested, new RecordingSink(new ArrayList<>()));
-            return last(service);
+            return last.get(service);
         }
 
         void answer(int status) {
