--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.bench.lab;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,8 @@
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.core.UpstreamRegistration;
+import org.verbenadyke.kernel.cost.RequestCosts;
+import org.verbenadyke.kernel.dispatch.CallHandle;
 import org.verbenadyke.kernel.dispatch.DispatchSettings;
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.engine.RoutedRequest;
@@ -41,11 +44,15 @@
     private static final String REFUSED = "refused ";
 
     private final Lab lab;
+    private final WorkLog workLog;
+    private final Map<LabServer, RequestCosts> trueCosts = new HashMap<>();
     private double swingTimes = 1;
     private long nextNumber;
+    private boolean usageRequested;
 
-    private CallerFleet(Lab lab) {
+    private CallerFleet(Lab lab, WorkLog workLog) {
         this.lab = lab;
+        this.workLog = workLog;
     }
 
     /** Starts a fleet and lets its nodes discover each other. */
@@ -56,17 +63,19 @@
         lab.advance(Lab.SECOND);
         Map<String, FleetOperation> byName =
                 operations.stream().collect(Collectors.toMap(FleetOperation::name, Function.identity()));
+        WorkLog workLog = new WorkLog();
         int at = 0;
         for (LabServer s : lab.servers()) {
             double speed = speeds[at++ % speeds.length];
-            FleetUpstream upstream = new FleetUpstream(s.node(), byName, lab.random(), speed);
+            FleetUpstream upstream =
+                    new FleetUpstream(s.node(), byName, lab.random(), speed, new Statements(), workLog);
             s.node()
                     .core()
                     .attachUpstream(UpstreamRegistration.of(s.spec().name(), upstream)
                             .withSlots(s.spec().slots()));
         }
         lab.advance(WARM_UP_NANOS);
-        return new CallerFleet(lab);
+        return new CallerFleet(lab, workLog);
     }
 
     /** Returns the policy of a node with few slots and far more callers than it can serve. */
@@ -95,6 +104,17 @@
         swingTimes = times;
     }
 
+    /** Makes the entry nodes learn the slot time of requests from now on. */
+    void requestUsage() {
+        usageRequested = true;
+        workLog.enable();
+    }
+
+    /** Returns what an entry node should have learned, from the time that the upstreams spent on its requests. */
+    RequestCosts trueCosts(LabServer entry) {
+        return trueCosts.computeIfAbsent(entry, e -> RequestCosts.empty());
+    }
+
     /** Sends requests for an operation at random times until the given end. */
     void generateLoad(CallerGroup group, double perSecond, long end) {
         boolean busy = lab.clock().nanos() % SWING_PERIOD_NANOS < SWING_PERIOD_NANOS / SWING_PARTS;
@@ -166,6 +186,7 @@
         private final long firstSentNanos = lab.clock().nanos();
         private final List<Integer> statuses = new ArrayList<>();
         private boolean retried;
+        private CallHandle handle;
 
         private CallerRequest(CallerGroup group) {
             this.group = group;
@@ -187,8 +208,9 @@
                     group.importance,
                     Optional.empty(),
                     group.timeoutMillis * Lab.MILLI - elapsed,
-                    elapsed);
-            entry.node().core().engine().submit(routed, this);
+                    elapsed,
+                    usageRequested);
+            handle = entry.node().core().engine().submit(routed, this);
         }
 
         @Override
@@ -207,11 +229,24 @@
                 recordOutcome("failed");
                 return;
             }
+            recordTrueCost();
             boolean inTime = lab.clock().nanos() - firstSentNanos <= group.operation.targetMillis() * Lab.MILLI;
             group.tally.inTime += inTime ? 1 : 0;
             recordOutcome(inTime ? "served" : "late");
         }
 
+        private void recordTrueCost() {
+            FleetOperation operation = group.operation;
+            trueCosts(entry)
+                    .record(
+                            operation.service(),
+                            operation.pathClass(),
+                            group.importance,
+                            !operation.once(),
+                            workLog.usage(handle.requestId()),
+                            lab.clock().nanos());
+        }
+
         @Override
         public void refused(Refusal refusal) {
             if (refusal.state() == RunState.NOT_RUN && !retried) {
--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
@@ -43,6 +43,11 @@
         return new FleetOperation(name, service, true, workMillis, targetMillis, timeoutMillis, nestedCalls, parallel);
     }
 
+    /** Returns the class of paths of its requests from callers. */
+    String pathClass() {
+        return (once ? "POST" : "GET") + " /" + name;
+    }
+
     Route route() {
         return new Route(
                 name,
--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
@@ -27,9 +27,10 @@
     private final RandomGenerator random;
     private final double speed;
     private final Statements statements;
+    private final WorkLog workLog;
 
     FleetUpstream(LabNode node, Map<String, FleetOperation> operations, RandomGenerator random, double speed) {
-        this(node, operations, random, speed, new Statements());
+        this(node, operations, random, speed, new Statements(), new WorkLog());
     }
 
     FleetUpstream(
@@ -38,7 +39,18 @@
             RandomGenerator random,
             double speed,
             Statements statements) {
+        this(node, operations, random, speed, statements, new WorkLog());
+    }
+
+    FleetUpstream(
+            LabNode node,
+            Map<String, FleetOperation> operations,
+            RandomGenerator random,
+            double speed,
+            Statements statements,
+            WorkLog workLog) {
         this.statements = statements;
+        this.workLog = workLog;
         this.node = node;
         this.operations = operations;
         this.random = random;
@@ -59,6 +71,7 @@
         private final HandOver handOver;
         private final Listener listener;
         private final FleetOperation operation;
+        private final long startNanos = node.process().nanos();
         private final long deadline;
         private int answered;
         private boolean headSent;
@@ -68,7 +81,7 @@
             this.handOver = handOver;
             this.listener = listener;
             this.operation = operations.get(handOver.content().path().split("/")[1]);
-            this.deadline = node.process().nanos() + handOver.remainingNanos();
+            this.deadline = startNanos + handOver.remainingNanos();
         }
 
         void workHalf(Runnable then) {
@@ -124,6 +137,8 @@
 
         private void answer(int status) {
             headSent = true;
+            workLog.record(
+                    handOver.request(), operation.service(), node.process().nanos() - startNanos);
             listener.head(status, List.of(new HeaderField("content-length", "0")));
         }
 
