--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -11,6 +11,7 @@
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.dispatch.RetryAfter;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Link;
@@ -167,9 +168,9 @@
         notices.handle(local, notice, handedOverNanos);
     }
 
-    CallContext openContext(Message.Call call, long deadline, Supplier<Link> link) {
+    CallContext openContext(Message.Call call, CallTimes times, Supplier<Link> link) {
         String token = Long.toHexString(parts.random.get().nextLong()) + "-" + tokens.incrementAndGet();
-        CallContext context = CallContext.of(token, call, deadline, link);
+        CallContext context = CallContext.of(token, call, times, link);
         contexts.put(token, context);
         return context;
     }
@@ -225,9 +226,10 @@
         Message.DeeperLevel deeperLevel = context.map(
                         c -> parts.levels.strictestLevel(c.services(), parts.timers.nanos()))
                 .orElse(Message.DeeperLevel.NONE);
+        Usage usage = context.map(CallContext::usage).orElse(Usage.NONE);
         LocalUpstream local = upstream;
         if (local == null) {
-            return new Message.Report(0, 0, 0, 0, false, deeperLevel);
+            return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, deeperLevel, usage);
         }
         Gate gate = local.gate();
         return new Message.Report(
@@ -237,7 +239,8 @@
                 gate.directLevel(),
                 local.draining(),
                 local.stated(),
-                deeperLevel);
+                deeperLevel,
+                usage);
     }
 
     UpstreamPort.HandOver handOver(Message.Call call, CallContext context, long remainingNanos) {
