Decide which share of less important writes is raised

Cause: under lasting overload of a deeper service, strict priorities refuse all writes of the lower importance before any read of the higher one.

Change: GuaranteedShares selects, by a hash of the request's id, the share costAbove / (2 * costOwn) of such a route, from 0.25 to 1, to be raised to the importance of the repeatable routes above it. Costs are those at the deeper service with the highest level. Nothing calls it yet. The hash uses other bits than the bucket, so that the raised requests spread over all ranks of the band.

Ruled out: shares by importance alone; two teams' kinds can have the lowest importance for different reasons, so that shares are held by route and team priority. Weights by answered requests; under overload these depend on the share itself.

--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/ServiceLevels.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/ServiceLevels.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.routing;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -71,13 +72,34 @@
      */
     int deeperLevel(String service, String pathClass, long nowNanos) {
         int highest = 0;
-        for (String s : deeperServices.getOrDefault(service + " " + pathClass, Set.of())) {
-            highest = Math.max(
-                    highest, services.getOrDefault(s, ReportedLevel.NONE).decayed(nowNanos));
+        for (String s : deeperServices(service, pathClass)) {
+            highest = Math.max(highest, level(s, nowNanos));
         }
         return highest;
     }
 
+    /**
+     * Returns the services that a class of calls leads to behind a service, as far as answers have named them.
+     *
+     * @param service the service called directly
+     * @param pathClass the class of calls
+     * @return their names
+     */
+    public Set<String> deeperServices(String service, String pathClass) {
+        return Collections.unmodifiableSet(deeperServices.getOrDefault(service + " " + pathClass, Set.of()));
+    }
+
+    /**
+     * Returns the admission level of a service.
+     *
+     * @param service the service
+     * @param nowNanos the time
+     * @return the rank below which it refuses calls; 0 without a recent report
+     */
+    public int level(String service, long nowNanos) {
+        return services.getOrDefault(service, ReportedLevel.NONE).decayed(nowNanos);
+    }
+
     /**
      * Returns the strictest level of the services that were called for an answer, to be sent with that answer.
      *
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
@@ -0,0 +1,152 @@
+package org.verbenadyke.kernel.route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests which requests are raised in importance. */
+final class GuaranteedSharesTest {
+    private static final int REQUESTS = 20_000;
+    private static final double TOLERANCE = 0.015;
+    private static final long SECOND = 1_000_000_000L;
+    private static final Route WRITE = route("write", RequestKind.NON_IDEMPOTENT, 2);
+    private static final Route READ = route("read", RequestKind.IDEMPOTENT, 1);
+    private static final Route VIEW = route("view", RequestKind.DOWNLOAD, 1);
+    private static final Route DIRECT = route("direct", RequestKind.NON_IDEMPOTENT, 0);
+
+    private final FakeServices services = new FakeServices();
+    private final List<ShareChange> changes = new ArrayList<>();
+    private final GuaranteedShares shares =
+            GuaranteedShares.of(plan(WRITE, READ, VIEW, DIRECT)).following(services, changes::add, 0);
+
+    @ParameterizedTest
+    @CsvSource({"8, 4, 1", "8, 2, 1", "8, 8, 0.5", "8, 10, 0.4", "8, 64, 0.25", "0, 4, 0.25", "8, 0, 0.25"})
+    void raisesTheShareThatFollowsFromTheSlotTimes(double read, double write, double expected) {
+        services.cost("deep", READ, read);
+        services.cost("deep", WRITE, write);
+        arrive(READ, 10);
+        arrive(WRITE, 10);
+        assertEquals(expected, raisedShare(), TOLERANCE);
+    }
+
+    @Test
+    void weightsTheRequestsAboveByTheirRates() {
+        services.cost("deep", READ, 8);
+        services.cost("deep", VIEW, 4);
+        services.cost("deep", WRITE, 7);
+        arrive(READ, 30);
+        arrive(VIEW, 10);
+        arrive(WRITE, 10);
+        assertEquals(0.5, raisedShare(), TOLERANCE);
+    }
+
+    @Test
+    void measuresAtTheServiceWithTheHighestLevel() {
+        services.cost("deep", READ, 8);
+        services.cost("deep", WRITE, 16);
+        services.cost("other", READ, 8);
+        services.cost("other", WRITE, 8);
+        services.levels.put("other", 100);
+        arrive(READ, 10);
+        arrive(WRITE, 10);
+        assertEquals(0.5, raisedShare(), TOLERANCE);
+        assertEquals(
+                List.of("other"),
+                changes.stream().map(c -> c.basis().bottleneck()).toList());
+    }
+
+    /** A share taken from one end of the ranks would be refused first, or never, in the band it is raised to. */
+    @Test
+    void raisesToTheReadsAndOverAllRanks() {
+        int[] raised = new int[4];
+        for (int i = 0; i < REQUESTS; i++) {
+            RequestId id = new RequestId(5, i);
+            Importance importance = shares.importance(WRITE, Optional.empty(), id, 0);
+            assertEquals(importance, shares.importance(WRITE, Optional.empty(), id, 0));
+            raised[id.bucket() * raised.length / RequestId.BUCKETS] += importance == Importance.NORMAL ? 1 : 0;
+            assertTrue(importance.compareTo(Importance.NORMAL) <= 0, "raised to " + importance);
+        }
+        for (int quarter : raised) {
+            assertEquals(GuaranteedShares.MIN_SHARE / 4, (double) quarter / REQUESTS, TOLERANCE / 2);
+        }
+        assertEquals(Importance.HIGH, shares.importance(DIRECT, Optional.empty(), new RequestId(5, 1), 0));
+    }
+
+    @Test
+    void takesNoEffectUnlessAWriteRanksBelowARead() {
+        Route sameRank = route("write", RequestKind.UPLOAD, 1);
+        assertFalse(GuaranteedShares.takesEffect(plan(sameRank, READ, DIRECT)));
+        assertEquals(
+                GuaranteedShares.NO_SHARE,
+                GuaranteedShares.of(plan(sameRank, READ)).lowestShare());
+        assertTrue(GuaranteedShares.takesEffect(plan(WRITE, READ)));
+    }
+
+    private double raisedShare() {
+        int raised = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            Importance importance = shares.importance(WRITE, Optional.empty(), new RequestId(5, i), SECOND);
+            raised += importance == Importance.NORMAL ? 1 : 0;
+        }
+        return (double) raised / REQUESTS;
+    }
+
+    private void arrive(Route route, int times) {
+        for (int i = 0; i < times; i++) {
+            shares.arrived(route, Optional.empty(), requests(route));
+        }
+    }
+
+    private static RequestClass requests(Route route) {
+        return new RequestClass("entry", route.name());
+    }
+
+    private static RoutePlan plan(Route... routes) {
+        return RoutePlan.of(1, List.of(routes), List.of(), RequestLimits.standard());
+    }
+
+    private static Route route(String name, RequestKind kind, int priority) {
+        return new Route(
+                name, "", "/" + name + "/", List.of(new ServiceShare("s", 1)), kind, 1_000, 500, 2, priority, true);
+    }
+
+    /** Services with slot times and levels that a test sets. */
+    private static final class FakeServices implements DeeperServices {
+        private final Map<String, Integer> levels = new HashMap<>();
+        private final Map<String, Map<RequestClass, Double>> costs = new HashMap<>();
+
+        void cost(String service, Route route, double nanos) {
+            costs.computeIfAbsent(service, s -> new HashMap<>()).put(requests(route), nanos);
+        }
+
+        @Override
+        public Set<String> reachedBy(RequestClass requests) {
+            return costs.keySet();
+        }
+
+        @Override
+        public int level(String service, long nowNanos) {
+            return levels.getOrDefault(service, 0);
+        }
+
+        @Override
+        public OptionalDouble slotNanos(RequestClass requests, String service, long nowNanos) {
+            Double nanos = costs.get(service).get(requests);
+            return nanos == null ? OptionalDouble.empty() : OptionalDouble.of(nanos);
+        }
+    }
+}
