Let the load level skip a band without arrivals at once

Cause: if all requests of the lowest importance are raised to the next one, the level would still close the empty band over several periods before it refuses anything.

Change: LoadLevel goes on to the next band with arrivals when a flag allows it and the load is too high.

Ruled out: skipping downwards as well; a band whose requests the entry nodes refuse has no arrivals either.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.notice.AnnouncedRate;
@@ -27,7 +28,11 @@
     private volatile boolean wasRateLimited;
 
     private Gate(
-            GateSettings settings, ConcurrencyLimit limit, AnnouncedRate announcedRate, Optional<TimerService> timers) {
+            GateSettings settings,
+            ConcurrencyLimit limit,
+            AnnouncedRate announcedRate,
+            Optional<TimerService> timers,
+            BooleanSupplier skipsEmptyBands) {
         this.settings = settings;
         this.limit = limit;
         this.rateLimit = UpstreamRateLimit.following(
@@ -35,7 +40,7 @@
         this.wasRateLimited = rateLimit.limited();
         this.timers = timers;
         this.queue = AdmissionQueue.in(settings.order());
-        this.level = settings.order() == QueueOrder.DUE ? LoadLevel.open() : AdmissionLevel.open();
+        this.level = settings.order() == QueueOrder.DUE ? LoadLevel.open(skipsEmptyBands) : AdmissionLevel.open();
     }
 
     /**
@@ -46,7 +51,7 @@
      * @return the gate
      */
     public static Gate of(GateSettings settings, ConcurrencyLimit limit) {
-        return new Gate(settings, limit, AnnouncedRate.unlimited(), Optional.empty());
+        return new Gate(settings, limit, AnnouncedRate.unlimited(), Optional.empty(), () -> false);
     }
 
     /**
@@ -56,11 +61,16 @@
      * @param limit how many calls may be in flight
      * @param announcedRate the rate limit that the upstream names
      * @param timers wakes up the calls that wait for the rate limit
+     * @param skipsEmptyBands whether the level skips an importance without arriving calls
      * @return the gate
      */
     public static Gate of(
-            GateSettings settings, ConcurrencyLimit limit, AnnouncedRate announcedRate, TimerService timers) {
-        return new Gate(settings, limit, announcedRate, Optional.of(timers));
+            GateSettings settings,
+            ConcurrencyLimit limit,
+            AnnouncedRate announcedRate,
+            TimerService timers,
+            BooleanSupplier skipsEmptyBands) {
+        return new Gate(settings, limit, announcedRate, Optional.of(timers), skipsEmptyBands);
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.admission;
 
 import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.BooleanSupplier;
 
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
@@ -72,6 +73,7 @@
     /** The number of bands that may be refused: all but the most important one. */
     private static final int REFUSABLE_BANDS = Importance.values().length - 1;
 
+    private final BooleanSupplier skipsEmptyBands;
     private final AtomicLongArray arrivals = new AtomicLongArray(Importance.values().length);
     private int windows;
     private int band;
@@ -80,15 +82,19 @@
     private volatile int direct;
     private volatile boolean resetRequested;
 
-    private LoadLevel() {}
+    private LoadLevel(BooleanSupplier skipsEmptyBands) {
+        this.skipsEmptyBands = skipsEmptyBands;
+    }
 
     /**
      * Creates a level that admits all calls.
      *
+     * @param skipsEmptyBands whether a band without arrivals is skipped at once under overload, instead of being closed
+     *     over several periods
      * @return the level
      */
-    public static LoadLevel open() {
-        return new LoadLevel();
+    public static LoadLevel open(BooleanSupplier skipsEmptyBands) {
+        return new LoadLevel(skipsEmptyBands);
     }
 
     @Override
@@ -136,16 +142,21 @@
             return;
         }
         windows = 0;
-        long inBand = arrivals.get(band);
+        long[] inBands = new long[arrivals.length()];
         long arrived = 0;
-        for (int i = 0; i < arrivals.length(); i++) {
-            arrived += arrivals.getAndSet(i, 0);
+        for (int i = 0; i < inBands.length; i++) {
+            inBands[i] = arrivals.getAndSet(i, 0);
+            arrived += inBands[i];
         }
         double offered = (arrived + load.queued()) * (double) load.holdNanos();
         double capacity = (double) load.limit() * PERIOD_WINDOWS * AdmissionLevel.WINDOW_NANOS;
         double slotLoad = offered / capacity;
         double rateLoad = (arrived + load.queued()) / (load.maxCallsPerSecond() * PERIOD_SECONDS * RATE_LIMIT_MARGIN);
-        adjust(Math.max(slotLoad, rateLoad), (double) inBand / Math.max(1, arrived));
+        double measuredLoad = Math.max(slotLoad, rateLoad);
+        if (measuredLoad > HIGH_LOAD && skipsEmptyBands.getAsBoolean()) {
+            skipEmptyBands(inBands);
+        }
+        adjust(measuredLoad, (double) inBands[band] / Math.max(1, arrived));
         // A rate limit counts calls, however long they hold a slot.
         double share = rateLoad > slotLoad ? 1 : directShare(load);
         direct = (int) Math.round(level * share);
@@ -179,6 +190,22 @@
         level = (int) Math.round((band + 1 - admittedShare) * RequestId.BUCKETS);
     }
 
+    /**
+     * Goes on to the next band from which calls arrive; stays if there is none that may be refused. Load pattern: the
+     * requests of the lowest importance are all raised to the next one or go to other services, so that closing their
+     * band over several periods would only delay the relief.
+     */
+    private void skipEmptyBands(long[] inBands) {
+        int next = band;
+        while (next < REFUSABLE_BANDS && inBands[next] == 0) {
+            next++;
+        }
+        if (next > band && next < REFUSABLE_BANDS) {
+            band = next;
+            admittedShare = 1;
+        }
+    }
+
     private void admitAll() {
         band = 0;
         admittedShare = 1;
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -251,7 +251,7 @@
         if (!notices.isOf(attachment.start())) {
             notices = StartNotices.of(attachment.start());
         }
-        Gate gate = Gate.of(policy.gate(), limit, notices.rate(), parts.timers());
+        Gate gate = Gate.of(policy.gate(), limit, notices.rate(), parts.timers(), () -> false);
         LocalUpstream local = LocalUpstream.of(attachment, gate, keys, notices, parts.timers());
         server.attach(local);
         return local;
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/RateLimitedGateTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/RateLimitedGateTest.java
@@ -20,7 +20,7 @@
 
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final AnnouncedRate announced = AnnouncedRate.unlimited();
-    private final Gate gate = Gate.of(SETTINGS, FixedLimit.of(100), announced, clock);
+    private final Gate gate = Gate.of(SETTINGS, FixedLimit.of(100), announced, clock, () -> false);
     private final List<String> log = new ArrayList<>();
 
     RateLimitedGateTest() {
