Raise the guaranteed share of requests where they enter

Cause: the share of less important writes was decided, but not applied.

Change: Engine.submit raises requests without a parent by the shares of the plan in force; nested calls inherit the importance as before. RoutedRequest carries the team, EngineParts the plan. The counter importance-raised, the gauge verbenadyke_guaranteed_share and the decision line share-changed report it. The load level skips empty bands if the plan guarantees shares. The lab can run with a route plan.

Ruled out: raising in the entry handler; the request's id is made by the engine.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/Lab.java
@@ -12,6 +12,7 @@
 import org.verbenadyke.kernel.ledger.Breach;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
+import org.verbenadyke.kernel.route.RoutePlanStore;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Location;
 import org.verbenadyke.kernel.time.VirtualTimerService;
@@ -40,6 +41,7 @@
     private final Map<Endpoint, Location> locations = new LinkedHashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private final boolean naive;
+    private RoutePlanStore plans = RoutePlanStore.disabled();
     private long incarnations = 1;
 
     private Lab(long seed, CoreSettings settings, boolean naive) {
@@ -55,6 +57,11 @@
         return new Lab(seed, settings, naive);
     }
 
+    /** Makes the nodes that start from now on use the route plan of a store. */
+    void usePlans(RoutePlanStore store) {
+        plans = store;
+    }
+
     void add(ServiceSpec spec, List<Location> locationCycle) {
         for (int i = 0; i < spec.servers(); i++) {
             Endpoint endpoint = new Endpoint("10.0.0." + servers.size(), PORT);
@@ -103,7 +110,8 @@
                 "",
                 clock.wallMillis(),
                 0);
-        LabNode node = LabNode.start(self, nodeProcess, net, log.seenBy(nodeProcess), random, settings, breaches::add);
+        LabNode node =
+                LabNode.start(self, nodeProcess, net, log.seenBy(nodeProcess), random, settings, plans, breaches::add);
         upstream.colocateWith(node);
         server.setProcesses(node, upstream, clock.nanos());
         nodeProcess.after(announcedAfterNanos, () -> node.core().attachUpstream(registration(server, upstream)));
--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
@@ -43,6 +43,7 @@
             LogService log,
             RandomGenerator random,
             CoreSettings settings,
+            RoutePlanStore plans,
             Consumer<Breach> breaches) {
         Endpoint endpoint = self.endpoint();
         LabNode node = new LabNode(endpoint, process);
@@ -59,7 +60,7 @@
                         QuarantinedRequestCodec.create(),
                         ConfigCodec.create(),
                         () -> random,
-                        RoutePlanStore.disabled(),
+                        plans,
                         node.counters,
                         Ledger.reportingTo(breaches),
                         DecisionLog.none()),
--- a/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -249,7 +249,14 @@
             Message.Content content = new Message.Content(
                     "GET", path, List.of(new HeaderField(UpstreamStatement.SENT_BY, entry.id())), new byte[0]);
             RoutedRequest routed = new RoutedRequest(
-                    request.route(), request.service(), content, Importance.NORMAL, Optional.empty(), TTL_NANOS, 0);
+                    request.route(),
+                    request.service(),
+                    content,
+                    Optional.empty(),
+                    Importance.NORMAL,
+                    Optional.empty(),
+                    TTL_NANOS,
+                    0);
             entry.node().core().engine().submit(routed, this);
         }
 
--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -21,6 +21,7 @@
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.engine.RoutedRequest;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.route.RoutePlanStore;
 import org.verbenadyke.kernel.routing.Location;
 
 /**
@@ -50,7 +51,18 @@
 
     /** Starts a fleet and lets its nodes discover each other. */
     static CallerFleet start(long seed, List<ServiceSpec> services, List<FleetOperation> operations, double[] speeds) {
+        return start(seed, services, operations, speeds, RoutePlanStore.disabled());
+    }
+
+    /** Starts a fleet whose nodes use the route plan of a store, and lets its nodes discover each other. */
+    static CallerFleet start(
+            long seed,
+            List<ServiceSpec> services,
+            List<FleetOperation> operations,
+            double[] speeds,
+            RoutePlanStore plans) {
         Lab lab = Lab.create(seed, CoreSettings.with(policy()), false);
+        lab.usePlans(plans);
         services.forEach(s -> lab.add(s, LOCATIONS));
         lab.startAll();
         lab.advance(Lab.SECOND);
@@ -127,6 +139,14 @@
         private int requested;
         private int inTime;
 
+        int requested() {
+            return requested;
+        }
+
+        int inTime() {
+            return inTime;
+        }
+
         double inTimeShare() {
             return requested == 0 ? 1 : (double) inTime / requested;
         }
@@ -184,6 +204,7 @@
                     operation.route(),
                     operation.service(),
                     content,
+                    Optional.empty(),
                     group.importance,
                     Optional.empty(),
                     group.timeoutMillis * Lab.MILLI - elapsed,
--- a/bench/src/test/java/org/verbenadyke/bench/lab/CrashingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CrashingFleet.java
@@ -287,6 +287,7 @@
                     LOOKUP.route(),
                     LOOKUP.service(),
                     content(path, entry.id()),
+                    Optional.empty(),
                     Importance.NORMAL,
                     Optional.empty(),
                     TTL_NANOS,
--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
@@ -18,6 +18,7 @@
  * @param timeoutMillis the timeout of its caller
  * @param nestedCalls the nested operations that it calls
  * @param parallel whether the nested calls run at the same time
+ * @param priority the priority of its route, 0 being the most important
  */
 record FleetOperation(
         String name,
@@ -27,20 +28,28 @@
         long targetMillis,
         long timeoutMillis,
         List<FleetOperation> nestedCalls,
-        boolean parallel) {
+        boolean parallel,
+        int priority) {
     private static final int ATTEMPTS = 2;
 
     static FleetOperation of(String name, String service, double workMillis, long targetMillis, long timeoutMillis) {
-        return new FleetOperation(name, service, false, workMillis, targetMillis, timeoutMillis, List.of(), false);
+        return new FleetOperation(name, service, false, workMillis, targetMillis, timeoutMillis, List.of(), false, 0);
     }
 
     FleetOperation calling(int times, FleetOperation other, boolean inParallel) {
         List<FleetOperation> calls = Collections.nCopies(times, other);
-        return new FleetOperation(name, service, once, workMillis, targetMillis, timeoutMillis, calls, inParallel);
+        return new FleetOperation(
+                name, service, once, workMillis, targetMillis, timeoutMillis, calls, inParallel, priority);
     }
 
     FleetOperation atMostOnce() {
-        return new FleetOperation(name, service, true, workMillis, targetMillis, timeoutMillis, nestedCalls, parallel);
+        return new FleetOperation(
+                name, service, true, workMillis, targetMillis, timeoutMillis, nestedCalls, parallel, priority);
+    }
+
+    FleetOperation withPriority(int other) {
+        return new FleetOperation(
+                name, service, once, workMillis, targetMillis, timeoutMillis, nestedCalls, parallel, other);
     }
 
     Route route() {
@@ -53,7 +62,7 @@
                 timeoutMillis * Lab.MILLI,
                 targetMillis * Lab.MILLI,
                 once ? 1 : ATTEMPTS,
-                0,
+                priority,
                 true);
     }
 }
--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
@@ -103,8 +103,8 @@
                     List.of(new HeaderField(
                             UpstreamStatement.SENT_BY, node.core().self().nodeId())),
                     new byte[0]);
-            RoutedRequest routed =
-                    new RoutedRequest(nested.route(), nested.service(), content, Importance.NORMAL, parent, left, 0);
+            RoutedRequest routed = new RoutedRequest(
+                    nested.route(), nested.service(), content, Optional.empty(), Importance.NORMAL, parent, left, 0);
             node.core().engine().submit(routed, new NestedCallSink());
         }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -274,6 +274,7 @@
                 parts.ledger(),
                 parts.decisions(),
                 quarantine,
+                parts.plans()::plan,
                 owners,
                 (link, m) -> owners.received(link, m, upstream()),
                 planExchange::received,
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
@@ -42,6 +42,16 @@
      * @return the class
      */
     public String pathClass() {
+        return pathClass(content);
+    }
+
+    /**
+     * Returns the class of paths of a request.
+     *
+     * @param content the request that the upstream receives
+     * @return the class
+     */
+    public static String pathClass(Message.Content content) {
         String path = content.path();
         int end = 1;
         while (end < path.length() && path.charAt(end) != '/' && path.charAt(end) != '?') {
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.config.Configuration;
+import org.verbenadyke.kernel.cost.RequestCosts;
 import org.verbenadyke.kernel.dispatch.CallHandle;
 import org.verbenadyke.kernel.dispatch.ChainObserver;
 import org.verbenadyke.kernel.dispatch.Dispatcher;
@@ -27,6 +28,7 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.notice.StartNotices;
 import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.route.GuaranteedShares;
 import org.verbenadyke.kernel.route.Route;
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.serve.Attachment;
@@ -48,6 +50,7 @@
     private final CallServer server;
     private final KeyedBudgets keyedBudgets;
     private final KeyTable keys;
+    private final ImportanceRaising raising;
     private volatile StartNotices notices = StartNotices.of(StartNotices.UNKNOWN_START);
     private final AtomicLong requests = new AtomicLong();
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
@@ -91,6 +94,7 @@
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.withRetention(policy.keyRetentionNanos());
         this.keys = KeyTable.withRetention(policy.keyRetentionNanos());
+        this.raising = ImportanceRaising.of(parts, router.levels(), RequestCosts.empty());
     }
 
     /**
@@ -168,7 +172,7 @@
                 "",
                 routed.service(),
                 routed.content(),
-                parent.map(CallContext::importance).orElse(routed.importance()),
+                parent.map(CallContext::importance).orElseGet(() -> raising.importance(routed, id, now)),
                 parent.map(c -> c.depth() + 1).orElse(0),
                 now + ttl,
                 now + Math.min(ttl, route.targetNanos() - routed.waitedNanos()),
@@ -251,7 +255,7 @@
         if (!notices.isOf(attachment.start())) {
             notices = StartNotices.of(attachment.start());
         }
-        Gate gate = Gate.of(policy.gate(), limit, notices.rate(), parts.timers(), () -> false);
+        Gate gate = Gate.of(policy.gate(), limit, notices.rate(), parts.timers(), raising::takesEffect);
         LocalUpstream local = LocalUpstream.of(attachment, gate, keys, notices, parts.timers());
         server.attach(local);
         return local;
@@ -315,6 +319,15 @@
         return dispatcher;
     }
 
+    /**
+     * Returns the lowest share of a route's requests that is raised to a higher importance.
+     *
+     * @return the share, {@link GuaranteedShares#NO_SHARE} if the route plan raises none
+     */
+    public double guaranteedShare() {
+        return raising.lowestShare();
+    }
+
     private long ttlNanos(InboundRequest inbound) {
         long maxTtl = policy.serve().maxTtlNanos();
         return Math.min(maxTtl, inbound.ttlNanos().orElse(policy.defaultTtlNanos()));
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.engine;
 
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -10,6 +11,7 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
+import org.verbenadyke.kernel.route.RoutePlan;
 import org.verbenadyke.kernel.routing.Location;
 import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.kernel.time.TimerService;
@@ -28,6 +30,7 @@
  * @param ledger checks the invariants
  * @param decisions records decisions for operators
  * @param quarantine quarantines requests that crash upstreams
+ * @param plan the route plan in force, empty if there is none
  * @param keyClaims grants or denies claims of idempotency keys
  * @param keyMessages handles messages about keys from other nodes
  * @param planMessages handles messages about route plans
@@ -44,6 +47,7 @@
         Ledger ledger,
         DecisionLog decisions,
         Quarantine quarantine,
+        Supplier<Optional<RoutePlan>> plan,
         KeyClaims keyClaims,
         BiConsumer<Link, Message> keyMessages,
         BiConsumer<Link, Message> planMessages,
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -0,0 +1,116 @@
+package org.verbenadyke.kernel.engine;
+
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.cost.RequestCosts;
+import org.verbenadyke.kernel.dispatch.Request;
+import org.verbenadyke.kernel.metrics.Event;
+import org.verbenadyke.kernel.route.DeeperServices;
+import org.verbenadyke.kernel.route.GuaranteedShares;
+import org.verbenadyke.kernel.route.RequestClass;
+import org.verbenadyke.kernel.route.RoutePlan;
+import org.verbenadyke.kernel.route.ShareChange;
+import org.verbenadyke.kernel.routing.ServiceLevels;
+import org.verbenadyke.kernel.trace.Decision;
+
+/**
+ * Applies the guaranteed shares of the route plan in force to the requests that enter at this node. Thread-safe.
+ */
+final class ImportanceRaising {
+    private final EngineParts parts;
+    private final DeeperServices services;
+    private final AtomicReference<Current> current = new AtomicReference<>();
+
+    private ImportanceRaising(EngineParts parts, DeeperServices services) {
+        this.parts = parts;
+        this.services = services;
+    }
+
+    static ImportanceRaising of(EngineParts parts, ServiceLevels levels, RequestCosts costs) {
+        return new ImportanceRaising(parts, new LearnedServices(levels, costs));
+    }
+
+    /** Returns whether the plan in force guarantees shares. */
+    boolean takesEffect() {
+        return shares().isPresent();
+    }
+
+    /** Returns the importance of a request that begins a call chain. */
+    Importance importance(RoutedRequest routed, RequestId id, long nowNanos) {
+        Optional<GuaranteedShares> shares = shares();
+        if (shares.isEmpty()) {
+            return routed.importance();
+        }
+        RequestClass requests = new RequestClass(routed.service(), Request.pathClass(routed.content()));
+        shares.get().arrived(routed.route(), routed.team(), requests);
+        Importance importance = shares.get().importance(routed.route(), routed.team(), id, nowNanos);
+        if (importance.compareTo(routed.importance()) > 0) {
+            parts.counters().count(Event.IMPORTANCE_RAISED);
+        }
+        return importance;
+    }
+
+    double lowestShare() {
+        return shares().map(GuaranteedShares::lowestShare).orElse(GuaranteedShares.NO_SHARE);
+    }
+
+    private Optional<GuaranteedShares> shares() {
+        Optional<RoutePlan> plan = parts.plan().get();
+        if (plan.isEmpty()) {
+            return Optional.empty();
+        }
+        Current before = current.get();
+        if (before != null && before.plan == plan.get()) {
+            return before.shares;
+        }
+        Current next = new Current(plan.get(), sharesOf(plan.get()));
+        return current.compareAndSet(before, next) ? next.shares : current.get().shares;
+    }
+
+    private Optional<GuaranteedShares> sharesOf(RoutePlan plan) {
+        return Optional.of(plan)
+                .filter(GuaranteedShares::takesEffect)
+                .map(p -> GuaranteedShares.of(p)
+                        .following(services, this::noteChange, parts.timers().nanos()));
+    }
+
+    private void noteChange(ShareChange change) {
+        parts.decisions().note(new Decision.ShareChanged(change));
+    }
+
+    /**
+     * The shares of one plan.
+     *
+     * @param plan the plan
+     * @param shares its shares, empty if it guarantees none
+     */
+    private record Current(RoutePlan plan, Optional<GuaranteedShares> shares) {}
+
+    /**
+     * What this node has learned from answers.
+     *
+     * @param levels the admission levels of services
+     * @param costs the slot times of requests
+     */
+    private record LearnedServices(ServiceLevels levels, RequestCosts costs) implements DeeperServices {
+        @Override
+        public Set<String> reachedBy(RequestClass requests) {
+            return levels.deeperServices(requests.service(), requests.pathClass());
+        }
+
+        @Override
+        public int level(String service, long nowNanos) {
+            return levels.level(service, nowNanos);
+        }
+
+        @Override
+        public OptionalDouble slotNanos(RequestClass requests, String service, long nowNanos) {
+            return costs.slotNanos(requests.service(), requests.pathClass(), service, nowNanos);
+        }
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
@@ -6,6 +6,7 @@
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.route.Route;
 import org.verbenadyke.kernel.serve.CallContext;
+import org.verbenadyke.kernel.team.Team;
 
 /**
  * A request that was matched to a route.
@@ -13,7 +14,8 @@
  * @param route the route it matched
  * @param service the service chosen by the route's traffic split
  * @param content what is sent to the upstream
- * @param importance its importance, used if it begins a call chain
+ * @param team the team of its caller, empty if it is not known
+ * @param importance its importance according to the route plan, used if it begins a call chain
  * @param parent the call that the colocated upstream was serving when it sent the request; empty if the request begins
  *     a call chain
  * @param ttlNanos the caller's timeout, in nanoseconds
@@ -24,6 +26,7 @@
         Route route,
         String service,
         Message.Content content,
+        Optional<Team> team,
         Importance importance,
         Optional<CallContext> parent,
         long ttlNanos,
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -66,6 +66,8 @@
     RATE_LIMIT_UNREADABLE,
     /** The colocated upstream stated in an answer that it is leaving. */
     UPSTREAM_LEAVING,
+    /** A request was raised to the importance of more important repeatable ones. */
+    IMPORTANCE_RAISED,
     /** An invariant was violated. */
     INVARIANT_BREACHED;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -7,6 +7,7 @@
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.notice.RateChange;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
+import org.verbenadyke.kernel.route.ShareChange;
 
 /**
  * A decision that an operator may want to understand later, with the facts that led to it.
@@ -167,6 +168,13 @@
      */
     record Ejected(String upstream, RequestId chain) implements Decision {}
 
+    /**
+     * The share of a route's requests that is raised to a higher importance changed notably.
+     *
+     * @param change what changed, and the slot times that the share follows from
+     */
+    record ShareChanged(ShareChange change) implements Decision {}
+
     /**
      * The colocated upstream named, changed or ended its rate limit, or named one that can't be read.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.engine;
 
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 import org.verbenadyke.kernel.ledger.Ledger;
@@ -31,6 +32,7 @@
                 Ledger.disabled(),
                 DecisionLog.none(),
                 quarantine,
+                Optional::empty,
                 KeyClaims.unshared(),
                 (link, message) -> {},
                 (link, message) -> {},
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.engine;
 
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
@@ -29,6 +30,7 @@
                     Ledger.disabled(),
                     DecisionLog.none(),
                     Quarantine.standalone(clock),
+                    Optional::empty,
                     KeyClaims.unshared(),
                     (link, message) -> {},
                     (link, message) -> {},
--- a/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -65,6 +65,7 @@
                         .filter(AnnouncedRate::limited)
                         .map(AnnouncedRate::perSecond)
                         .orElse(NO_RATE_LIMIT));
+        text.gauge("guaranteed_share", () -> core.engine().guaranteedShare());
         text.gauge("configuration_version", () -> core.engine().configuration().version());
         text.gauge("links", () -> core.engine().links().size());
         text.gauge("members_present", () -> core.members().present().size());
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -4,6 +4,7 @@
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.verbenadyke.kernel.notice.RateChange;
+import org.verbenadyke.kernel.route.ShareChange;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.kernel.trace.Decision;
 import org.verbenadyke.kernel.trace.DecisionLog;
@@ -48,6 +49,7 @@
     private static final int MAX_CRASH_LINES_PER_SECOND = 64;
 
     private static final int INITIAL_FIELD_CAPACITY = 10;
+    private static final double NANOS_PER_MICRO = 1_000;
 
     private final LineRateLimiter lineBudget;
     private final LineRateLimiter crashLineBudget;
@@ -101,6 +103,7 @@
             case Decision.Ejected d -> "upstream-ejected";
             case Decision.Member d -> "member";
             case Decision.RecordSkipped d -> "record-skipped";
+            case Decision.ShareChanged d -> "share-changed";
             case Decision.RateLimit d -> kind(d.change());
             case Decision.UpstreamLeaving d -> "upstream-leaving";
         };
@@ -165,11 +168,22 @@
                         .with("service", d.service());
             case Decision.RecordSkipped d ->
                 line.with("source", d.source()).with("key", d.key()).with("why", d.reason());
+            case Decision.ShareChanged d -> addFields(line, d.change());
             case Decision.RateLimit d -> addFields(line.with("upstream", d.upstream()), d.change());
             case Decision.UpstreamLeaving d -> line.with("upstream", d.upstream());
         }
     }
 
+    private static void addFields(StringMapMessage line, ShareChange change) {
+        line.with(ROUTE, change.route())
+                .with("importance", change.importance())
+                .with("before", change.before())
+                .with("share", change.share())
+                .with("bottleneck", change.basis().bottleneck())
+                .with("ownSlotUs", Math.round(change.basis().ownNanos() / NANOS_PER_MICRO))
+                .with("aboveSlotUs", Math.round(change.basis().aboveNanos() / NANOS_PER_MICRO));
+    }
+
     private static void addFields(StringMapMessage line, RateChange change) {
         switch (change) {
             case RateChange.Unchanged c -> line.with(PER_SECOND, "");
