--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -204,7 +204,6 @@
                     operation.route(),
                     operation.service(),
                     content,
-                    Optional.empty(),
                     group.importance,
                     Optional.empty(),
                     group.timeoutMillis * Lab.MILLI - elapsed,
--- a/bench/src/test/java/org/verbenadyke/bench/lab/CrashingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CrashingFleet.java
@@ -287,7 +287,6 @@
                     LOOKUP.route(),
                     LOOKUP.service(),
                     content(path, entry.id()),
-                    Optional.empty(),
                     Importance.NORMAL,
                     Optional.empty(),
                     TTL_NANOS,
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -94,7 +94,7 @@
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.withRetention(policy.keyRetentionNanos());
         this.keys = KeyTable.withRetention(policy.keyRetentionNanos());
-        this.raising = ImportanceRaising.of(parts, router.levels(), RequestCosts.empty());
+        this.raising = ImportanceRaising.of(parts, router.levels());
     }
 
     /**
@@ -181,7 +181,7 @@
                 routed.waitedNanos() > 0,
                 parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> RootBudget.of(route.attempts() - 1)),
                 parent.<ChainObserver>map(c -> c).orElseGet(ChainObserver::none));
-        return dispatcher.dispatch(request, sink);
+        return raising.dispatch(dispatcher, routed, request, sink);
     }
 
     /**
@@ -328,6 +328,15 @@
         return raising.lowestShare();
     }
 
+    /**
+     * Returns what is known about the slot time of requests that entered at this node.
+     *
+     * @return the costs; nothing is known unless the route plan guarantees shares or requests ask for it
+     */
+    public RequestCosts costs() {
+        return raising.costs();
+    }
+
     private long ttlNanos(InboundRequest inbound) {
         long maxTtl = policy.serve().maxTtlNanos();
         return Math.min(maxTtl, inbound.ttlNanos().orElse(policy.defaultTtlNanos()));
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -5,9 +5,12 @@
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 
+import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.cost.RequestCosts;
+import org.verbenadyke.kernel.dispatch.CallHandle;
+import org.verbenadyke.kernel.dispatch.Dispatcher;
 import org.verbenadyke.kernel.dispatch.Request;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.route.DeeperServices;
@@ -19,20 +22,22 @@
 import org.verbenadyke.kernel.trace.Decision;
 
 /**
- * Applies the guaranteed shares of the route plan in force to the requests that enter at this node. Thread-safe.
+ * Applies the guaranteed shares of the route plan in force to the requests that enter at this node, and learns the costs
+ * that the shares follow. Thread-safe.
  */
 final class ImportanceRaising {
     private final EngineParts parts;
+    private final RequestCosts costs = RequestCosts.empty();
     private final DeeperServices services;
     private final AtomicReference<Current> current = new AtomicReference<>();
 
-    private ImportanceRaising(EngineParts parts, DeeperServices services) {
+    private ImportanceRaising(EngineParts parts, ServiceLevels levels) {
         this.parts = parts;
-        this.services = services;
+        this.services = new LearnedServices(levels, costs);
     }
 
-    static ImportanceRaising of(EngineParts parts, ServiceLevels levels, RequestCosts costs) {
-        return new ImportanceRaising(parts, new LearnedServices(levels, costs));
+    static ImportanceRaising of(EngineParts parts, ServiceLevels levels) {
+        return new ImportanceRaising(parts, levels);
     }
 
     /** Returns whether the plan in force guarantees shares. */
@@ -55,6 +60,21 @@
         return importance;
     }
 
+    /** Dispatches a request, and learns its cost if it begins a call chain and asks for that. */
+    CallHandle dispatch(Dispatcher dispatcher, RoutedRequest routed, Request request, AnswerSink sink) {
+        boolean learns = routed.parent().isEmpty() && routed.usageRequested();
+        if (!learns) {
+            return dispatcher.dispatch(request, sink);
+        }
+        EntryCost cost = EntryCost.of(request, costs, parts.timers(), sink);
+        return dispatcher.dispatch(request.observedBy(cost), cost);
+    }
+
+    /** Returns what is known about the slot time of requests that entered at this node. */
+    RequestCosts costs() {
+        return costs;
+    }
+
     double lowestShare() {
         return shares().map(GuaranteedShares::lowestShare).orElse(GuaranteedShares.NO_SHARE);
     }
