Request usage where the route plan guarantees shares

Cause: the shares follow the slot times of requests, which nobody requested.

Change: the entry learns the cost of each request that begins a chain if the plan in force ranks a non-repeatable route below a repeatable one.

Ruled out: requesting it only while some level is above 0; the share would be 0.25 until eight answers came after the overload has begun.

--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -60,9 +60,9 @@
         return importance;
     }
 
-    /** Dispatches a request, and learns its cost if it begins a call chain and asks for that. */
+    /** Dispatches a request, and learns its cost if it begins a call chain and the plan or the request asks for that. */
     CallHandle dispatch(Dispatcher dispatcher, RoutedRequest routed, Request request, AnswerSink sink) {
-        boolean learns = routed.parent().isEmpty() && routed.usageRequested();
+        boolean learns = routed.parent().isEmpty() && (routed.usageRequested() || takesEffect());
         if (!learns) {
             return dispatcher.dispatch(request, sink);
         }
