--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -28,6 +28,7 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.notice.StartNotices;
 import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.route.GuaranteedShares;
 import org.verbenadyke.kernel.route.Route;
 import org.verbenadyke.kernel.routing.Router;
 import org.verbenadyke.kernel.serve.Attachment;
@@ -49,7 +50,7 @@
     private final CallServer server;
     private final KeyedBudgets keyedBudgets;
     private final KeyTable keys;
-    private final RequestCosts costs = RequestCosts.empty();
+    private final ImportanceRaising raising;
     private volatile StartNotices notices = StartNotices.of(StartNotices.UNKNOWN_START);
     private final AtomicLong requests = new AtomicLong();
     private final AtomicReference<Configuration> configuration = new AtomicReference<>(Configuration.initial());
@@ -93,6 +94,7 @@
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.withRetention(policy.keyRetentionNanos());
         this.keys = KeyTable.withRetention(policy.keyRetentionNanos());
+        this.raising = ImportanceRaising.of(parts, router.levels());
     }
 
     /**
@@ -170,7 +172,7 @@
                 "",
                 routed.service(),
                 routed.content(),
-                parent.map(CallContext::importance).orElse(routed.importance()),
+                parent.map(CallContext::importance).orElseGet(() -> raising.importance(routed, id, now)),
                 parent.map(c -> c.depth() + 1).orElse(0),
                 now + ttl,
                 now + Math.min(ttl, route.targetNanos() - routed.waitedNanos()),
@@ -179,11 +181,7 @@
                 routed.waitedNanos() > 0,
                 parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> RootBudget.of(route.attempts() - 1)),
                 parent.<ChainObserver>map(c -> c).orElseGet(ChainObserver::none));
-        if (parent.isPresent() || !routed.usageRequested()) {
-            return dispatcher.dispatch(request, sink);
-        }
-        EntryCost cost = EntryCost.of(request, costs, parts.timers(), sink);
-        return dispatcher.dispatch(request.observedBy(cost), cost);
+        return raising.dispatch(dispatcher, routed, request, sink);
     }
 
     /**
@@ -257,7 +255,7 @@
         if (!notices.isOf(attachment.start())) {
             notices = StartNotices.of(attachment.start());
         }
-        Gate gate = Gate.of(policy.gate(), limit, notices.rate(), parts.timers());
+        Gate gate = Gate.of(policy.gate(), limit, notices.rate(), parts.timers(), raising::takesEffect);
         LocalUpstream local = LocalUpstream.of(attachment, gate, keys, notices, parts.timers());
         server.attach(local);
         return local;
@@ -321,13 +319,22 @@
         return dispatcher;
     }
 
+    /**
+     * Returns the lowest share of a route's requests that is raised to a higher importance.
+     *
+     * @return the share, {@link GuaranteedShares#NO_SHARE} if the route plan raises none
+     */
+    public double guaranteedShare() {
+        return raising.lowestShare();
+    }
+
     /**
      * Returns what is known about the slot time of requests that entered at this node.
      *
-     * @return the costs; nothing is known unless requests ask for it, see {@link RoutedRequest#usageRequested}
+     * @return the costs; nothing is known unless the route plan guarantees shares or requests ask for it
      */
     public RequestCosts costs() {
-        return costs;
+        return raising.costs();
     }
 
     private long ttlNanos(InboundRequest inbound) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
@@ -204,10 +204,17 @@
     private CallHandle submit() {
         List<ServiceShare> shares = List.of(new ServiceShare("front", 1));
         Route route = new Route("r", "", "/p/", shares, RequestKind.IDEMPOTENT, TTL_NANOS, TTL_NANOS, 2, 0, true);
-        Optional<CallContext> none = Optional.empty();
-        return entry.submit(
-                new RoutedRequest(route, "front", CONTENT, Importance.NORMAL, none, TTL_NANOS, 0, usageRequested),
-                new RecordingSink(outcomes));
+        RoutedRequest routed = new RoutedRequest(
+                route,
+                "front",
+                CONTENT,
+                Optional.empty(),
+                Importance.NORMAL,
+                Optional.empty(),
+                TTL_NANOS,
+                0,
+                usageRequested);
+        return entry.submit(routed, new RecordingSink(outcomes));
     }
 
     private Engine start(String service, int number) {
