Renew a lease of permits only by a reply of their allocator

Cause: LeasedPermits.add ran for every reply, also for one of a node that does not allocate the team's permits (fromAllocator false) and when that node could not be reached. It set the expiry of the permits in hand to a full lease after the request, while the allocator counted them only until the first lease ended, so that a node could use permits that were granted to another one meanwhile.

Change: add runs only for an allocation. Permits in hand keep their expiry otherwise, and are returned with the next request.

Ruled out: dropping the permits in hand at such a reply. They are still counted at the node that granted them, and are the only ones until a new allocator is agreed upon.

LeaseRenewalTest failed before (12 admitted where 11 are leased) and passes now.

--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/LeasedPermits.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/LeasedPermits.java
@@ -136,7 +136,10 @@
         timeout.cancel();
     }
 
-    /** Adds permits granted by the allocator; they expire a fixed time after they were requested. */
+    /**
+     * Adds permits granted by the allocator and renews the lease of those in hand, since the allocator counts both from
+     * now on; they expire a fixed time after they were requested. Not to be called for the reply of another node.
+     */
     void add(int granted, long now) {
         leased += granted;
         expiresNanos = requestedNanos + settings.leaseNanos();
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
@@ -191,7 +191,7 @@
                 return;
             }
             p.clearPending();
-            p.add(allocation.map(Allocation::granted).orElse(0), now);
+            allocation.ifPresent(a -> p.add(a.granted(), now));
             admitted = p.admitWaiting();
             boolean soon = availableAfterMillis * NANOS_PER_MILLI <= settings.maxWaitNanos() || allocation.isEmpty();
             if (p.hasWaiting() && (!soon || p.waitedNanos(now) > settings.allocatorTimeoutNanos())) {
