Let the permit allocator report the surplus share of a team's demand

Cause: while a service is overloaded, a team that sends many times its usual rate within its limit takes the places of other teams of the same importance.

Change: the allocator keeps two smoothed rates of each team's permits, with time constants of 1 s and 30 s, and reports 1 - 2 * usual / present, from 0 to 0.7, in QuotaReply. The share is 0 in the first 5 s of a team's demand and after 30 s without any. TeamLimiter.surplus selects that share of the requests by a hash of the id that is independent of the rank. Without a reply the share holds for 1 s and fades to 0 at 2 s. The protocol version is 7. Nothing uses the decision yet.

The rates count permits leased less those returned. Ruled out: the permits that nodes ask for, which grow without a surge when a team nears its limit.

--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -14,7 +14,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 6;
+    int VERSION = 7;
 
     /**
      * The first message of both sides.
@@ -96,8 +96,15 @@
      * @param granted permits allocated to the requesting node
      * @param availableAfterMillis the time until another permit is available to the node, in milliseconds; 0 if all
      *     needed permits were granted
+     * @param surplusShare the share of the team's demand that is surplus, from 0 to 1
      */
-    record QuotaReply(long ticket, String team, boolean fromAllocator, int granted, long availableAfterMillis)
+    record QuotaReply(
+            long ticket,
+            String team,
+            boolean fromAllocator,
+            int granted,
+            long availableAfterMillis,
+            double surplusShare)
             implements Message {}
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/LeasedPermits.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/LeasedPermits.java
@@ -36,6 +36,7 @@
     private long countedNanos;
     private int count;
     private double perSecond;
+    private ReportedSurplus surplus = new ReportedSurplus(0, 0);
 
     LeasedPermits(QuotaSettings settings, long now) {
         this.settings = settings;
@@ -140,12 +141,18 @@
      * Adds permits granted by the allocator and renews the lease of those in hand, since the allocator counts both from
      * now on; they expire a fixed time after they were requested. Not to be called for the reply of another node.
      */
-    void add(int granted, long now) {
-        leased += granted;
+    void add(Allocation allocation, long now) {
+        leased += allocation.granted();
+        surplus = ReportedSurplus.of(allocation.surplusShare(), now);
         expiresNanos = requestedNanos + settings.leaseNanos();
         expire(now);
     }
 
+    /** Returns the share of the team's requests that is surplus. */
+    double surplusShare(long now) {
+        return surplus.at(now);
+    }
+
     /** Removes as many waiting requests as there are permits, and returns them as admitted. */
     List<TeamLimiter.AdmissionCallback> admitWaiting() {
         List<TeamLimiter.AdmissionCallback> admitted = new ArrayList<>();
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitAllocator.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitAllocator.java
@@ -18,6 +18,7 @@
     private final Function<String, Optional<Team>> teams;
     private final QuotaSettings settings;
     private final Map<String, PermitBucket> buckets = new ConcurrentHashMap<>();
+    private final Map<String, DemandSurplus> surpluses = new ConcurrentHashMap<>();
 
     private PermitAllocator(
             TimerService timers,
@@ -53,17 +54,33 @@
         }
         Optional<RateLimit> limit = team.get().limit();
         if (limit.isEmpty()) {
-            return Optional.of(new Allocation(demand.requested(), 0));
+            return Optional.of(new Allocation(demand.requested(), 0, 0));
         }
+        long now = timers.nanos();
         PermitBucket bucket = buckets.computeIfAbsent(name, t -> new PermitBucket(settings, directory.sinceNanos()));
+        DemandSurplus surplus = surplus(name, now);
         synchronized (bucket) {
-            return Optional.of(bucket.allocate(node, demand, limit.get(), directory.share(), timers.nanos()));
+            Allocation allocation = bucket.allocate(node, demand, limit.get(), directory.share(), now);
+            surplus.record(allocation.granted() - demand.returned(), now);
+            return Optional.of(allocation.withSurplusShare(surplus.share(now)));
         }
     }
 
-    /** Drops the buckets that other nodes keep now, so that a bucket starts empty if this node gets the team back. */
+    /**
+     * Drops the buckets and the surpluses that other nodes keep now, so that both start empty if this node gets the team
+     * back.
+     */
     void membersChanged() {
         directory.membersChanged();
         buckets.keySet().removeIf(team -> !directory.isLocal(team));
+        surpluses.keySet().removeIf(team -> !directory.isLocal(team));
+    }
+
+    /** Returns the surplus of a team; drops those of teams that have no limit any more when one is added. */
+    private DemandSurplus surplus(String name, long now) {
+        if (!surpluses.containsKey(name)) {
+            surpluses.keySet().removeIf(t -> teams.apply(t).flatMap(Team::limit).isEmpty());
+        }
+        return surpluses.computeIfAbsent(name, t -> DemandSurplus.startingAt(now));
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitBucket.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitBucket.java
@@ -61,7 +61,8 @@
         level -= granted;
         long until = now + settings.leaseNanos() + settings.marginNanos();
         leases.put(node, new Lease(demand.leased() + granted, until));
-        return new Allocation(granted, granted < demand.needed() ? reserve(demand.needed() - granted, rate, now) : 0);
+        long availableAfterMillis = granted < demand.needed() ? reserve(demand.needed() - granted, rate, now) : 0;
+        return new Allocation(granted, availableAfterMillis, 0);
     }
 
     /** Drops expired leases, in order of expiry: until it expired, each counted against the capacity. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
@@ -12,6 +12,7 @@
 
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.dispatch.RetryAfter;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.message.Link;
@@ -39,6 +40,9 @@
     /** The minimum Retry-After delay when no allocator answered, in milliseconds. */
     private static final long UNCERTAIN_RETRY_MILLIS = 300;
 
+    /** Makes the selection of surplus independent of ranks and of other selections by a request's id. */
+    private static final long SURPLUS_SALT = 0x9e3779b97f4a7c15L;
+
     private final Parts parts;
     private final QuotaSettings settings;
     private final Map<String, LeasedPermits> permits = new ConcurrentHashMap<>();
@@ -112,6 +116,26 @@
         admitted.forEach(AdmissionCallback::admitted);
     }
 
+    /**
+     * Returns whether a request belongs to the surplus of its team, which is refused before the requests of others of the
+     * same importance. The hash of the id selects the share that the team's allocator reported.
+     *
+     * @param team the request's team
+     * @param request the request's id
+     * @return whether the request is surplus; false for a team without a limit
+     */
+    public boolean surplus(Team team, RequestId request) {
+        LeasedPermits p = permits.get(team.name());
+        if (p == null || team.limit().isEmpty()) {
+            return false;
+        }
+        double share;
+        synchronized (p) {
+            share = p.surplusShare(parts.timers().nanos());
+        }
+        return request.sample(SURPLUS_SALT) < share;
+    }
+
     /**
      * Handles a message of another node.
      *
@@ -128,14 +152,15 @@
                         m.team(),
                         allocation.isPresent(),
                         allocation.map(Allocation::granted).orElse(0),
-                        allocation.map(Allocation::availableAfterMillis).orElse(0L)));
+                        allocation.map(Allocation::availableAfterMillis).orElse(0L),
+                        allocation.map(Allocation::surplusShare).orElse(0.0)));
             }
             case Message.QuotaReply m ->
                 onAllocation(
                         m.team(),
                         m.ticket(),
                         m.fromAllocator()
-                                ? Optional.of(new Allocation(m.granted(), m.availableAfterMillis()))
+                                ? Optional.of(new Allocation(m.granted(), m.availableAfterMillis(), m.surplusShare()))
                                 : Optional.empty());
             default -> throw new IllegalArgumentException("not a message about permits: " + message);
         }
@@ -191,7 +216,7 @@
                 return;
             }
             p.clearPending();
-            allocation.ifPresent(a -> p.add(a.granted(), now));
+            allocation.ifPresent(a -> p.add(a, now));
             admitted = p.admitWaiting();
             boolean soon = availableAfterMillis * NANOS_PER_MILLI <= settings.maxWaitNanos() || allocation.isEmpty();
             if (p.hasWaiting() && (!soon || p.waitedNanos(now) > settings.allocatorTimeoutNanos())) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
@@ -51,7 +51,7 @@
     }
 
     private void reply(boolean fromAllocator, int granted) {
-        limiter.received(null, new Message.QuotaReply(requests.getLast().ticket(), "t", fromAllocator, granted, 0));
+        limiter.received(null, new Message.QuotaReply(requests.getLast().ticket(), "t", fromAllocator, granted, 0, 0));
     }
 
     @Override
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaFleet.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaFleet.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 
 import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.membership.MemberTable;
@@ -36,6 +37,7 @@
     private final QuotaSettings settings;
     private final Map<String, Team> teams = new HashMap<>();
     private final List<Node> nodes = new ArrayList<>();
+    private double lostReplies;
 
     QuotaFleet(int size, long seed, QuotaTolerance tolerance) {
         this.random = new SplittableRandom(seed);
@@ -86,6 +88,16 @@
         nodes.get(node).limiter.admit(teams.get(team), callback);
     }
 
+    /** Returns whether a request belongs to the surplus of its team, as the node where it entered sees it. */
+    boolean surplus(int node, String team, RequestId request) {
+        return nodes.get(node).limiter.surplus(teams.get(team), request);
+    }
+
+    /** Loses a share of the replies to requests for permits from now on. */
+    void loseReplies(double share) {
+        lostReplies = share;
+    }
+
     void returnPermit(int node, String team) {
         nodes.get(node).limiter.returnPermit(teams.get(team));
     }
@@ -212,6 +224,9 @@
 
         @Override
         public void send(Message message) {
+            if (lostReplies > 0 && random.nextDouble() < lostReplies) {
+                return;
+            }
             clock.after(requester.hop(), () -> {
                 if (requester.running && requester.limiter == limiter && requester.group == responder.group) {
                     limiter.received(this, message);
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaModelTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaModelTest.java
@@ -94,7 +94,7 @@
             if (arrives) {
                 Allocation allocation = bucket.allocate(node, demand, LIMIT, 1, now);
                 if (answered) {
-                    permits.add(allocation.granted(), now);
+                    permits.add(allocation, now);
                 }
             }
             permits.clearPending();
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
@@ -0,0 +1,122 @@
+package org.verbenadyke.kernel.quota;
+
+import java.util.function.IntUnaryOperator;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.team.Team;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against surplus that outlives its allocator, and against surplus that a fault or a low limit brings about. */
+final class SurplusFleetTest {
+    private static final int NODES = 12;
+    private static final double USUAL = 50;
+    private static final double SURGE = 300;
+    private static final double HIGH_LIMIT = 1_000;
+
+    private final QuotaFleet fleet = new QuotaFleet(NODES, 41, QuotaTolerance.none());
+    private IntUnaryOperator entryNode = node -> node;
+    private double perSecond = USUAL;
+    private int admitted;
+    private int ranked;
+    private long sequence;
+
+    @Test
+    void aTeamThatRisesToItsLimitHasNone() {
+        start(USUAL * 1.6);
+        perSecond = USUAL * 1.7;
+        assertEquals(0, rankedShare(10));
+    }
+
+    @Test
+    void aTeamWithoutALimitHasNone() {
+        start(HIGH_LIMIT);
+        perSecond = SURGE;
+        assertTrue(rankedShare(3) > 0.3);
+        assertFalse(fleet.surplus(0, "free", new RequestId(1, 1)));
+    }
+
+    @Test
+    void lostRepliesNeitherBringAboutSurplusNorHideIt() {
+        start(HIGH_LIMIT);
+        fleet.loseReplies(0.3);
+        assertEquals(0, rankedShare(10), "steady");
+        perSecond = SURGE;
+        double share = rankedShare(4);
+        assertTrue(share > 0.2, "surging: " + share);
+    }
+
+    @Test
+    void aNewAllocatorStartsWithoutSurplus() {
+        start(HIGH_LIMIT);
+        perSecond = SURGE;
+        double before = rankedShare(3);
+        fleet.kill(fleet.allocator(0, "t"));
+        rankedShare(2);
+        double after = rankedShare(5);
+        assertTrue(before > 0.3 && after == 0, "before " + before + ", after " + after);
+    }
+
+    @Test
+    void surplusEndsAtANodeThatIsCutOff() {
+        start(HIGH_LIMIT);
+        perSecond = SURGE;
+        rankedShare(3);
+        int node = (fleet.allocator(0, "t") + 1) % NODES;
+        fleet.partition(node, 1);
+        entryNode = n -> node;
+        rankedShare(2);
+        assertEquals(0, rankedShare(2));
+    }
+
+    private void start(double limit) {
+        fleet.putTeam(QuotaReplayTest.team("t", limit, limit));
+        fleet.putTeam(Team.named("free"));
+        fleet.clock().advance(5 * QuotaFleet.SECOND);
+        send();
+        assertEquals(0, rankedShare(40), "at the usual rate");
+    }
+
+    /** Returns the share of the admitted requests of the next seconds that are surplus. */
+    private double rankedShare(int seconds) {
+        admitted = 0;
+        ranked = 0;
+        fleet.clock().advance(seconds * QuotaFleet.SECOND);
+        return (double) ranked / admitted;
+    }
+
+    private void send() {
+        long gap = (long) (-Math.log(1 - fleet.random().nextDouble()) * QuotaFleet.SECOND / perSecond);
+        fleet.clock().after(gap, () -> {
+            int node = entryNode.applyAsInt(fleet.random().nextInt(NODES));
+            if (fleet.running(node)) {
+                fleet.admit(node, "t", new Entry(node));
+            }
+            send();
+        });
+    }
+
+    /** Counts a request, and whether it is surplus at the node where it entered. */
+    private final class Entry implements TeamLimiter.AdmissionCallback {
+        private final int node;
+
+        private Entry(int node) {
+            this.node = node;
+        }
+
+        @Override
+        public void admitted() {
+            admitted++;
+            ranked += fleet.surplus(node, "t", new RequestId(1, sequence++)) ? 1 : 0;
+        }
+
+        @Override
+        public void refused(Refusal refusal) {
+            // Only admitted requests are ranked.
+        }
+    }
+}
--- a/wire/src/main/java/org/verbenadyke/wire/QuotaCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/QuotaCodec.java
@@ -30,11 +30,11 @@
 
     static void pack(MessagePacker p, Message.QuotaReply m) throws IOException {
         p.packLong(m.ticket()).packString(m.team()).packBoolean(m.fromAllocator());
-        p.packInt(m.granted()).packLong(m.availableAfterMillis());
+        p.packInt(m.granted()).packLong(m.availableAfterMillis()).packDouble(m.surplusShare());
     }
 
     static Message.QuotaReply unpackReply(MessageUnpacker u) throws IOException {
         return new Message.QuotaReply(
-                u.unpackLong(), u.unpackString(), u.unpackBoolean(), u.unpackInt(), u.unpackLong());
+                u.unpackLong(), u.unpackString(), u.unpackBoolean(), u.unpackInt(), u.unpackLong(), u.unpackDouble());
     }
 }
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -63,7 +63,7 @@
             new Message.PlanRequest(),
             new Message.PlanReply(new byte[] {1, 2}),
             new Message.QuotaRequest(1L << 40, "me", "team", 1, 2, 3, 4),
-            new Message.QuotaReply(1L << 40, "team", true, 5, 6));
+            new Message.QuotaReply(1L << 40, "team", true, 5, 6, 0.25));
 
     @Test
     void everyMessageIsDecodedAsEncoded() {
