Rank the surplus of a team below other requests of its importance

Calls inside a chain are ranked as before. The surplus of returning callers is not prioritized. The id that the decision is made for is created by Engine.newRequestId and carried by RoutedRequest. Each such request counts as surplus-ranked.

--- a/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
@@ -26,6 +26,12 @@
      */
     private static final int RETURNING_CALLER_BOOST = 96;
 
+    /**
+     * The ranks at the bottom of a band for the surplus of teams. Few, so that nearly all surplus is refused before other
+     * requests of the band; more than one, so that a level can refuse a part of it.
+     */
+    private static final int SURPLUS_RANKS = 8;
+
     /**
      * Combines importance and bucket into the rank that is compared with the admission level.
      *
@@ -37,4 +43,14 @@
         int scaledBucket = request.bucket() * (RequestId.BUCKETS - RETURNING_CALLER_BOOST) / RequestId.BUCKETS;
         return ordinal() * RequestId.BUCKETS + scaledBucket + (returning ? RETURNING_CALLER_BOOST : 0);
     }
+
+    /**
+     * Returns the rank of a request that belongs to the surplus of its team.
+     *
+     * @param request the request
+     * @return the rank, at the bottom of the band of this importance
+     */
+    public int surplusRank(RequestId request) {
+        return ordinal() * RequestId.BUCKETS + request.bucket() * SURPLUS_RANKS / RequestId.BUCKETS;
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -141,13 +141,17 @@
 
     /**
      * Returns the rank that a request is routed by; a call inside a chain gets a rank above every admission level if
-     * the settings exempt such calls.
+     * the settings exempt such calls. The surplus of a team is not prioritized when its caller retries: otherwise the
+     * retries of a surge would displace new requests of other teams.
      */
     int rank(Request request) {
         boolean exempt = settings.nestedCallsExempt() && request.depth() > 0;
         if (exempt) {
             return Importance.RANKS;
         }
+        if (request.surplus()) {
+            return request.importance().surplusRank(request.id());
+        }
         return request.importance().rank(request.id(), callerRetries.prioritized(request, parts.timers.nanos()));
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
@@ -19,6 +19,7 @@
  * @param idempotent whether the request may run more than once
  * @param key the idempotency key, empty if none
  * @param returning whether the caller was refused before and retries after a Retry-After
+ * @param surplus whether the request belongs to the surplus of its team
  * @param budget the retry budget
  * @param observer is notified of the outcome
  */
@@ -34,6 +35,7 @@
         boolean idempotent,
         String key,
         boolean returning,
+        boolean surplus,
         RetryBudget budget,
         ChainObserver observer) {
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -125,7 +125,7 @@
      */
     public CallHandle submit(InboundRequest inbound, AnswerSink sink) {
         parts.counters().count(Event.REQUEST_IN);
-        RequestId id = new RequestId(parts.incarnation(), requests.incrementAndGet());
+        RequestId id = newRequestId();
         Configuration config = configuration.get();
         Message.Content content = inbound.content();
         Importance importance = config.importance(inbound.service(), content.method(), content.path());
@@ -141,11 +141,21 @@
                 inbound.idempotent(),
                 inbound.key(),
                 false,
+                false,
                 rootBudget(inbound, id, config),
                 ChainObserver.none());
         return dispatcher.dispatch(request, sink);
     }
 
+    /**
+     * Creates the id of a request that is about to be submitted.
+     *
+     * @return the id, unique among all requests of all nodes
+     */
+    public RequestId newRequestId() {
+        return new RequestId(parts.incarnation(), requests.incrementAndGet());
+    }
+
     /**
      * Dispatches a request whose route was found in the plan in force. Its retries are bounded by the route's attempts;
      * the calls made to serve it share the retries that are left.
@@ -161,8 +171,10 @@
         long ttl = Math.min(
                 routed.ttlNanos(), Math.min(route.timeoutNanos(), policy.serve().maxTtlNanos()));
         Optional<CallContext> parent = routed.parent();
-        RequestId id = parent.map(CallContext::request)
-                .orElseGet(() -> new RequestId(parts.incarnation(), requests.incrementAndGet()));
+        RequestId id = parent.map(CallContext::request).or(routed::id).orElseGet(this::newRequestId);
+        if (routed.surplus()) {
+            parts.counters().count(Event.SURPLUS_RANKED);
+        }
         Request request = new Request(
                 id,
                 "",
@@ -175,6 +187,7 @@
                 route.kind().repeatable(),
                 "",
                 routed.waitedNanos() > 0,
+                routed.surplus(),
                 parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> RootBudget.of(route.attempts() - 1)),
                 parent.<ChainObserver>map(c -> c).orElseGet(ChainObserver::none));
         return dispatcher.dispatch(request, sink);
@@ -211,6 +224,7 @@
                 inbound.idempotent(),
                 inbound.key(),
                 false,
+                false,
                 budget,
                 c);
         return Optional.of(dispatcher.dispatch(request, sink));
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -66,6 +66,8 @@
     RATE_LIMIT_UNREADABLE,
     /** The colocated upstream stated in an answer that it is leaving. */
     UPSTREAM_LEAVING,
+    /** A request was ranked below others of its importance, as surplus of its team. */
+    SURPLUS_RANKED,
     /** An invariant was violated. */
     INVARIANT_BREACHED;
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/CallerRetryPolicyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/CallerRetryPolicyTest.java
@@ -79,6 +79,7 @@
                 true,
                 "",
                 returning,
+                false,
                 RootBudget.of(1),
                 ChainObserver.none());
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -42,6 +42,7 @@
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final Counters counters = Counters.create();
     private final List<String> got = new ArrayList<>();
+    private boolean surplus;
     private final SplittableRandom random = new SplittableRandom(1);
     private final Router router = Router.create("me", PLACE, 8, new TwoChoicesProvider().create(), () -> random, true);
     private final List<RecordingLink> links = new ArrayList<>(List.of(new RecordingLink()));
@@ -191,6 +192,25 @@
         assertTrue(got.get(1).startsWith("refused NOT_RUN SHED_EARLY"), got.toString());
     }
 
+    /** Guards against surplus of a team that is served before, or instead of, others of its importance. */
+    @Test
+    void refusesSurplusAtTheFirstLevelOfItsBand() {
+        int level = Importance.NORMAL.ordinal() * RequestId.BUCKETS + 8;
+        Message.Report first = new Message.Report(10, 10, level, level, false, Message.DeeperLevel.NONE);
+        send(true, 0);
+        for (int i = 0; i < calls().size(); i++) {
+            dispatcher.received(
+                    link, new Message.Refused(calls().get(i).id(), notRun(RefusalReason.SHED_LEVEL), first));
+        }
+        int before = calls().size();
+        surplus = true;
+        send(true, 0);
+        assertEquals(before, calls().size(), "surplus is not sent");
+        surplus = false;
+        send(true, 0);
+        assertEquals(before + 1, calls().size(), "the same request is sent when it is no surplus");
+    }
+
     /**
      * The refused call never reached the upstream, so sending the request elsewhere is no retry; another upstream may
      * admit its rank.
@@ -258,6 +278,7 @@
                 idempotent,
                 "",
                 false,
+                surplus,
                 RootBudget.of(budget),
                 ChainObserver.none());
         dispatcher.dispatch(request, new RecordingSink(got));
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
@@ -83,6 +83,7 @@
                 false,
                 "",
                 false,
+                false,
                 budget,
                 ChainObserver.none());
     }
