--- a/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/Importance.java
@@ -27,8 +27,8 @@
     private static final int RETURNING_CALLER_BOOST = 96;
 
     /**
-     * The ranks at the bottom of a band for the surplus of teams. Few, so that nearly all surplus is refused before other
-     * requests of the band; more than one, so that a level can refuse a part of it.
+     * The ranks at the bottom of a band for the surplus of teams. Few, so that nearly all surplus is refused before
+     * other requests of the band; more than one, so that a level can refuse a part of it.
      */
     private static final int SURPLUS_RANKS = 8;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/DemandSurplus.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/DemandSurplus.java
@@ -9,12 +9,12 @@
  */
 final class DemandSurplus {
     /**
-     * The maximum share. The rest of the team's requests is served like those of other teams, so that the team is served
-     * at least 0.3 times as often as they are; the guarantee is a quarter.
+     * The maximum share. The rest of the team's requests is served like those of other teams, so that the team is
+     * served at least 0.3 times as often as they are; the guarantee is a quarter.
      */
     static final double MAX_SHARE = 0.7;
 
-    /** The time constant of the present rate, in seconds: shorter than a surge, longer than the gaps between requests. */
+    /** The time constant of the present rate, in seconds: shorter than a surge, as long as permits last at a node. */
     private static final double PRESENT_SECONDS = 1;
 
     /** The time constant of the usual rate, in seconds: several times the length of a surge. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitAllocator.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitAllocator.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Drops the buckets and the surpluses that other nodes keep now, so that both start empty if this node gets the team
-     * back.
+     * Drops the buckets and the surpluses that other nodes keep now, so that both start empty if this node gets the
+     * team back.
      */
     void membersChanged() {
         directory.membersChanged();
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/TeamLimiter.java
@@ -117,8 +117,8 @@
     }
 
     /**
-     * Returns whether a request belongs to the surplus of its team, which is refused before the requests of others of the
-     * same importance. The hash of the id selects the share that the team's allocator reported.
+     * Returns whether a request belongs to the surplus of its team, which is refused before the requests of others of
+     * the same importance. The hash of the id selects the share that the team's allocator reported.
      *
      * @param team the request's team
      * @param request the request's id
