--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -222,14 +222,14 @@
                     new byte[0]);
             long elapsed = lab.clock().nanos() - firstSentNanos;
             RoutedRequest routed = new RoutedRequest(
-                    operation.route(),
-                    operation.service(),
-                    content,
-                    group.importance,
-                    Optional.empty(),
-                    group.timeoutMillis * Lab.MILLI - elapsed,
-                    elapsed,
-                    usageRequested);
+                            operation.route(),
+                            operation.service(),
+                            content,
+                            group.importance,
+                            Optional.empty(),
+                            group.timeoutMillis * Lab.MILLI - elapsed,
+                            elapsed)
+                    .withUsageRequested(usageRequested);
             handle = entry.node().core().engine().submit(routed, this);
         }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RequestId.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RequestId.java
@@ -14,10 +14,8 @@
     private static final long MIX_2 = 0xc4ceb9fe1a85ec53L;
     private static final int HALF_SHIFT = 33;
 
-    /** The hash bits that {@link #fraction} uses, and the value of the last one. */
-    private static final int FRACTION_BITS = 53;
-
-    private static final double FRACTION_UNIT = 0x1p-53;
+    /** Bits of a sample: as many as a double holds exactly. */
+    private static final int SAMPLE_BITS = 53;
 
     /**
      * Hashes the id evenly into a bucket, the same on every node, so that admission is consistent along the chain.
@@ -25,22 +23,22 @@
      * @return the bucket, from 0 to {@link #BUCKETS} - 1
      */
     public int bucket() {
-        return (int) (hash() & (BUCKETS - 1));
+        return (int) (mix(incarnation * MIX_2 + sequence) & (BUCKETS - 1));
     }
 
     /**
-     * Hashes the id evenly into a number, the same on every node, to select a share of the requests. It is independent
-     * of the bucket, so that the selected requests spread over all ranks of an importance.
+     * Hashes the id evenly into a number, the same on every node and independent of the bucket.
      *
-     * @return the number, from 0 inclusive to 1 exclusive
+     * @param salt names the decision that the number is for; different salts give independent numbers
+     * @return the number, from 0 to less than 1
      */
-    public double fraction() {
-        return (hash() >>> (Long.SIZE - FRACTION_BITS)) * FRACTION_UNIT;
+    public double sample(long salt) {
+        long h = mix(mix(incarnation * MIX_2 + sequence) + salt);
+        return (double) (h >>> (Long.SIZE - SAMPLE_BITS)) / (1L << SAMPLE_BITS);
     }
 
-    private long hash() {
-        long h = incarnation * MIX_2 + sequence;
-        h = (h ^ (h >>> HALF_SHIFT)) * MIX_1;
+    private static long mix(long bits) {
+        long h = (bits ^ (bits >>> HALF_SHIFT)) * MIX_1;
         h = (h ^ (h >>> HALF_SHIFT)) * MIX_2;
         return h ^ (h >>> HALF_SHIFT);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.route.Route;
 import org.verbenadyke.kernel.serve.CallContext;
@@ -23,6 +24,8 @@
  *     its Retry-After delay
  * @param usageRequested whether the slot time of the request is to be learned even if the route plan does not need it;
  *     ignored if there is a parent, whose own call decides it
+ * @param id the request's id; empty if the engine is to create one, or if the request continues a call chain
+ * @param surplus whether the request belongs to the surplus of its team, and is refused before others of its importance
  */
 public record RoutedRequest(
         Route route,
@@ -33,9 +36,12 @@
         Optional<CallContext> parent,
         long ttlNanos,
         long waitedNanos,
-        boolean usageRequested) {
+        boolean usageRequested,
+        Optional<RequestId> id,
+        boolean surplus) {
     /**
-     * Creates a request whose team is not known and whose slot time is learned only if the route plan needs it.
+     * Creates a request whose team is not known, that is no surplus, whose slot time is learned only if the route plan
+     * needs it, and whose id the engine creates.
      *
      * @param route the route it matched
      * @param service the service chosen by the route's traffic split
@@ -53,6 +59,71 @@
             Optional<CallContext> parent,
             long ttlNanos,
             long waitedNanos) {
-        this(route, service, content, Optional.empty(), importance, parent, ttlNanos, waitedNanos, false);
+        this(
+                route,
+                service,
+                content,
+                Optional.empty(),
+                importance,
+                parent,
+                ttlNanos,
+                waitedNanos,
+                false,
+                Optional.empty(),
+                false);
+    }
+
+    /**
+     * Returns the request with the team of its caller.
+     *
+     * @param callerTeam the team, empty if it is not known
+     * @return the request
+     */
+    public RoutedRequest withTeam(Optional<Team> callerTeam) {
+        return new RoutedRequest(
+                route,
+                service,
+                content,
+                callerTeam,
+                importance,
+                parent,
+                ttlNanos,
+                waitedNanos,
+                usageRequested,
+                id,
+                surplus);
+    }
+
+    /**
+     * Returns the request with the decision whether its slot time is to be learned in any case.
+     *
+     * @param requested whether it is
+     * @return the request
+     */
+    public RoutedRequest withUsageRequested(boolean requested) {
+        return new RoutedRequest(
+                route, service, content, team, importance, parent, ttlNanos, waitedNanos, requested, id, surplus);
+    }
+
+    /**
+     * Returns the request with an id and the decision whether it is surplus.
+     *
+     * @param requestId the id that the decision was made for
+     * @param isSurplus whether the request belongs to the surplus of its team
+     * @return the request
+     */
+    public RoutedRequest withSurplus(RequestId requestId, boolean isSurplus) {
+        return new RoutedRequest(
+                route,
+                service,
+                content,
+                team,
+                importance,
+                parent,
+                ttlNanos,
+                waitedNanos,
+                usageRequested,
+                Optional.of(requestId),
+                isSurplus);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -68,6 +68,8 @@
     UPSTREAM_LEAVING,
     /** A request was raised to the importance of more important repeatable ones. */
     IMPORTANCE_RAISED,
+    /** A request was ranked below others of its importance, as surplus of its team. */
+    SURPLUS_RANKED,
     /** An invariant was violated. */
     INVARIANT_BREACHED;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -34,6 +34,9 @@
     /** The weight of one step of importance: a write at full share takes at most half the slot time of a read. */
     private static final double STEP_WEIGHT = 2;
 
+    /** Makes the selection of raised requests independent of ranks and of other selections by a request's id. */
+    private static final long RAISED_SALT = 0x632be59bd9b4e019L;
+
     /** How often the shares are computed: once per period in which levels change. */
     private static final long REFRESH_NANOS = 300_000_000L;
 
@@ -121,7 +124,7 @@
     public Importance importance(Route route, Optional<Team> team, RequestId request, long nowNanos) {
         learned.ifPresent(l -> refreshIfDue(l, nowNanos));
         return kind(route, team)
-                .filter(k -> request.fraction() < k.share)
+                .filter(k -> request.sample(RAISED_SALT) < k.share)
                 .flatMap(k -> k.raisedTo)
                 .orElseGet(() -> plan.importance(route, team));
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
@@ -205,15 +205,8 @@
         List<ServiceShare> shares = List.of(new ServiceShare("front", 1));
         Route route = new Route("r", "", "/p/", shares, RequestKind.IDEMPOTENT, TTL_NANOS, TTL_NANOS, 2, 0, true);
         RoutedRequest routed = new RoutedRequest(
-                route,
-                "front",
-                CONTENT,
-                Optional.empty(),
-                Importance.NORMAL,
-                Optional.empty(),
-                TTL_NANOS,
-                0,
-                usageRequested);
+                        route, "front", CONTENT, Importance.NORMAL, Optional.empty(), TTL_NANOS, 0)
+                .withUsageRequested(usageRequested);
         return entry.submit(routed, new RecordingSink(outcomes));
     }
 
