--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetOperation.java
@@ -52,6 +52,11 @@
                 name, service, once, workMillis, targetMillis, timeoutMillis, nestedCalls, parallel, other);
     }
 
+    /** Returns the class of paths of its requests from callers. */
+    String pathClass() {
+        return (once ? "POST" : "GET") + " /" + name;
+    }
+
     Route route() {
         return new Route(
                 name,
