Test that a share is raised to the reads of the same team only

Cause: callers without a team have the lowest importance, as the writes of the least urgent team; held by importance alone, their missing reads would hide the share of that team.

--- a/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
@@ -6,13 +6,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.team.Team;
+import org.verbenadyke.kernel.team.TeamDirectory;
+import org.verbenadyke.kernel.team.TeamEntry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -96,10 +101,28 @@
         assertTrue(GuaranteedShares.takesEffect(plan(WRITE, READ)));
     }
 
+    /** Callers without a team share the lowest importance with the least urgent team, but have no reads above it. */
+    @Test
+    void raisesOnlyToTheReadsOfTheSameTeam() {
+        Team urgent = new Team("urgent", OptionalInt.of(0), Optional.empty());
+        Team other = new Team("other", OptionalInt.of(1), Optional.empty());
+        List<TeamEntry> entries =
+                Stream.of(urgent, other).map(t -> new TeamEntry(t, List.of())).toList();
+        GuaranteedShares ofTeams =
+                GuaranteedShares.of(plan(WRITE, READ, DIRECT).servingTeams(TeamDirectory.of(entries)));
+        assertEquals(GuaranteedShares.MIN_SHARE, raisedShare(ofTeams, Optional.of(other)), TOLERANCE);
+        assertEquals(0, raisedShare(ofTeams, Optional.empty()));
+        assertEquals(Importance.HIGH, ofTeams.importance(WRITE, Optional.of(urgent), new RequestId(5, 1), 0));
+    }
+
     private double raisedShare() {
+        return raisedShare(shares, Optional.empty());
+    }
+
+    private static double raisedShare(GuaranteedShares of, Optional<Team> team) {
         int raised = 0;
         for (int i = 0; i < REQUESTS; i++) {
-            Importance importance = shares.importance(WRITE, Optional.empty(), new RequestId(5, i), SECOND);
+            Importance importance = of.importance(WRITE, team, new RequestId(5, i), SECOND);
             raised += importance == Importance.NORMAL ? 1 : 0;
         }
         return (double) raised / REQUESTS;
