Decide which request bodies may be held in memory

Cause: a node reads and holds every body of up to 2 MB. With routes of kind upload some tens of such bodies fill its heap.

BodyMemory applies it while the plan has upload routes: one budget for requests that enter at the node and one for the calls beside its upstream. A wait ends after an eighth of the tightest target latency of the upload routes. Bodies of up to 16 KB are not counted.

Ruled out: one budget for both kinds of bodies. Nodes filled by entering requests would refuse each other's calls, and a body as large as the limit could not be served by the node it entered at. Letting small bodies overtake in the queue: a stream of them would keep a large one waiting.

--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
@@ -0,0 +1,191 @@
+package org.verbenadyke.kernel.body;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import org.verbenadyke.kernel.dispatch.RetryAfter;
+import org.verbenadyke.kernel.route.RoutePlan;
+import org.verbenadyke.kernel.time.TimerService;
+
+/**
+ * The memory of one node for request bodies: of the requests that enter at it, and of the calls that it holds for
+ * the colocated upstream. Limited while the route plan has upload routes. Thread-safe.
+ *
+ * <p>The two kinds of bodies have separate budgets of the same size. With a common one, nodes whose memory is filled by
+ * entering requests would refuse each other's calls, and none of those requests would end.
+ */
+public final class BodyMemory {
+    /**
+     * The default limit for each kind of bodies, in bytes. A body exists twice while it is passed on, as the request
+     * and as the message to the next hop, so that both kinds together take at most 32 MB of an 80 MB heap. The copies
+     * in the buffers of sockets take at most 16 MB of 32 MB direct memory.
+     */
+    public static final long DEFAULT_BYTES = 8L * 1024 * 1024;
+
+    /** The smallest limit, in bytes: the largest body that a node accepts. */
+    public static final long MIN_BYTES = 2L * 1024 * 1024;
+
+    /**
+     * The largest body that is not counted, in bytes: as much as the head of a request may take, which is not limited
+     * either. Important requests with small bodies thus never wait behind uploads.
+     */
+    public static final int MAX_UNCOUNTED_BYTES = 16 * 1024;
+
+    /**
+     * The part of the tightest target latency for which a request may wait. The rest suffices for reading the body and
+     * for the answer.
+     */
+    private static final long WAIT_DIVISOR = 8;
+
+    /** The part of the tightest target latency after which a refused caller may retry: bodies are released by then. */
+    private static final long RETRY_AFTER_DIVISOR = 4;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final BodyBudget entering;
+    private final BodyBudget calls;
+    private final TimerService timers;
+    private final Supplier<Optional<RoutePlan>> plan;
+    private final Supplier<RandomGenerator> random;
+
+    private BodyMemory(
+            long limitBytes,
+            TimerService timers,
+            Supplier<Optional<RoutePlan>> plan,
+            Supplier<RandomGenerator> random) {
+        this.entering = BodyBudget.of(limitBytes);
+        this.calls = BodyBudget.of(limitBytes);
+        this.timers = timers;
+        this.plan = plan;
+        this.random = random;
+    }
+
+    /**
+     * Creates the memory of a node.
+     *
+     * @param limitBytes the limit for each kind of bodies, in bytes
+     * @param timers the clock and timers
+     * @param plan supplies the route plan in force
+     * @param random supplies the random generator of the current thread
+     * @return the memory
+     */
+    public static BodyMemory of(
+            long limitBytes,
+            TimerService timers,
+            Supplier<Optional<RoutePlan>> plan,
+            Supplier<RandomGenerator> random) {
+        return new BodyMemory(limitBytes, timers, plan, random);
+    }
+
+    /**
+     * Creates the memory of a node without route plans, which counts no bodies.
+     *
+     * @param timers the clock and timers
+     * @return the memory
+     */
+    public static BodyMemory unlimited(TimerService timers) {
+        return of(DEFAULT_BYTES, timers, Optional::empty, () -> {
+            throw new IllegalStateException("no body is refused without a route plan");
+        });
+    }
+
+    /**
+     * Returns whether a body needs a reservation.
+     *
+     * @param bytes its size, in bytes
+     * @return whether it does, under the route plan in force
+     */
+    public boolean counts(long bytes) {
+        return bytes > MAX_UNCOUNTED_BYTES && tightestTargetNanos().isPresent();
+    }
+
+    /**
+     * Reserves memory for the body of an entering request.
+     *
+     * @param bytes its size, or the most that it may have, in bytes; at most {@link #MIN_BYTES}
+     * @param listener is notified of a reservation that has to wait, on any thread
+     * @return the reservation; the body may be read once it is granted
+     */
+    public BodyReservation reserve(long bytes, Listener listener) {
+        OptionalLong target = tightestTargetNanos();
+        if (!counts(bytes) || target.isEmpty()) {
+            return BodyReservation.none();
+        }
+        BodyReservation reservation = entering.reserve(bytes, listener::granted);
+        if (!reservation.granted()) {
+            timers.after(target.getAsLong() / WAIT_DIVISOR, () -> {
+                if (reservation.withdraw()) {
+                    listener.refused();
+                }
+            });
+        }
+        return reservation;
+    }
+
+    /**
+     * Reserves memory for the body of a call, without waiting.
+     *
+     * @param bytes its size, in bytes
+     * @return the reservation, empty if the body does not fit
+     */
+    public Optional<BodyReservation> reserveCall(long bytes) {
+        return counts(bytes) ? calls.tryReserve(bytes) : Optional.of(BodyReservation.none());
+    }
+
+    /**
+     * Draws the Retry-After delay of a request that was refused for lack of memory.
+     *
+     * @return the delay, in milliseconds; 0 if no bodies are counted
+     */
+    public long retryAfterMillis() {
+        OptionalLong target = tightestTargetNanos();
+        return target.isEmpty()
+                ? 0
+                : RetryAfter.spread(target.getAsLong() / RETRY_AFTER_DIVISOR / NANOS_PER_MILLI, random.get());
+    }
+
+    /**
+     * Returns the bytes reserved for the bodies of entering requests.
+     *
+     * @return the bytes
+     */
+    public long enteringBytes() {
+        return entering.heldBytes();
+    }
+
+    /**
+     * Returns the bytes reserved for the bodies of calls.
+     *
+     * @return the bytes
+     */
+    public long callBytes() {
+        return calls.heldBytes();
+    }
+
+    /**
+     * Returns the number of entering requests that wait for memory.
+     *
+     * @return the number
+     */
+    public int waiting() {
+        return entering.waiting();
+    }
+
+    private OptionalLong tightestTargetNanos() {
+        Optional<RoutePlan> current = plan.get();
+        return current.isPresent() ? current.get().tightestUploadTargetNanos() : OptionalLong.empty();
+    }
+
+    /**
+     * Is notified of a reservation that had to wait. At most one of the methods is called, once.
+     */
+    public interface Listener {
+        /** Called when the reservation is granted. */
+        void granted();
+
+        /** Called when the reservation waited for too long; it is withdrawn. */
+        void refused();
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.team.Team;
@@ -18,6 +19,7 @@
     private final Optional<TeamDirectory> teams;
     private final RouteIndex index;
     private final PriorityBands bands;
+    private final OptionalLong tightestUploadTargetNanos;
 
     private RoutePlan(
             long version,
@@ -32,6 +34,10 @@
         this.teams = teams;
         this.index = RouteIndex.of(this.routes);
         this.bands = PriorityBands.of(this.routes, teams);
+        this.tightestUploadTargetNanos = this.routes.stream()
+                .filter(r -> r.kind() == RequestKind.UPLOAD)
+                .mapToLong(Route::targetNanos)
+                .min();
     }
 
     /**
@@ -102,6 +108,15 @@
         return teams;
     }
 
+    /**
+     * Returns the tightest target latency of the routes of kind {@link RequestKind#UPLOAD}.
+     *
+     * @return the target latency in nanoseconds, empty if there is no such route
+     */
+    public OptionalLong tightestUploadTargetNanos() {
+        return tightestUploadTargetNanos;
+    }
+
     /**
      * Returns the importance of the requests of a route.
      *
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/body/BodyMemoryTest.java
@@ -0,0 +1,113 @@
+package org.verbenadyke.kernel.body;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.route.RequestKind;
+import org.verbenadyke.kernel.route.RequestLimits;
+import org.verbenadyke.kernel.route.Route;
+import org.verbenadyke.kernel.route.RoutePlan;
+import org.verbenadyke.kernel.time.VirtualTimerService;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Tests {@link BodyMemory}. */
+final class BodyMemoryTest {
+    private static final long MILLI = 1_000_000L;
+    private static final long LIMIT = BodyMemory.MIN_BYTES;
+    private static final long SMALL = BodyMemory.MAX_UNCOUNTED_BYTES;
+
+    private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
+    private final List<String> notified = new ArrayList<>();
+    private Optional<RoutePlan> plan = Optional.of(plan(RequestKind.UPLOAD));
+    private final BodyMemory memory = BodyMemory.of(LIMIT, clock, () -> plan, () -> new SplittableRandom(1));
+
+    @Test
+    void refusesARequestThatWaitsLongerThanAnEighthOfTheTightestUploadTarget() {
+        reserve("a");
+        reserve("b");
+        clock.advance(99 * MILLI);
+        assertEquals(1, memory.waiting());
+        clock.advance(2 * MILLI);
+        assertEquals(List.of("b refused"), notified);
+        assertEquals(0, memory.waiting());
+        long retryAfterMillis = memory.retryAfterMillis();
+        assertTrue(retryAfterMillis >= 200 && retryAfterMillis <= 600, "Retry-After " + retryAfterMillis);
+    }
+
+    @Test
+    void aGrantedRequestIsNotRefusedLater() {
+        BodyReservation a = reserve("a");
+        reserve("b");
+        a.release();
+        clock.advance(1_000 * MILLI);
+        assertEquals(List.of("b granted"), notified);
+        assertEquals(LIMIT, memory.enteringBytes());
+    }
+
+    /** Important requests with small bodies must not wait behind uploads. */
+    @Test
+    void countsNoSmallBodies() {
+        reserve("a");
+        assertTrue(memory.reserve(SMALL, listener("small")).granted());
+        assertEquals(LIMIT, memory.enteringBytes());
+    }
+
+    /** A node may call the upstream beside it, so that entering requests must leave memory for calls. */
+    @Test
+    void calledNodesRefuseWhatDoesNotFitAndEnteringRequestsTakeNothingFromCalls() {
+        reserve("a");
+        Optional<BodyReservation> call = memory.reserveCall(LIMIT);
+        assertTrue(call.isPresent());
+        assertFalse(memory.reserveCall(SMALL + 1).isPresent());
+        assertTrue(memory.reserveCall(SMALL).isPresent());
+        call.get().release();
+        assertEquals(0, memory.callBytes());
+    }
+
+    @Test
+    void limitsNothingWithoutUploadRoutes() {
+        plan = Optional.of(plan(RequestKind.NON_IDEMPOTENT));
+        for (int i = 0; i < 10; i++) {
+            assertTrue(reserve("a").granted());
+            assertTrue(memory.reserveCall(LIMIT).isPresent());
+        }
+        assertFalse(memory.counts(LIMIT));
+        assertEquals(0, memory.enteringBytes() + memory.callBytes());
+    }
+
+    private BodyReservation reserve(String name) {
+        return memory.reserve(LIMIT, listener(name));
+    }
+
+    private BodyMemory.Listener listener(String name) {
+        return new BodyMemory.Listener() {
+            @Override
+            public void granted() {
+                notified.add(name + " granted");
+            }
+
+            @Override
+            public void refused() {
+                notified.add(name + " refused");
+            }
+        };
+    }
+
+    private static RoutePlan plan(RequestKind kind) {
+        List<Route> routes = List.of(
+                route("a", RequestKind.IDEMPOTENT, 80 * MILLI),
+                route("b", kind, 800 * MILLI),
+                route("c", kind, 1_600 * MILLI));
+        return RoutePlan.of(1, routes, List.of(), RequestLimits.standard());
+    }
+
+    private static Route route(String name, RequestKind kind, long targetNanos) {
+        return new Route(name, "h", "/" + name + "/", List.of(), kind, 2_000 * MILLI, targetNanos, 2, 1, true);
+    }
+}
