Limit the memory for the bodies of calls beside the upstream

Cause: a node holds the bodies of all calls that wait or run at its upstream.

Change: a call whose body does not fit is refused as not run, with the new reason body-memory, and rerouted to an upstream that was not tried yet, without a retry. Each way in which a call ends passes through complete(), which releases the reservation and drops the body. The protocol version becomes 7, since older nodes can't decode the new reason.

Ruled out: marking the upstream as shedding after such a refusal, which would divert the requests without large bodies too.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorkload.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorkload.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.config.ConfigSettings;
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.engine.Policy;
@@ -70,6 +71,7 @@
                 OwnerSettings.withRetention(retention),
                 30 * Lab.SECOND,
                 0,
-                QuotaSettings.with(QuotaTolerance.none()));
+                QuotaSettings.with(QuotaTolerance.none()),
+                BodyMemory.DEFAULT_BYTES);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -71,6 +71,8 @@
      * rate limit.
      */
     TEAM_UNCERTAIN(503),
+    /** The node has no memory left for the body of the request. */
+    BODY_MEMORY(503),
     /** An internal error of the node. */
     INTERNAL(500);
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.core;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.config.ConfigSettings;
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.membership.GossipSettings;
@@ -18,6 +19,7 @@
  * @param startSpreadNanos over how long nodes that start together spread their first read of the members' stream, in
  *     nanoseconds
  * @param quota how teams' limits are enforced
+ * @param bodyBytes the limit of the memory for request bodies, in bytes; see {@link BodyMemory}
  */
 public record CoreSettings(
         Policy policy,
@@ -26,7 +28,8 @@
         OwnerSettings owner,
         long rewriteNanos,
         long startSpreadNanos,
-        QuotaSettings quota) {
+        QuotaSettings quota,
+        long bodyBytes) {
     private static final long DEFAULT_REWRITE_NANOS = 3_600_000_000_000L;
 
     /**
@@ -49,7 +52,8 @@
                 OwnerSettings.withRetention(policy.keyRetentionNanos()),
                 DEFAULT_REWRITE_NANOS,
                 0,
-                QuotaSettings.with(QuotaTolerance.none()));
+                QuotaSettings.with(QuotaTolerance.none()),
+                BodyMemory.DEFAULT_BYTES);
     }
 
     /**
@@ -60,7 +64,8 @@
      */
     public static CoreSettings withoutConfigLog(Policy policy) {
         CoreSettings s = with(policy);
-        return new CoreSettings(policy, s.gossip, ConfigSettings.notFollowing(), s.owner, s.rewriteNanos, 0, s.quota);
+        return new CoreSettings(
+                policy, s.gossip, ConfigSettings.notFollowing(), s.owner, s.rewriteNanos, 0, s.quota, s.bodyBytes);
     }
 
     /**
@@ -69,7 +74,8 @@
      * @return the settings
      */
     public CoreSettings firstStart() {
-        return new CoreSettings(policy, gossip, config, owner, rewriteNanos, FIRST_START_SPREAD_NANOS, quota);
+        return new CoreSettings(
+                policy, gossip, config, owner, rewriteNanos, FIRST_START_SPREAD_NANOS, quota, bodyBytes);
     }
 
     /**
@@ -80,6 +86,23 @@
      */
     public CoreSettings withQuotaTolerance(QuotaTolerance tolerance) {
         return new CoreSettings(
-                policy, gossip, config, owner, rewriteNanos, startSpreadNanos, QuotaSettings.with(tolerance));
+                policy,
+                gossip,
+                config,
+                owner,
+                rewriteNanos,
+                startSpreadNanos,
+                QuotaSettings.with(tolerance),
+                bodyBytes);
+    }
+
+    /**
+     * Returns the same settings with a limit of the memory for request bodies.
+     *
+     * @param bytes the limit, in bytes
+     * @return the settings
+     */
+    public CoreSettings withBodyBytes(long bytes) {
+        return new CoreSettings(policy, gossip, config, owner, rewriteNanos, startSpreadNanos, quota, bytes);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.config.ConfigState;
 import org.verbenadyke.kernel.config.ConfigStore;
 import org.verbenadyke.kernel.config.Configuration;
@@ -274,6 +275,7 @@
                 parts.ledger(),
                 parts.decisions(),
                 quarantine,
+                BodyMemory.of(settings.bodyBytes(), parts.timers(), parts.plans()::plan, parts.random()),
                 owners,
                 (link, m) -> owners.received(link, m, upstream()),
                 planExchange::received,
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -248,7 +248,7 @@
                 reroute(attempt, refusal.reason());
             }
             case SEALED, FENCED, KEY_NOT_OWNER, SHED_LEVEL -> reroute(attempt, refusal.reason());
-            case UPSTREAM_LIMITED -> rerouteToUntried(attempt, refusal);
+            case UPSTREAM_LIMITED, BODY_MEMORY -> rerouteToUntried(attempt, refusal);
             case UPSTREAM_UNREACHABLE -> {
                 attempt.upstreamFailed(parts);
                 reroute(attempt, refusal.reason());
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -7,6 +7,7 @@
 import org.verbenadyke.kernel.admission.AdmissionLevel;
 import org.verbenadyke.kernel.admission.ConcurrencyLimit;
 import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.budget.RetryBudget;
 import org.verbenadyke.kernel.budget.RootBudget;
 import org.verbenadyke.kernel.call.AnswerSink;
@@ -87,7 +88,8 @@
                         router.levels(),
                         parts.keyClaims(),
                         parts.decisions(),
-                        parts.quarantine()),
+                        parts.quarantine(),
+                        parts.bodies()),
                 policy.serve());
         this.keyedBudgets = KeyedBudgets.withRetention(policy.keyRetentionNanos());
         this.keys = KeyTable.withRetention(policy.keyRetentionNanos());
@@ -116,6 +118,15 @@
         return links.accept();
     }
 
+    /**
+     * Returns the memory for request bodies.
+     *
+     * @return the memory
+     */
+    public BodyMemory bodies() {
+        return parts.bodies();
+    }
+
     /**
      * Dispatches a request of an external caller.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.link.Transport;
 import org.verbenadyke.kernel.message.Link;
@@ -28,6 +29,7 @@
  * @param ledger checks the invariants
  * @param decisions records decisions for operators
  * @param quarantine quarantines requests that crash upstreams
+ * @param bodies limits the memory for request bodies
  * @param keyClaims grants or denies claims of idempotency keys
  * @param keyMessages handles messages about keys from other nodes
  * @param planMessages handles messages about route plans
@@ -44,6 +46,7 @@
         Ledger ledger,
         DecisionLog decisions,
         Quarantine quarantine,
+        BodyMemory bodies,
         KeyClaims keyClaims,
         BiConsumer<Link, Message> keyMessages,
         BiConsumer<Link, Message> planMessages,
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -14,7 +14,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 6;
+    int VERSION = 7;
 
     /**
      * The first message of both sides.
@@ -62,7 +62,31 @@
             String key,
             Stated known,
             Content content)
-            implements Message {}
+            implements Message {
+        /**
+         * Returns the same call without its body.
+         *
+         * @return the call
+         */
+        public Call withoutBody() {
+            if (content.body().length == 0) {
+                return this;
+            }
+            return new Call(
+                    id,
+                    request,
+                    target,
+                    importance,
+                    depth,
+                    ttlMicros,
+                    dueMicros,
+                    receiverClock,
+                    idempotent,
+                    key,
+                    known,
+                    content.withoutBody());
+        }
+    }
 
     /**
      * The destination of a call.
@@ -121,6 +145,15 @@
         public Content(String method, String path, List<HeaderField> headers, byte[] body) {
             this(method, path, headers, body, "");
         }
+
+        /**
+         * Returns the same content without its body.
+         *
+         * @return the content
+         */
+        public Content withoutBody() {
+            return new Content(method, path, headers, new byte[0], team);
+        }
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -8,6 +8,8 @@
 import java.util.random.RandomGenerator;
 
 import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.body.BodyMemory;
+import org.verbenadyke.kernel.body.BodyReservation;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
@@ -302,7 +304,13 @@
             refuseUntracked(link, call, RefusalReason.FENCED);
             return;
         }
-        IncomingCall incoming = new IncomingCall(this, local, call, link);
+        Optional<BodyReservation> memory =
+                parts.bodies.reserveCall(call.content().body().length);
+        if (memory.isEmpty()) {
+            refuseUntracked(link, call, RefusalReason.BODY_MEMORY);
+            return;
+        }
+        IncomingCall incoming = new IncomingCall(this, local, call, link, memory.get());
         calls.put(call.id(), incoming);
         incoming.start();
     }
@@ -360,6 +368,7 @@
      * @param keys claims keys, after querying their former owners
      * @param decisions records decisions for later explanation
      * @param quarantine quarantines requests that crash upstreams
+     * @param bodies limits the memory for the bodies of calls
      */
     public record Parts(
             long incarnation,
@@ -370,5 +379,6 @@
             ServiceLevels levels,
             KeyClaims keys,
             DecisionLog decisions,
-            Quarantine quarantine) {}
+            Quarantine quarantine,
+            BodyMemory bodies) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallTimes.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallTimes.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.serve;
 
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.time.Subscription;
 import org.verbenadyke.kernel.time.TimerService;
 
 /**
@@ -49,6 +50,11 @@
         return deadlineNanos;
     }
 
+    /** Runs a task when the deadline passes. */
+    Subscription atDeadline(Runnable task) {
+        return timers.after(deadlineNanos - receivedNanos, task);
+    }
+
     long due() {
         return receivedNanos + call.dueMicros() * NANOS_PER_MICRO;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -5,6 +5,7 @@
 
 import org.verbenadyke.kernel.admission.ConcurrencyLimit;
 import org.verbenadyke.kernel.admission.WaitingCall;
+import org.verbenadyke.kernel.body.BodyReservation;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
@@ -27,11 +28,12 @@
 
     private final CallServer server;
     private final LocalUpstream local;
-    private final Message.Call call;
+    private final BodyReservation memory;
     private final SerialExecutor serial = SerialExecutor.create();
     private final CallTimes times;
     private final AnswerWriter answer;
     private final QuarantineCheck quarantineCheck;
+    private volatile Message.Call call;
     private volatile Link link;
     private volatile Phase phase = Phase.WAITING;
     private volatile long finishedNanos;
@@ -44,12 +46,13 @@
     private Subscription timer;
     private StallTimeout stallTimeout;
 
-    IncomingCall(CallServer server, LocalUpstream local, Message.Call call, Link link) {
+    IncomingCall(CallServer server, LocalUpstream local, Message.Call call, Link link, BodyReservation memory) {
         this.server = server;
         this.local = local;
         this.call = call;
         this.link = link;
-        this.times = CallTimes.receivedNow(call, server.parts().timers(), server.settings());
+        this.memory = memory;
+        this.times = CallTimes.receivedNow(call.withoutBody(), server.parts().timers(), server.settings());
         this.quarantineCheck = new QuarantineCheck(server, local, call, this);
         this.answer = new AnswerWriter(call.id(), server.settings(), !call.idempotent());
     }
@@ -72,9 +75,7 @@
 
     void start() {
         serial.run(() -> {
-            timer = server.parts()
-                    .timers()
-                    .after(times.deadline() - times.received(), () -> serial.run(this::onDeadline));
+            timer = times.atDeadline(() -> serial.run(this::onDeadline));
             if (call.idempotent() || call.key().isEmpty()) {
                 local.gate().offer(this, times.received());
                 return;
@@ -108,12 +109,9 @@
 
     void linkLost(Link lost) {
         serial.run(() -> {
-            if (link != lost) {
-                return;
-            }
-            if (phase == Phase.WAITING) {
+            if (link == lost && phase == Phase.WAITING) {
                 refuseNotRun(RefusalReason.SEALED);
-            } else if (phase == Phase.HANDED && call.idempotent()) {
+            } else if (link == lost && phase == Phase.HANDED && call.idempotent()) {
                 cancelExchange();
             }
         });
@@ -228,10 +226,7 @@
 
     @Override
     public void upstreamCrashed() {
-        ifHandedOver(() -> {
-            Refusal refusal = Refusal.mayHaveRun(server.recordCrash(call, local));
-            fail(refusal, ConcurrencyLimit.Outcome.IGNORED);
-        });
+        ifHandedOver(() -> fail(Refusal.mayHaveRun(server.recordCrash(call, local)), ConcurrencyLimit.Outcome.IGNORED));
     }
 
     private void ifHandedOver(Runnable step) {
@@ -385,10 +380,14 @@
         local.gate().release(now, times.latency(now), outcome, call.depth());
     }
 
+    /** Ends the call. A call that may be inquired about is retained for a while, without its body. */
     private void complete() {
         finishedNanos = times.now();
         timer.cancel();
         quarantineCheck.finished();
+        call = call.withoutBody();
+        exchange = null;
+        memory.release();
         if (call.idempotent()) {
             server.forget(this);
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/QuarantineCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/QuarantineCheck.java
@@ -15,8 +15,8 @@
 final class QuarantineCheck {
     private final CallServer server;
     private final LocalUpstream local;
-    private final Message.Call call;
     private final SuspectQueue.SuspectedCall suspect;
+    private Message.Call call;
     private boolean suspected;
 
     QuarantineCheck(CallServer server, LocalUpstream local, Message.Call call, SuspectQueue.SuspectedCall suspect) {
@@ -48,6 +48,7 @@
 
     /** Called when the call has ended, whatever the outcome. */
     void finished() {
+        call = call.withoutBody();
         if (suspected) {
             server.suspectQueue().finish(suspect);
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -13,6 +13,7 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
@@ -221,6 +222,20 @@
         assertEquals(List.of("refused NOT_RUN UPSTREAM_LIMITED 2345"), got);
     }
 
+    /** An upload that one node has no memory for never ran; it must not spend the request's retries. */
+    @Test
+    void reroutesAnUploadThatDoesNotFitToEachOtherUpstreamOnce() {
+        send(false, 0);
+        refuse(0, RunState.NOT_RUN, RefusalReason.BODY_MEMORY);
+        assertEquals(2, calls().size());
+        assertNotEquals(
+                calls().getFirst().target().upstream(), calls().get(1).target().upstream());
+        refuse(1, RunState.NOT_RUN, RefusalReason.BODY_MEMORY);
+        assertEquals(2, calls().size());
+        assertEquals(1, counters.retries(RetryReason.REROUTED));
+        assertTrue(got.getFirst().startsWith("refused NOT_RUN BODY_MEMORY"), got::toString);
+    }
+
     @Test
     void avoidsAnUpstreamThatShedsOnItsOwn() {
         send(true, 0);
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
@@ -2,6 +2,7 @@
 
 import java.util.SplittableRandom;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
@@ -31,6 +32,7 @@
                 Ledger.disabled(),
                 DecisionLog.none(),
                 quarantine,
+                BodyMemory.unlimited(clock),
                 KeyClaims.unshared(),
                 (link, message) -> {},
                 (link, message) -> {},
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
@@ -3,6 +3,7 @@
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
@@ -29,6 +30,7 @@
                     Ledger.disabled(),
                     DecisionLog.none(),
                     Quarantine.standalone(clock),
+                    BodyMemory.unlimited(clock),
                     KeyClaims.unshared(),
                     (link, message) -> {},
                     (link, message) -> {},
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.admission.FixedLimit;
 import org.verbenadyke.kernel.admission.Gate;
 import org.verbenadyke.kernel.admission.GateSettings;
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
@@ -46,7 +47,8 @@
                     ServiceLevels.empty(),
                     KeyClaims.unshared(),
                     DecisionLog.none(),
-                    Quarantine.standalone(clock)),
+                    Quarantine.standalone(clock),
+                    BodyMemory.unlimited(clock)),
             ServeSettings.standard());
     private final LocalUpstream local = LocalUpstream.of(
             "u1",
