Reuse a connection only once its request is written

Cause: an upstream may answer an upload before it has read the body. The connection went back to the pool at once, and the next request waited behind the unread rest of that body.

Change: the connection gets the rest of the body and goes back to the pool when all of it is written. An upstream that does not read it within the time for which an idle connection is kept is disconnected.

Ruled out: closing the connection at once. An upstream that reads the whole body before its next answer would lose that body, and each early answer would cost a connection.

Test: ClientConnectionTest, against a server that answers 64 MB after the head.

--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.time.Subscription;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -57,6 +58,8 @@
     private boolean skipping;
     private boolean headReceived;
     private boolean reusable;
+    private boolean written;
+    private Subscription writeTimeout;
     private long idleNanos;
     private volatile long idleSince;
     private volatile boolean closed;
@@ -164,6 +167,7 @@
     private void send(ClientCall next) {
         skipping = false;
         headReceived = false;
+        written = false;
         next.bind(this);
         recordId(next.correlationId());
         HttpRequestMessage m = next.message();
@@ -172,12 +176,48 @@
             headers.set(HttpHeaderNames.CONTENT_LENGTH, m.body().length);
         }
         context.writeAndFlush(new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                HttpMethod.valueOf(m.method()),
-                m.target(),
-                Unpooled.wrappedBuffer(m.body()),
-                headers,
-                EmptyHttpHeaders.INSTANCE));
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(m.method()),
+                        m.target(),
+                        Unpooled.wrappedBuffer(m.body()),
+                        headers,
+                        EmptyHttpHeaders.INSTANCE))
+                .addListener(f -> requestWritten(f.isSuccess()));
+    }
+
+    private void requestWritten(boolean success) {
+        written = success;
+        if (writeTimeout != null) {
+            writeTimeout.cancel();
+            writeTimeout = null;
+            releaseToPool();
+        }
+    }
+
+    /** Lets the pool reuse the connection, unless it is closed. */
+    private void releaseToPool() {
+        if (!written || closed || !context.channel().isActive()) {
+            close();
+            return;
+        }
+        idleSince = pool.timers().nanos();
+        pool.release(this);
+    }
+
+    /**
+     * Lets the pool reuse the connection once the rest of a request is written that was answered before the server had
+     * read it. A server that doesn't read the rest for as long as an idle connection is kept is disconnected.
+     */
+    private void releaseOnceWritten() {
+        writeTimeout = pool.timers()
+                .after(
+                        idleNanos,
+                        () -> onEventLoop(() -> {
+                            if (!written) {
+                                LOG.info("{} has not read the rest of a request that it answered.", pool.server());
+                                close();
+                            }
+                        }));
     }
 
     private void recordId(String correlationId) {
@@ -251,11 +291,12 @@
         ClientCall done = answeredCall;
         answeredCall = null;
         setAutoRead(true);
-        if (reusable && !closed && context.channel().isActive()) {
-            idleSince = pool.timers().nanos();
-            pool.release(this);
-        } else {
+        if (!reusable) {
             close();
+        } else if (written) {
+            releaseToPool();
+        } else {
+            releaseOnceWritten();
         }
         done.end();
     }
--- /dev/null
+++ b/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
@@ -0,0 +1,159 @@
+package org.verbenadyke.node.http1;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.call.HeaderField;
+import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.node.time.EventLoopTimerService;
+import org.verbenadyke.node.transport.EventLoops;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests {@link ClientConnection} against a server that answers before it has read the body. */
+final class ClientConnectionTest {
+    private static final byte[] ANSWER =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+    /** More than the buffers of both sockets hold, so that the rest waits in the node. */
+    private static final int BODY_BYTES = 64 * 1024 * 1024;
+
+    private static final int TIMEOUT_MILLIS = 20_000;
+    private static final long IDLE_NANOS = 500_000_000L;
+
+    private final EventLoops loops = EventLoops.nio(1);
+    private final ServerSocket server = listen();
+
+    @AfterEach
+    void stop() throws IOException {
+        server.close();
+        loops.group().shutdownGracefully();
+    }
+
+    /** Bytes of another request must not reach the server as part of the body, nor wait behind it. */
+    @Test
+    void sendsTheRestOfAnAnsweredRequestAndMeanwhileNoOtherOnTheConnection() throws Exception {
+        HttpPool pool = pool(PoolSettings.standard().idleNanos());
+        CompletableFuture<String> first = post(pool, new byte[BODY_BYTES]);
+        try (Socket early = accept()) {
+            readHead(early);
+            early.getOutputStream().write(ANSWER);
+            assertEquals("end", first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            CompletableFuture<String> second = post(pool, new byte[1]);
+            try (Socket other = accept()) {
+                readHead(other);
+                other.getOutputStream().write(ANSWER);
+                assertEquals("end", second.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+                assertArrayEquals(new byte[BODY_BYTES], early.getInputStream().readNBytes(BODY_BYTES));
+                assertEquals(0, early.getInputStream().available());
+                assertEquals(2, pool.size());
+            }
+        }
+    }
+
+    @Test
+    void disconnectsAServerThatNeverReadsTheRest() throws Exception {
+        HttpPool pool = pool(IDLE_NANOS);
+        CompletableFuture<String> first = post(pool, new byte[BODY_BYTES]);
+        try (Socket early = accept()) {
+            readHead(early);
+            early.getOutputStream().write(ANSWER);
+            assertEquals("end", first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            for (int i = 0; i < 200 && pool.size() > 0; i++) {
+                Thread.sleep(20);
+            }
+            assertEquals(0, pool.size());
+        }
+    }
+
+    private HttpPool pool(long idleNanos) {
+        return HttpPool.to(
+                new Endpoint("127.0.0.1", server.getLocalPort()),
+                loops,
+                EventLoopTimerService.on(loops.group().next()),
+                new PoolSettings(TIMEOUT_MILLIS, idleNanos));
+    }
+
+    private static CompletableFuture<String> post(HttpPool pool, byte[] body) {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        pool.send(new HttpRequestMessage("POST", "/", List.of(), body), new Outcome(outcome));
+        return outcome;
+    }
+
+    private static String readHead(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = in.read();
+            if (next < 0) {
+                throw new IOException("closed after " + head);
+            }
+            head.append((char) next);
+        }
+        return head.toString();
+    }
+
+    private Socket accept() throws IOException {
+        Socket socket = server.accept();
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    private static ServerSocket listen() {
+        try {
+            ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            socket.setSoTimeout(TIMEOUT_MILLIS);
+            return socket;
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Completes with the end of an exchange. */
+    private record Outcome(CompletableFuture<String> result) implements AnswerListener {
+        @Override
+        public void unreachable() {
+            result.complete("unreachable");
+        }
+
+        @Override
+        public boolean matches(int status, List<HeaderField> fields) {
+            return true;
+        }
+
+        @Override
+        public void head(int status, List<HeaderField> fields) {
+            // Only the end counts.
+        }
+
+        @Override
+        public void data(byte[] bytes) {
+            // Only the end counts.
+        }
+
+        @Override
+        public void end() {
+            result.complete("end");
+        }
+
+        @Override
+        public void broken() {
+            result.complete("broken");
+        }
+
+        @Override
+        public void closed() {
+            result.complete("closed");
+        }
+    }
+}
