Read a large body only when there is memory for it

Cause: a server connection read every body at once, however many others it held.

Change: the connection asks BodyMemory when the head of a request names a large body, or when a body of unknown length turns out large, and stops reading while it waits. A request that waited too long is answered at once, and the rest of its body is discarded. A body that does not arrive within the idle timeout gets 408, as a stalled caller would hold its memory. A body whose length is known is read into one array of that size, without a second copy.

Ruled out: closing the connection of a refused request. Closing with unread data resets the connection, and the caller may lose the answer. Reserving memory piece by piece: several half-read bodies could wait for each other.

Test: ServerConnectionTest.

--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyReservation.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyReservation.java
@@ -4,6 +4,12 @@
  * The right to hold the body of one request in memory. Thread-safe.
  */
 public final class BodyReservation {
+    private static final BodyReservation NONE = new BodyReservation(BodyBudget.of(0), 0, () -> {});
+
+    static {
+        NONE.become(State.GRANTED);
+    }
+
     private final BodyBudget budget;
     private final Runnable onGranted;
     private volatile State state = State.WAITING;
@@ -16,14 +22,12 @@
     }
 
     /**
-     * Creates a reservation for a body that needs none: it is granted, and its release has no effect.
+     * Returns the reservation of a body that needs none: it is always granted, and its release has no effect.
      *
      * @return the reservation
      */
     public static BodyReservation none() {
-        BodyReservation none = new BodyReservation(BodyBudget.of(0), 0, () -> {});
-        none.become(State.GRANTED);
-        return none;
+        return NONE;
     }
 
     /**
@@ -55,7 +59,9 @@
 
     /** Releases the reservation, or withdraws it if it still waits. Later calls have no effect. */
     public void release() {
-        budget.release(this);
+        if (this != NONE) {
+            budget.release(this);
+        }
     }
 
     /**
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
@@ -1,5 +1,9 @@
 package org.verbenadyke.node.http1;
 
+import java.util.List;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+
 /**
  * Handles the requests that an {@link HttpServer} receives.
  */
@@ -11,4 +15,14 @@
      * @param exchange the request and the means to answer it
      */
     void handle(HttpExchange exchange);
+
+    /**
+     * Refuses a request whose body the server has no memory for. Runs on the connection's event loop and must not
+     * block.
+     *
+     * @param exchange the request without its body, and the means to answer it
+     */
+    default void refuseBody(HttpExchange exchange) {
+        exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), List.of(), new byte[0]);
+    }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -37,19 +38,21 @@
     private final Supplier<ServerLimits> limits;
     private final HttpHandler handler;
     private final TimerService timers;
+    private final BodyMemory bodies;
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean closing;
     private Channel listener;
     private Subscription sweeper;
 
-    private HttpServer(Supplier<ServerLimits> limits, HttpHandler handler, TimerService timers) {
+    private HttpServer(Supplier<ServerLimits> limits, HttpHandler handler, TimerService timers, BodyMemory bodies) {
         this.limits = limits;
         this.handler = handler;
         this.timers = timers;
+        this.bodies = bodies;
     }
 
     /**
-     * Starts a server.
+     * Starts a server that reads all bodies at once.
      *
      * @param endpoint the address
      * @param loops the event loops that serve connections
@@ -65,7 +68,29 @@
             TimerService timers,
             Supplier<ServerLimits> limits,
             HttpHandler handler) {
-        HttpServer server = new HttpServer(limits, handler, timers);
+        return listen(endpoint, loops, timers, limits, BodyMemory.unlimited(timers), handler);
+    }
+
+    /**
+     * Starts a server that reads a body when there is memory for it.
+     *
+     * @param endpoint the address
+     * @param loops the event loops that serve connections
+     * @param timers the clock and the timers
+     * @param limits supplies the limits of each new connection
+     * @param bodies limits the memory for bodies
+     * @param handler handles the requests
+     * @return the server
+     * @throws VerbenadykeException with {@link ErrorCode#PORT_IN_USE}
+     */
+    public static HttpServer listen(
+            Endpoint endpoint,
+            EventLoops loops,
+            TimerService timers,
+            Supplier<ServerLimits> limits,
+            BodyMemory bodies,
+            HttpHandler handler) {
+        HttpServer server = new HttpServer(limits, handler, timers, bodies);
         ChannelFuture bound = new ServerBootstrap()
                 .group(loops.group())
                 .channel(loops.serverChannelType())
@@ -114,6 +139,10 @@
         return timers;
     }
 
+    BodyMemory bodies() {
+        return bodies;
+    }
+
     void opened(ServerConnection connection) {
         connections.add(connection);
     }
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -6,6 +6,8 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.verbenadyke.kernel.body.BodyMemory;
+import org.verbenadyke.kernel.body.BodyReservation;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -28,7 +30,8 @@
 /**
  * One connection of a caller: collects each request, passes the request to the handler, and starts the next one when
  * the answer is complete. Data that arrives meanwhile is queued; reading goes on, so that a disconnect of the caller is
- * noticed at once.
+ * noticed at once. While there is no memory for a body, reading stops, so that flow control slows the caller down. The
+ * rest of a body that was refused is read and discarded: closing the connection instead could lose the answer.
  */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LogManager.getLogger("http");
@@ -36,13 +39,22 @@
     /** The number of queued parts of later requests beyond which reading stops. */
     private static final int MAX_PENDING_MESSAGES = 16;
 
+    private static final byte[] EMPTY_BODY = {};
+
     private final HttpServer server;
     private final ServerLimits limits;
     private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
+    private BodyReservation memory = BodyReservation.none();
+    private MemoryWait memoryWait;
+    private boolean continueExpected;
+    private boolean discarding;
+    private boolean closeAfterDiscard;
     private ServerExchange exchange;
+    private volatile boolean bodyIncomplete;
+    private volatile long bodySince;
     private volatile long idleSince;
     private volatile boolean busy;
     private boolean closeRequested;
@@ -64,10 +76,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
-        if (exchange != null) {
+        if (exchange != null || memoryWait != null) {
             pendingMessages.add((HttpObject) message);
             if (pendingMessages.size() > MAX_PENDING_MESSAGES) {
-                context.channel().config().setAutoRead(false);
+                setAutoRead(false);
             }
             return;
         }
@@ -77,13 +89,13 @@
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         server.ended(this);
-        pendingMessages.forEach(ReferenceCountUtil::release);
-        pendingMessages.clear();
-        body.release();
-        body = Unpooled.EMPTY_BUFFER;
+        dropPendingMessages();
+        memoryWait = null;
+        dropBody();
         if (exchange != null) {
             exchange.callerDisconnected();
         }
+        memory.release();
     }
 
     @Override
@@ -107,6 +119,9 @@
                 }
             });
         }
+        if (bodyIncomplete && now - bodySince > limits.idleNanos()) {
+            context.executor().execute(this::endIncompleteBody);
+        }
     }
 
     ChannelHandlerContext context() {
@@ -123,21 +138,43 @@
             return;
         }
         exchange = null;
-        busy = false;
-        idleSince = server.timers().nanos();
-        if (done.closesConnection()) {
-            return;
+        memory.release();
+        if (discarding) {
+            closeAfterDiscard = done.closesConnection();
+        } else {
+            becomeIdle();
+            if (done.closesConnection()) {
+                return;
+            }
         }
-        while (exchange == null && !pendingMessages.isEmpty()) {
+        resume();
+    }
+
+    /** Returns whether the rest of a refused body is still to be read. */
+    boolean discarding() {
+        return discarding;
+    }
+
+    private void resume() {
+        while (exchange == null && memoryWait == null && !pendingMessages.isEmpty()) {
             process(pendingMessages.poll());
         }
-        if (pendingMessages.size() <= MAX_PENDING_MESSAGES) {
-            context.channel().config().setAutoRead(true);
+        if (memoryWait == null && pendingMessages.size() <= MAX_PENDING_MESSAGES) {
+            setAutoRead(true);
         }
     }
 
+    private void becomeIdle() {
+        busy = false;
+        idleSince = server.timers().nanos();
+    }
+
     private void process(HttpObject message) {
         try {
+            if (discarding) {
+                discard(message);
+                return;
+            }
             if (message.decoderResult().isFailure()) {
                 reject(statusOf(message.decoderResult().cause()));
                 return;
@@ -158,19 +195,109 @@
         head = request;
         closeRequested = !HttpUtil.isKeepAlive(request);
         body = Unpooled.EMPTY_BUFFER;
-        if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
+        memory = BodyReservation.none();
+        continueExpected = HttpUtil.is100ContinueExpected(request);
+        long length = HttpUtil.getContentLength(request, 0L);
+        if (length > limits.bodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-        } else if (HttpUtil.is100ContinueExpected(request)) {
+            return;
+        }
+        if (server.bodies().counts(length)) {
+            reserve(length);
+        }
+        if (memoryWait == null) {
+            sendExpectedContinue();
+        }
+    }
+
+    private void sendExpectedContinue() {
+        if (continueExpected) {
+            continueExpected = false;
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
+    /** Reserves memory for the body, and stops reading if it has to wait. */
+    private void reserve(long bytes) {
+        MemoryWait wait = new MemoryWait();
+        memory = server.bodies().reserve(bytes, wait);
+        if (memory.granted()) {
+            beginHolding();
+        } else {
+            memoryWait = wait;
+            setAutoRead(false);
+        }
+    }
+
+    private void beginHolding() {
+        bodySince = server.timers().nanos();
+        bodyIncomplete = true;
+        if (body == Unpooled.EMPTY_BUFFER && HttpUtil.isContentLengthSet(head)) {
+            body = Unpooled.buffer((int) memory.bytes());
+        }
+    }
+
+    private void memoryGranted(MemoryWait wait) {
+        if (memoryWait == wait) {
+            memoryWait = null;
+            beginHolding();
+            sendExpectedContinue();
+            resume();
+        }
+    }
+
+    private void memoryRefused(MemoryWait wait) {
+        if (memoryWait != wait) {
+            return;
+        }
+        memoryWait = null;
+        // A caller that still waits for the interim response sends its body or not: only a new connection is safe.
+        closeRequested |= continueExpected;
+        discarding = !continueExpected;
+        bodyIncomplete = discarding;
+        bodySince = server.timers().nanos();
+        dropBody();
+        exchange = new ServerExchange(this, takeRequest(EMPTY_BODY));
+        server.handler().refuseBody(exchange);
+    }
+
+    private void discard(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            context.close();
+        } else if (message instanceof LastHttpContent) {
+            discarding = false;
+            bodyIncomplete = false;
+            becomeIdle();
+            if (closeAfterDiscard) {
+                dropPendingMessages();
+                context.close();
+            }
+        }
+    }
+
+    /** Ends a request whose body did not arrive in time, so that a stalled caller does not hold memory. */
+    private void endIncompleteBody() {
+        if (discarding) {
+            context.close();
+        } else if (bodyIncomplete) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+        }
+    }
+
     private void appendBody(HttpContent content) {
         int more = content.content().readableBytes();
         if (body.readableBytes() + more > limits.bodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
+        if (!bodyIncomplete && server.bodies().counts(body.readableBytes() + more)) {
+            // The length is not known in advance.
+            reserve(limits.bodyBytes());
+            if (memoryWait != null) {
+                pendingMessages.addFirst(ReferenceCountUtil.retain(content));
+                return;
+            }
+        }
         if (more > 0) {
             if (body == Unpooled.EMPTY_BUFFER) {
                 body = Unpooled.buffer(more);
@@ -183,19 +310,50 @@
     }
 
     private void dispatchRequest() {
-        byte[] bytes = new byte[body.readableBytes()];
+        bodyIncomplete = false;
+        byte[] bytes = bodyBytes();
+        dropBody();
+        memory.shrinkTo(bytes.length);
+        exchange = new ServerExchange(this, takeRequest(bytes));
+        server.handler().handle(exchange);
+    }
+
+    /** Returns the bytes of the body, without a copy if its length was known in advance. */
+    private byte[] bodyBytes() {
+        int length = body.readableBytes();
+        if (length > 0 && body.hasArray() && body.array().length == length) {
+            return body.array();
+        }
+        byte[] bytes = new byte[length];
         body.readBytes(bytes);
+        return bytes;
+    }
+
+    private HttpRequestMessage takeRequest(byte[] bytes) {
+        HttpRequest request = head;
+        head = null;
+        return new HttpRequestMessage(request.method().name(), request.uri(), HttpFields.of(request.headers()), bytes);
+    }
+
+    private void dropBody() {
         body.release();
         body = Unpooled.EMPTY_BUFFER;
-        HttpRequestMessage request =
-                new HttpRequestMessage(head.method().name(), head.uri(), HttpFields.of(head.headers()), bytes);
-        head = null;
-        exchange = new ServerExchange(this, request);
-        server.handler().handle(exchange);
+    }
+
+    private void dropPendingMessages() {
+        pendingMessages.forEach(ReferenceCountUtil::release);
+        pendingMessages.clear();
+    }
+
+    private void setAutoRead(boolean autoRead) {
+        context.channel().config().setAutoRead(autoRead);
     }
 
     private void reject(HttpResponseStatus status) {
         head = null;
+        bodyIncomplete = false;
+        dropBody();
+        memory.release();
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
         context.writeAndFlush(response).addListener(f -> context.close());
@@ -211,4 +369,17 @@
         }
         return HttpResponseStatus.BAD_REQUEST;
     }
+
+    /** The wait of one request for memory. The memory may be granted or refused on any thread. */
+    private final class MemoryWait implements BodyMemory.Listener {
+        @Override
+        public void granted() {
+            context.executor().execute(() -> memoryGranted(this));
+        }
+
+        @Override
+        public void refused() {
+            context.executor().execute(() -> memoryRefused(this));
+        }
+    }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerExchange.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerExchange.java
@@ -141,7 +141,7 @@
 
     private void complete() {
         done = true;
-        if (closesConnection) {
+        if (closesConnection && !connection.discarding()) {
             context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         } else {
             context.flush();
