Limit the memory for uploads on the platform

Cause: nodes on the platform serve routes of kind upload without a limit of the memory that their bodies take.

Gauges show the bytes held and the requests that wait. The stand-ins send uploads, serve a plan with an upload route, and can hold an answer.

--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -133,6 +133,15 @@
         assertEquals(1, calls().size());
     }
 
+    /** An upload that may have run must not run a second time, though another upstream is free. */
+    @Test
+    void neverRepeatsANonIdempotentCallWhoseUpstreamIsKilled() {
+        send(false, 5);
+        refuse(0, RunState.MAY_HAVE_RUN, RefusalReason.UPSTREAM_ENDED);
+        assertEquals(1, calls().size());
+        assertEquals(List.of("refused MAY_HAVE_RUN UPSTREAM_ENDED 0"), got);
+    }
+
     @Test
     void reroutesACallThatADrainingUpstreamRefused() {
         send(false, 0);
--- a/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -65,6 +65,9 @@
                         .filter(AnnouncedRate::limited)
                         .map(AnnouncedRate::perSecond)
                         .orElse(NO_RATE_LIMIT));
+        text.gauge("entering_body_bytes", () -> core.engine().bodies().enteringBytes());
+        text.gauge("call_body_bytes", () -> core.engine().bodies().callBytes());
+        text.gauge("body_waiting", () -> core.engine().bodies().waiting());
         text.gauge("configuration_version", () -> core.engine().configuration().version());
         text.gauge("links", () -> core.engine().links().size());
         text.gauge("members_present", () -> core.members().present().size());
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
@@ -72,16 +72,26 @@
         HttpRequest.BodyPublisher body = method.equals("GET")
                 ? HttpRequest.BodyPublishers.noBody()
                 : HttpRequest.BodyPublishers.ofString("body of " + id);
-        HttpRequest.Builder request = HttpRequest.newBuilder(uri(ports.entry(), path))
-                .method(method, body)
-                .header("Host", host)
-                .header("X-Request-Id", id)
-                .header("X-Deadline-Ms", Long.toString(deadlineMillis))
-                .header("X-Caller-Service", "made-up");
+        HttpRequest.Builder request = request(host, path, id, deadlineMillis).method(method, body);
         fields.forEach((name, values) -> values.forEach(v -> request.header(name, v)));
         return call(request);
     }
 
+    /**
+     * Uploads a body.
+     *
+     * @param path the path at the host of upload routes, {@link Documents#UPLOAD_HOST}
+     * @param id the request id
+     * @param deadlineMillis the deadline that the request declares, in milliseconds
+     * @param body the body
+     * @return the answer
+     * @throws IOException if the node aborts the connection
+     */
+    public HttpResponse<String> upload(String path, String id, long deadlineMillis, byte[] body) throws IOException {
+        return call(request(Documents.UPLOAD_HOST, path, id, deadlineMillis)
+                .POST(HttpRequest.BodyPublishers.ofByteArray(body)));
+    }
+
     /**
      * Sends a report on behalf of a server.
      *
@@ -133,6 +143,14 @@
         return false;
     }
 
+    private HttpRequest.Builder request(String host, String path, String id, long deadlineMillis) {
+        return HttpRequest.newBuilder(uri(ports.entry(), path))
+                .header("Host", host)
+                .header("X-Request-Id", id)
+                .header("X-Deadline-Ms", Long.toString(deadlineMillis))
+                .header("X-Caller-Service", "made-up");
+    }
+
     private HttpResponse<String> call(HttpRequest.Builder request) throws IOException {
         try {
             return http.send(request.timeout(TIMEOUT).build(), HttpResponse.BodyHandlers.ofString());
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
@@ -6,6 +6,9 @@
  * Sample documents in the formats that the platform's operators and servers use.
  */
 public final class Documents {
+    /** The host of the upload routes. */
+    public static final String UPLOAD_HOST = "upload.example";
+
     private Documents() {}
 
     /**
@@ -48,6 +51,25 @@
         return withRoute.substring(0, withRoute.length() - 1) + ",\"tenants\":" + teams + "}";
     }
 
+    /**
+     * Returns the configuration of {@link #configuration(int, String)} with an additional route of kind upload at host
+     * {@link #UPLOAD_HOST} under {@code /u/} and bodies of up to 64 MB.
+     *
+     * @param version the version
+     * @param service the service
+     * @param targetMillis the target latency of the route, in milliseconds
+     * @return the document
+     */
+    public static String uploadConfiguration(int version, String service, int targetMillis) {
+        String uploadRoute = """
+                {"name":"upload","host":"%s","path-prefix":"/u/","kind":"upload","timeout":"9000ms",\
+                "target-latency":"%dms","priority":1,"service":"%s","max-attempts":2},\
+                """.formatted(UPLOAD_HOST, targetMillis, service);
+        return configuration(version, service)
+                .replace("\"routes\":[", "\"routes\":[" + uploadRoute)
+                .replace("\"max-body-bytes\":1048576", "\"max-body-bytes\":67108864");
+    }
+
     /**
      * Returns a team without a rate limit.
      *
--- a/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
@@ -37,6 +39,9 @@
     /** Path segment for an answer that is delayed by {@link #SLOW_NANOS}. */
     public static final String SLOW = "slow";
 
+    /** Path segment for an answer that is held until {@link #answerHeld}. */
+    public static final String HELD = "held";
+
     /** Path segment for a request that is refused on the first attempt and answered on later ones. */
     public static final String SHED_ONCE = "once-shed";
 
@@ -54,6 +59,7 @@
     private final long startedMillis;
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<String, Boolean> refusedOnce = new ConcurrentHashMap<>();
+    private final Queue<Runnable> heldAnswers = new ConcurrentLinkedQueue<>();
     private volatile Optional<HttpRequestMessage> lastRequest = Optional.empty();
     private volatile List<HeaderField> notices = List.of();
     private HttpServer server;
@@ -126,6 +132,13 @@
         notices = List.of();
     }
 
+    /** Sends all answers that are held. */
+    public void answerHeld() {
+        for (Runnable answer = heldAnswers.poll(); answer != null; answer = heldAnswers.poll()) {
+            answer.run();
+        }
+    }
+
     @Override
     public void close() {
         server.close();
@@ -149,6 +162,10 @@
             return;
         }
         runs.computeIfAbsent(requestId, r -> new AtomicInteger()).incrementAndGet();
+        if (lastSegment.equals(HELD)) {
+            heldAnswers.add(() -> answer(exchange, requestId, lastSegment));
+            return;
+        }
         if (lastSegment.equals(SLOW)) {
             timers.after(SLOW_NANOS, () -> answer(exchange, requestId, lastSegment));
             return;
