--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyBudget.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyBudget.java
@@ -92,9 +92,6 @@
     void release(BodyReservation reservation) {
         List<BodyReservation> granted;
         synchronized (this) {
-            if (reservation.state() == BodyReservation.State.RELEASED) {
-                return;
-            }
             if (reservation.state() == BodyReservation.State.GRANTED) {
                 heldBytes -= reservation.bytes();
             }
