--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.link.Transport;
 import org.verbenadyke.kernel.message.Link;
@@ -31,6 +32,7 @@
  * @param decisions records decisions for operators
  * @param quarantine quarantines requests that crash upstreams
  * @param plan the route plan in force, empty if there is none
+ * @param bodies limits the memory for request bodies
  * @param keyClaims grants or denies claims of idempotency keys
  * @param keyMessages handles messages about keys from other nodes
  * @param planMessages handles messages about route plans
@@ -48,6 +50,7 @@
         DecisionLog decisions,
         Quarantine quarantine,
         Supplier<Optional<RoutePlan>> plan,
+        BodyMemory bodies,
         KeyClaims keyClaims,
         BiConsumer<Link, Message> keyMessages,
         BiConsumer<Link, Message> planMessages,
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -65,7 +65,32 @@
             Stated known,
             boolean usageRequested,
             Content content)
-            implements Message {}
+            implements Message {
+        /**
+         * Returns the same call without its body.
+         *
+         * @return the call
+         */
+        public Call withoutBody() {
+            if (content.body().length == 0) {
+                return this;
+            }
+            return new Call(
+                    id,
+                    request,
+                    target,
+                    importance,
+                    depth,
+                    ttlMicros,
+                    dueMicros,
+                    receiverClock,
+                    idempotent,
+                    key,
+                    known,
+                    usageRequested,
+                    content.withoutBody());
+        }
+    }
 
     /**
      * The destination of a call.
@@ -131,6 +156,15 @@
         public Content(String method, String path, List<HeaderField> headers, byte[] body) {
             this(method, path, headers, body, "");
         }
+
+        /**
+         * Returns the same content without its body.
+         *
+         * @return the content
+         */
+        public Content withoutBody() {
+            return new Content(method, path, headers, new byte[0], team);
+        }
     }
 
     /**
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -13,6 +13,7 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
@@ -133,6 +134,15 @@
         assertEquals(1, calls().size());
     }
 
+    /** An upload that may have run must not run a second time, though another upstream is free. */
+    @Test
+    void neverRepeatsANonIdempotentCallWhoseUpstreamIsKilled() {
+        send(false, 5);
+        refuse(0, RunState.MAY_HAVE_RUN, RefusalReason.UPSTREAM_ENDED);
+        assertEquals(1, calls().size());
+        assertEquals(List.of("refused MAY_HAVE_RUN UPSTREAM_ENDED 0"), got);
+    }
+
     @Test
     void reroutesACallThatADrainingUpstreamRefused() {
         send(false, 0);
@@ -241,6 +251,20 @@
         assertEquals(List.of("refused NOT_RUN UPSTREAM_LIMITED 2345"), got);
     }
 
+    /** An upload that one node has no memory for never ran; it must not spend the request's retries. */
+    @Test
+    void reroutesAnUploadThatDoesNotFitToEachOtherUpstreamOnce() {
+        send(false, 0);
+        refuse(0, RunState.NOT_RUN, RefusalReason.BODY_MEMORY);
+        assertEquals(2, calls().size());
+        assertNotEquals(
+                calls().getFirst().target().upstream(), calls().get(1).target().upstream());
+        refuse(1, RunState.NOT_RUN, RefusalReason.BODY_MEMORY);
+        assertEquals(2, calls().size());
+        assertEquals(1, counters.retries(RetryReason.REROUTED));
+        assertTrue(got.getFirst().startsWith("refused NOT_RUN BODY_MEMORY"), got::toString);
+    }
+
     @Test
     void avoidsAnUpstreamThatShedsOnItsOwn() {
         send(true, 0);
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
@@ -33,6 +34,7 @@
                 DecisionLog.none(),
                 quarantine,
                 Optional::empty,
+                BodyMemory.unlimited(clock),
                 KeyClaims.unshared(),
                 (link, message) -> {},
                 (link, message) -> {},
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
@@ -4,6 +4,7 @@
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
@@ -31,6 +32,7 @@
                     DecisionLog.none(),
                     Quarantine.standalone(clock),
                     Optional::empty,
+                    BodyMemory.unlimited(clock),
                     KeyClaims.unshared(),
                     (link, message) -> {},
                     (link, message) -> {},
--- a/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -66,6 +66,9 @@
                         .map(AnnouncedRate::perSecond)
                         .orElse(NO_RATE_LIMIT));
         text.gauge("guaranteed_share", () -> core.engine().guaranteedShare());
+        text.gauge("entering_body_bytes", () -> core.engine().bodies().enteringBytes());
+        text.gauge("call_body_bytes", () -> core.engine().bodies().callBytes());
+        text.gauge("body_waiting", () -> core.engine().bodies().waiting());
         text.gauge("configuration_version", () -> core.engine().configuration().version());
         text.gauge("links", () -> core.engine().links().size());
         text.gauge("members_present", () -> core.members().present().size());
