Place calls by data centre and slack where the settings ask for it

Cause: the preference for the own data centre ends at 0.7 of the near upstream's slots and whenever another upstream would answer a quarter sooner, so that most calls cross between data centres under load, although their callers need the answer much later.

Change: with `[routing] locality = slack`, a call whose time left is at least four times the expected latency of the near upstream stays, with a probability that falls from 0.7 to 0.92 of its slots. Such calls are drawn by the calls a second that an upstream can take in addition, so that slow upstreams are used like fast ones, and cross only to an upstream that is at least 0.1 less utilised. Calls that are short of time, and all calls with the default `standard`, are placed as before.

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -78,7 +78,7 @@
         }
         router = Router.create("me", location, 12, new TwoChoicesProvider().create(), ThreadLocalRandom::current, true);
         router.update(upstreams);
-        query = new RouteQuery("s0", "GET /lookup", 300, "", Set.of());
+        query = new RouteQuery("s0", "GET /lookup", 300, "", Set.of(), 0);
         gate = Gate.of(GateSettings.standard(), FixedLimit.of(100));
         call = new AlwaysAdmitted();
         seen = SeenCalls.startingAt(0);
--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -83,7 +83,8 @@
                 standard.limits(),
                 new DispatchSettings(0.04, 2, false, 0, true, true, 300),
                 standard.serve(),
-                standard.link());
+                standard.link(),
+                standard.locality());
     }
 
     Lab lab() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -171,13 +171,18 @@
     }
 
     Choice route(Request request, String pathClass, Set<String> tried) {
-        RouteQuery query = new RouteQuery(
+        long now = parts.timers.nanos();
+        return parts.router.route(query(request, pathClass, tried, now), now);
+    }
+
+    private RouteQuery query(Request request, String pathClass, Set<String> tried, long now) {
+        return new RouteQuery(
                 request.service(),
                 pathClass,
                 rank(request),
                 request.idempotent() ? "" : request.key(),
-                excludedUpstreams(request, tried));
-        return parts.router.route(query, parts.timers.nanos());
+                excludedUpstreams(request, tried),
+                request.dueNanos() - now);
     }
 
     /** Returns whether a request may be sent to an upstream that it was not sent to before. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -59,7 +59,7 @@
                 parts.nodeId(),
                 parts.location(),
                 policy.subsetSize(),
-                PlugIns.chooser(policy.chooser()),
+                policy.locality().applyTo(PlugIns.chooser(policy.chooser())),
                 parts.random(),
                 policy.gate().sheds());
         Message.Hello self = new Message.Hello(Message.VERSION, parts.nodeId(), parts.incarnation());
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Policy.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Policy.java
@@ -4,6 +4,7 @@
 import org.verbenadyke.kernel.admission.LimitSettings;
 import org.verbenadyke.kernel.dispatch.DispatchSettings;
 import org.verbenadyke.kernel.link.LinkSettings;
+import org.verbenadyke.kernel.routing.Locality;
 import org.verbenadyke.kernel.serve.ServeSettings;
 
 /**
@@ -20,6 +21,7 @@
  * @param dispatch how requests are retried
  * @param serve how calls are served
  * @param link how links are monitored
+ * @param locality how strongly calls are kept inside their data centre
  */
 public record Policy(
         String chooser,
@@ -32,7 +34,8 @@
         LimitSettings limits,
         DispatchSettings dispatch,
         ServeSettings serve,
-        LinkSettings link) {
+        LinkSettings link,
+        Locality locality) {
     private static final long SECOND = 1_000_000_000L;
     private static final int DEFAULT_SUBSET = 12;
     private static final long DEFAULT_TTL_SECONDS = 5;
@@ -57,7 +60,8 @@
                 DEFAULT_LIMITS,
                 DispatchSettings.standard(),
                 ServeSettings.standard(),
-                LinkSettings.standard());
+                LinkSettings.standard(),
+                Locality.STANDARD);
     }
 
     /**
@@ -79,6 +83,7 @@
                 s.limits,
                 DispatchSettings.baseline(),
                 s.serve,
-                s.link);
+                s.link,
+                s.locality);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Candidate.java
@@ -41,6 +41,12 @@
     /** Factor applied to the shed rate after each such time: a fifth is left after two seconds, so it is retried. */
     private static final double SHED_DECAY_FACTOR = 0.8;
 
+    /**
+     * The rate of failed or shed calls from which an upstream counts as impaired: half of what one such call adds, so
+     * that it takes seven successes to make up for it.
+     */
+    private static final double IMPAIRED_RATE = 0.05;
+
     private final Upstream upstream;
     private final boolean local;
     private final AtomicInteger sentSinceReport = new AtomicInteger();
@@ -239,6 +245,15 @@
         return ejectedUntil != Long.MIN_VALUE && nowNanos - ejectedUntil < 0;
     }
 
+    /**
+     * Returns whether the upstream failed or shed calls recently.
+     *
+     * @return whether it did
+     */
+    public boolean impaired() {
+        return errorRate >= IMPAIRED_RATE || shedRate >= IMPAIRED_RATE;
+    }
+
     /**
      * Returns a load score for comparing candidates; lower is better.
      *
@@ -262,6 +277,16 @@
         return Math.max(0, reportedLoad) + (double) sentSinceReport.get() / limit;
     }
 
+    /**
+     * Returns the calls that the upstream answers in the time unit of the latency when all its slots are taken.
+     *
+     * @param typicalNanos the latency to assume while none was observed
+     * @return the calls per nanosecond, assuming one slot before the first report
+     */
+    double throughput(double typicalNanos) {
+        return Math.max(1, reportedLimit) / (latencyNanos == 0 ? typicalNanos : latencyNanos);
+    }
+
     /**
      * Returns the smoothed latency of the upstream's answers.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/ExpectedFinishProvider.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/ExpectedFinishProvider.java
@@ -31,23 +31,10 @@
         if (fit.size() == 1) {
             return Optional.of(fit.get(0));
         }
-        double typical = typical(fit);
+        double typical = TypicalLatency.of(fit);
         Candidate a = SpareCapacity.draw(fit, random);
         Candidate b = SpareCapacity.drawOther(fit, a, random);
         Candidate faster = a.expectedLatencyNanos(typical) <= b.expectedLatencyNanos(typical) ? a : b;
         return Optional.of(LocalityPreference.preferLocal(faster, fit, typical, random));
     }
-
-    /** Returns the mean of the known latencies, which is assumed for candidates without one. */
-    private static double typical(List<Candidate> fit) {
-        double sum = 0;
-        int known = 0;
-        for (Candidate c : fit) {
-            if (c.latencyNanos() > 0) {
-                sum += c.latencyNanos();
-                known++;
-            }
-        }
-        return known == 0 ? 1 : sum / known;
-    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/RouteQuery.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/RouteQuery.java
@@ -10,5 +10,7 @@
  * @param rank its admission rank
  * @param key its idempotency key, empty if none; a keyed call goes to the key's owner
  * @param avoid ids of upstreams tried before, excluded as long as there are others
+ * @param timeLeftNanos the time left until its due time, in nanoseconds; negative when that has passed
  */
-public record RouteQuery(String service, String pathClass, int rank, String key, Set<String> avoid) {}
+public record RouteQuery(
+        String service, String pathClass, int rank, String key, Set<String> avoid, long timeLeftNanos) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Router.java
@@ -106,7 +106,7 @@
             return new Choice.NoCandidate();
         }
         if (!sheds) {
-            return choose(accepting);
+            return choose(accepting, query, nowNanos);
         }
         return routeAmongFit(fit(accepting, nowNanos), query, nowNanos);
     }
@@ -171,11 +171,11 @@
                 admitting.add(c);
             }
         }
-        return admitting.isEmpty() ? new Choice.Shed(lowest) : choose(admitting);
+        return admitting.isEmpty() ? new Choice.Shed(lowest) : choose(admitting, query, now);
     }
 
-    private Choice choose(List<Candidate> candidates) {
-        return chooser.choose(candidates, random.get())
+    private Choice choose(List<Candidate> candidates, RouteQuery query, long now) {
+        return chooser.choose(candidates, query, now, random.get())
                 .<Choice>map(Choice.Selected::new)
                 .orElseGet(Choice.NoCandidate::new);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/SpareCapacity.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/SpareCapacity.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.routing;
 
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -20,9 +21,28 @@
 
     /** Draws a candidate other than the excluded one from a list of at least two. */
     static Candidate drawOther(List<Candidate> fit, Candidate excluded, RandomGenerator random) {
+        return drawOther(fit, excluded, SpareCapacity::weight, random);
+    }
+
+    /**
+     * Draws two candidates from a non-empty list, weighted by the calls a second that they can take in addition, and
+     * returns the less utilised one. The utilisation of upstreams of different speeds thus stays about equal.
+     */
+    static Candidate drawByThroughput(List<Candidate> fit, double typicalNanos, RandomGenerator random) {
+        ToDoubleFunction<Candidate> spare = c -> weight(c) * c.throughput(typicalNanos);
+        Candidate a = drawOther(fit, null, spare, random);
+        if (fit.size() == 1) {
+            return a;
+        }
+        Candidate b = drawOther(fit, a, spare, random);
+        return a.utilisation() <= b.utilisation() ? a : b;
+    }
+
+    private static Candidate drawOther(
+            List<Candidate> fit, Candidate excluded, ToDoubleFunction<Candidate> weight, RandomGenerator random) {
         double total = 0;
         for (Candidate c : fit) {
-            total += c == excluded ? 0 : weight(c);
+            total += c == excluded ? 0 : weight.applyAsDouble(c);
         }
         double point = random.nextDouble() * total;
         Candidate last = fit.get(0);
@@ -31,7 +51,7 @@
                 continue;
             }
             last = c;
-            point -= weight(c);
+            point -= weight.applyAsDouble(c);
             if (point < 0) {
                 return c;
             }
--- a/kernel/src/test/java/org/verbenadyke/kernel/routing/ServiceLevelsTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/routing/ServiceLevelsTest.java
@@ -86,6 +86,6 @@
     }
 
     private static Choice route(Router router, int rank, long millis) {
-        return router.route(new RouteQuery("front", PATH, rank, "", Set.of()), millis * MILLI);
+        return router.route(new RouteQuery("front", PATH, rank, "", Set.of(), 0), millis * MILLI);
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/routing/SheddingUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/routing/SheddingUpstreamTest.java
@@ -64,7 +64,7 @@
     }
 
     private void send(long now, boolean recordSheds) {
-        Choice choice = router.route(new RouteQuery("s", "", 0, "", Set.of()), now);
+        Choice choice = router.route(new RouteQuery("s", "", 0, "", Set.of(), 0), now);
         Candidate to = ((Choice.Selected) choice).candidate();
         boolean shedding = to.upstream().id().equals("a");
         boolean trouble = now >= TROUBLE_FROM && now < TROUBLE_TO;
--- a/node/src/main/java/org/verbenadyke/node/settings/IniReader.java
+++ b/node/src/main/java/org/verbenadyke/node/settings/IniReader.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Locality;
 
 /**
  * Reads an INI file and collects all problems found in the file, each with file, section and key.
@@ -193,6 +194,20 @@
         return value(section, key, "IP:PORT", IniReader::parseEndpoint);
     }
 
+    /**
+     * Reads how strongly calls are kept inside their data centre: key {@code locality} of section {@code routing}.
+     *
+     * @return the locality, {@link Locality#STANDARD} if the key is missing or the value is invalid
+     */
+    public Locality locality() {
+        return value(
+                        "routing",
+                        "locality",
+                        "one of " + Locality.names(),
+                        v -> Locality.named(v).orElseThrow(() -> new IllegalArgumentException(v)))
+                .orElse(Locality.STANDARD);
+    }
+
     /**
      * Parses an address.
      *
--- a/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
@@ -14,6 +14,7 @@
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.routing.Endpoint;
+import org.verbenadyke.kernel.routing.Locality;
 import org.verbenadyke.kernel.routing.Location;
 
 /**
@@ -39,6 +40,7 @@
                             "limit-most",
                             "retry-ratio-percent",
                             "retry-after-ms"),
+            "routing", Set.of("locality"),
             "logging", Set.of("format"));
 
     private static final Set<String> REQUIRED_SECTIONS = Set.of("node", "listen");
@@ -122,6 +124,7 @@
                 ini.number("policy", "retry-ratio-percent", 0, (long) PERCENT, Math.round(d.retryRatio() * PERCENT));
         long retryAfterMillis = ini.number("policy", "retry-after-ms", 0, MAX_RETRY_AFTER_MILLIS, d.retryAfterMillis());
         GateSettings gate = base.gate();
+        Locality locality = ini.locality();
         return new Policy(
                 choice(ini, "chooser", base.chooser(), PlugIns.choosers()),
                 choice(ini, "limit", base.limit(), PlugIns.limits()),
@@ -142,7 +145,8 @@
                         d.nestedCallsExempt(),
                         retryAfterMillis),
                 base.serve(),
-                base.link());
+                base.link(),
+                locality);
     }
 
     private static Policy preset(IniReader ini) {
