--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -176,8 +176,8 @@
     }
 
     /**
-     * Returns the upstream that a retry is bound to, empty if it is routed as any other attempt. A call whose connection
-     * between nodes was lost goes to the same upstream again.
+     * Returns the upstream that a retry is bound to, empty if it is routed as any other attempt. A call whose
+     * connection between nodes was lost goes to the same upstream again.
      */
     Optional<Candidate> retryTarget(Request request, Attempt last, RetryReason reason, Set<String> tried) {
         if (reason != RetryReason.CONNECTION_LOST) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/SlackLocality.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/SlackLocality.java
@@ -19,7 +19,7 @@
     /** Up to this utilisation, a near upstream gets every call that has enough time. */
     private static final double FULL_PREFERENCE_UTILISATION = 0.7;
 
-    /** From this utilisation on, being near gives no preference: slots are filled up to 94 %, beyond that calls queue. */
+    /** From this utilisation on, being near gives no preference: slots are filled up to 94 %, then calls queue. */
     private static final double NO_PREFERENCE_UTILISATION = 0.92;
 
     /**
