--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -1,7 +1,9 @@
 package org.verbenadyke.kernel.serve;
 
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
@@ -22,18 +24,25 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.quarantine.Quarantine;
+import org.verbenadyke.kernel.route.RequestKind;
+import org.verbenadyke.kernel.route.RequestLimits;
+import org.verbenadyke.kernel.route.Route;
+import org.verbenadyke.kernel.route.RoutePlan;
 import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 import org.verbenadyke.kernel.trace.DecisionLog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests {@link CallServer} and the calls it serves. */
 final class CallServerTest {
     private static final long MILLI = 1_000_000L;
     private static final long TTL_MICROS = 1_000_000L;
+    private static final int BODY_BYTES = 1024 * 1024;
+    private static final int GC_RUNS = 50;
 
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final Counters counters = Counters.create();
@@ -41,6 +50,8 @@
     private final List<UpstreamPort.Listener> handed = new ArrayList<>();
     private final List<String> cancelled = new ArrayList<>();
     private final RecordingLink link = new RecordingLink();
+    private final BodyMemory memory =
+            BodyMemory.of(2 * BODY_BYTES, clock, () -> Optional.of(uploads()), () -> new SplittableRandom(1));
     private final CallServer server = CallServer.create(
             new CallServer.Parts(
                     1,
@@ -52,7 +63,7 @@
                     KeyClaims.unshared(),
                     DecisionLog.none(),
                     Quarantine.standalone(clock),
-                    BodyMemory.unlimited(clock)),
+                    memory),
             ServeSettings.standard());
     private final LocalUpstream local = LocalUpstream.of(
             "u1",
@@ -210,6 +221,54 @@
         assertTrue(server.context(token).isEmpty());
     }
 
+    @Test
+    void refusesACallWhoseBodyDoesNotFitAsNotRun() {
+        upload();
+        upload();
+        upload();
+        assertEquals(2 * BODY_BYTES, memory.callBytes());
+        assertEquals(RefusalReason.BODY_MEMORY, lastRefusal().refusal().reason());
+        assertEquals(RunState.NOT_RUN, lastRefusal().refusal().state());
+        assertEquals(2, server.unfinished());
+    }
+
+    @Test
+    void releasesTheMemoryOfCallsThatAreShedLoseTheirLinkOrBreakOff() {
+        upload();
+        upload();
+        server.linkLost(link);
+        assertEquals(BODY_BYTES, memory.callBytes());
+        upload();
+        local.drain(true);
+        assertEquals(BODY_BYTES, memory.callBytes());
+        handed.getFirst().broken();
+        handed.getFirst().broken();
+        assertEquals(0, memory.callBytes());
+    }
+
+    /** An upload goes on at the upstream after its deadline, and its body with it. */
+    @Test
+    void holdsTheBodyOfARunningUploadPastItsDeadline() {
+        upload();
+        clock.advance(2_000 * MILLI);
+        assertEquals(BODY_BYTES, memory.callBytes());
+        clock.advance(120_000 * MILLI);
+        assertEquals(0, memory.callBytes());
+    }
+
+    /** Finished calls are retained for inquiries; with their bodies they would fill the heap uncounted. */
+    @Test
+    void dropsTheBodyOfAnAnsweredCall() throws InterruptedException {
+        WeakReference<byte[]> body = upload();
+        answer(0, 200, "");
+        assertEquals(0, memory.callBytes());
+        for (int i = 0; i < GC_RUNS && body.get() != null; i++) {
+            System.gc();
+            Thread.sleep(1);
+        }
+        assertNull(body.get());
+    }
+
     private UpstreamPort.Exchange start(UpstreamPort.HandOver handOver, UpstreamPort.Listener listener) {
         handed.add(listener);
         token = handOver.contextToken();
@@ -227,6 +286,22 @@
     }
 
     private Message.Call call(boolean idempotent, String key) {
+        return call(idempotent, key, new byte[0]);
+    }
+
+    /** Receives an upload, and returns its body. */
+    private WeakReference<byte[]> upload() {
+        byte[] body = new byte[BODY_BYTES];
+        server.received(link, call(false, "", body));
+        return new WeakReference<>(body);
+    }
+
+    private static RoutePlan uploads() {
+        Route route = new Route("up", "h", "/", List.of(), RequestKind.UPLOAD, 2_000 * MILLI, 800 * MILLI, 2, 1, true);
+        return RoutePlan.of(1, List.of(route), List.of(), RequestLimits.standard());
+    }
+
+    private Message.Call call(boolean idempotent, String key, byte[] body) {
         return new Message.Call(
                 new CallId(5, ++sequence),
                 new RequestId(5, sequence),
@@ -239,7 +314,7 @@
                 idempotent,
                 key,
                 Message.Stated.NOTHING,
-                new Message.Content(idempotent ? "GET" : "POST", "/p", List.of(), new byte[0]));
+                new Message.Content(idempotent ? "GET" : "POST", "/p", List.of(), body));
     }
 
     private void answer(int call, int status, String body) {
