--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -22,8 +22,8 @@
 import org.verbenadyke.kernel.trace.Decision;
 
 /**
- * Applies the guaranteed shares of the route plan in force to the requests that enter at this node, and learns the costs
- * that the shares follow. Thread-safe.
+ * Applies the guaranteed shares of the route plan in force to the requests that enter at this node, and learns the
+ * costs that the shares follow. Thread-safe.
  */
 final class ImportanceRaising {
     private final EngineParts parts;
@@ -60,7 +60,7 @@
         return importance;
     }
 
-    /** Dispatches a request, and learns its cost if it begins a call chain and the plan or the request asks for that. */
+    /** Dispatches a request, and learns its cost if it begins a call chain and the plan or the request needs that. */
     CallHandle dispatch(Dispatcher dispatcher, RoutedRequest routed, Request request, AnswerSink sink) {
         boolean learns = routed.parent().isEmpty() && (routed.usageRequested() || takesEffect());
         if (!learns) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/BottleneckCosts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/BottleneckCosts.java
@@ -45,7 +45,7 @@
                         .thenComparing(Comparator.naturalOrder()));
     }
 
-    /** Returns the mean slot time per request of those that use a service, weighted by the request rates; 0 if unknown. */
+    /** Returns the mean slot time of the requests that use a service, weighted by their rates; 0 if unknown. */
     private double mean(Collection<KindTraffic> kinds, String service) {
         double rates = 0;
         double nanos = 0;
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -18,11 +18,11 @@
  * Raises a share of the requests of non-repeatable routes that rank below repeatable ones to the importance of those.
  * Thread-safe.
  *
- * <p>Load pattern: lasting overload of a deeper service, in which strict priorities would refuse all writes of the lower
- * importance before any read of the higher one. A refused read can be retried later, but a write that is refused again
- * and again is lost. The share follows from the slot time that a write and a read take at the bottleneck, the deeper
- * service with the highest level: a write that takes half as much as a read or less is refused no more often than the
- * read.
+ * <p>Load pattern: lasting overload of a deeper service, in which strict priorities would refuse all writes of the
+ * lower importance before any read of the higher one. A refused read can be retried later, but a write that is refused
+ * again and again is lost. The share follows from the slot time that a write and a read take at the bottleneck, the
+ * deeper service with the highest level: a write that takes half as much as a read or less is refused no more often
+ * than the read.
  */
 public final class GuaranteedShares {
     /** The lowest share: no kind of request may be served less than a quarter as often as all requests are. */
@@ -78,8 +78,8 @@
     }
 
     /**
-     * Returns whether the plan ranks a non-repeatable route below a repeatable one. If not, no request is raised and the
-     * costs of requests are not needed.
+     * Returns whether the plan ranks a non-repeatable route below a repeatable one. If not, no request is raised and
+     * the costs of requests are not needed.
      *
      * @param plan the plan
      * @return whether shares are guaranteed
@@ -109,8 +109,8 @@
     }
 
     /**
-     * Returns the importance of a request that enters at this node. The same request gets the same importance as long as
-     * the share is the same.
+     * Returns the importance of a request that enters at this node. The same request gets the same importance as long
+     * as the share is the same.
      *
      * @param route a route of the plan
      * @param team the caller's team, if it is known
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/KindTraffic.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/KindTraffic.java
@@ -7,8 +7,8 @@
 import java.util.stream.Collectors;
 
 /**
- * The rates at which the requests of one kind arrive at this node, by class of requests. Thread-safe; {@link #endPeriod}
- * is called by one thread at a time.
+ * The rates at which the requests of one kind arrive at this node, by class of requests. Thread-safe; one thread at a
+ * time calls {@link #endPeriod}.
  */
 final class KindTraffic {
     /** The time constant over which rates are smoothed: long against the calls of one request. */
