Rank no steady team as surplus after a network partition

Cause: the usual rate of a team is what its allocator sees. After a partition that hid most of the demand, or cut off the allocator alone for less than 30 s, a steady team exceeded twice its usual rate as its allocator knew it.

Change: all teams of an allocator count as new when the number of members alive grows by more than a quarter, and a team does after 15 s without demand in place of 30 s. AllocatorDirectory tells the number of members.

Ruled out: the share of the limit that an allocator allocates (share()). It counts members lost in the last 30 s only, so that it is back at 1 before a longer partition ends.

--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/AllocatorDirectory.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/AllocatorDirectory.java
@@ -40,6 +40,13 @@
      */
     boolean membershipStable();
 
+    /**
+     * Returns how many members are alive, as this node knows them.
+     *
+     * @return the number of members
+     */
+    int aliveMembers();
+
     /** Called when members joined or left. */
     void membersChanged();
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/DemandSurplus.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/DemandSurplus.java
@@ -32,13 +32,24 @@
     /** How long a new team's demand has no surplus, in nanoseconds: its usual rate is not known yet. */
     private static final long LEARNING_NANOS = 5_000_000_000L;
 
-    /** After how long without demand a team counts as new, in nanoseconds: its usual rate has decayed by then. */
-    private static final long FORGET_NANOS = 30_000_000_000L;
+    /**
+     * After how long without demand a team counts as new, in nanoseconds. The usual rate has decayed by less than the
+     * tolerated increase by then, so that a team that was not seen for a while, as during a network partition, has no
+     * surplus when it continues at its usual rate.
+     */
+    private static final long FORGET_NANOS = 15_000_000_000L;
+
+    /**
+     * The growth of the number of members from which on all teams count as new. After a network partition the demand of
+     * nodes that this allocator did not serve is no surge.
+     */
+    private static final double MAX_GROWTH = 1.25;
 
     private SmoothedRate present;
     private SmoothedRate usual;
     private long firstNanos;
     private long lastNanos;
+    private int fewestMembers = Integer.MAX_VALUE;
 
     private DemandSurplus(long now) {
         restart(now);
@@ -58,9 +69,15 @@
      * Records demand.
      *
      * @param permits the permits that a node leased, less those that it returned unused
+     * @param members the members alive, whose demand this allocator sees
      * @param now the time, in nanoseconds
      */
-    void record(int permits, long now) {
+    void record(int permits, int members, long now) {
+        if (members > MAX_GROWTH * fewestMembers) {
+            restart(now);
+            fewestMembers = members;
+        }
+        fewestMembers = Math.min(fewestMembers, members);
         if (permits > 0) {
             if (now - lastNanos > FORGET_NANOS) {
                 restart(now);
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitAllocator.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/PermitAllocator.java
@@ -61,7 +61,7 @@
         DemandSurplus surplus = surplus(name, now);
         synchronized (bucket) {
             Allocation allocation = bucket.allocate(node, demand, limit.get(), directory.share(), now);
-            surplus.record(allocation.granted() - demand.returned(), now);
+            surplus.record(allocation.granted() - demand.returned(), directory.aliveMembers(), now);
             return Optional.of(allocation.withSurplusShare(surplus.share(now)));
         }
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/quota/RendezvousAllocatorDirectory.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quota/RendezvousAllocatorDirectory.java
@@ -77,6 +77,11 @@
         return !starting || now - current().sinceNanos() >= QUIET_NANOS;
     }
 
+    @Override
+    public int aliveMembers() {
+        return current().alive().size();
+    }
+
     @Override
     public void membersChanged() {
         current();
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/DemandSurplusTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/DemandSurplusTest.java
@@ -69,7 +69,7 @@
         while (now - begin < seconds * QuotaFleet.SECOND) {
             now += TICK;
             due += perSecond.applyAsDouble((double) (now - begin) / QuotaFleet.SECOND) * TICK / QuotaFleet.SECOND;
-            surplus.record((int) due, now);
+            surplus.record((int) due, 1, now);
             due -= (int) due;
             largest = Math.max(largest, surplus.share(now));
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
@@ -75,6 +75,11 @@
         return true;
     }
 
+    @Override
+    public int aliveMembers() {
+        return 2;
+    }
+
     @Override
     public void membersChanged() {
         // The members stay the same.
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
@@ -62,6 +62,29 @@
         assertTrue(before > 0.3 && after == 0, "before " + before + ", after " + after);
     }
 
+    @Test
+    void aSteadyTeamHasNoneAfterACutThatHidMostOfItsDemand() {
+        start(HIGH_LIMIT);
+        int allocator = fleet.allocator(0, "t");
+        for (int i = 0; i < NODES - 2; i++) {
+            fleet.partition((allocator + 1 + i) % NODES, 1);
+        }
+        rankedShare(40);
+        fleet.heal();
+        assertEquals(0, rankedShare(20));
+    }
+
+    @Test
+    void aSteadyTeamHasNoneAfterItsAllocatorWasCutOffAlone() {
+        start(HIGH_LIMIT);
+        int allocator = fleet.allocator(0, "t");
+        entryNode = n -> n == allocator ? (n + 1) % NODES : n;
+        fleet.partition(allocator, 1);
+        rankedShare(25);
+        fleet.heal();
+        assertEquals(0, rankedShare(20));
+    }
+
     @Test
     void surplusFadesWhileNoReplyArrives() {
         start(HIGH_LIMIT);
