Test that a steady team that was not seen for a while has no surplus

Cause: the fault FORGET_NANOS = 30 s was missed by SurplusFleetTest, in which the growth of the members makes the team count as new anyway.

Change: DemandSurplusTest continues a steady demand after 5, 14 and 25 s.

--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/DemandSurplusTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/DemandSurplusTest.java
@@ -3,6 +3,8 @@
 import java.util.function.DoubleUnaryOperator;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -56,6 +58,14 @@
         assertEquals(0, largestShare(4.9, t -> t < 3 ? 2 : 240), "after 40 s without demand");
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {5, 14, 25})
+    void aSteadyTeamThatWasNotSeenForAWhileHasNone(int seconds) {
+        largestShare(60, t -> 40);
+        now += seconds * QuotaFleet.SECOND;
+        assertEquals(0, largestShare(20, t -> 40));
+    }
+
     @Test
     void aSmallTeamThatVariesHasNone() {
         largestShare(60, t -> 1);
