--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/DemandSurplusTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/DemandSurplusTest.java
@@ -3,6 +3,8 @@
 import java.util.function.DoubleUnaryOperator;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -50,9 +52,18 @@
 
     @Test
     void aNewTeamHasNoneAndNeitherHasOneThatComesBack() {
-        assertEquals(0, largestShare(20, t -> 240), "new");
+        assertEquals(0, largestShare(4.9, t -> t < 3 ? 2 : 240), "new, and rising at once");
+        largestShare(60, t -> 40);
         now += 40 * QuotaFleet.SECOND;
-        assertEquals(0, largestShare(20, t -> 240), "after 40 s without demand");
+        assertEquals(0, largestShare(4.9, t -> t < 3 ? 2 : 240), "after 40 s without demand");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {5, 14, 25})
+    void aSteadyTeamThatWasNotSeenForAWhileHasNone(int seconds) {
+        largestShare(60, t -> 40);
+        now += seconds * QuotaFleet.SECOND;
+        assertEquals(0, largestShare(20, t -> 40));
     }
 
     @Test
@@ -68,7 +79,7 @@
         while (now - begin < seconds * QuotaFleet.SECOND) {
             now += TICK;
             due += perSecond.applyAsDouble((double) (now - begin) / QuotaFleet.SECOND) * TICK / QuotaFleet.SECOND;
-            surplus.record((int) due, now);
+            surplus.record((int) due, 1, now);
             due -= (int) due;
             largest = Math.max(largest, surplus.share(now));
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.quota;
 
 import java.util.function.IntUnaryOperator;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.Refusal;
@@ -61,6 +62,41 @@
         assertTrue(before > 0.3 && after == 0, "before " + before + ", after " + after);
     }
 
+    @Test
+    void aSteadyTeamHasNoneAfterACutThatHidMostOfItsDemand() {
+        start(HIGH_LIMIT);
+        int allocator = fleet.allocator(0, "t");
+        for (int i = 0; i < NODES - 2; i++) {
+            fleet.partition((allocator + 1 + i) % NODES, 1);
+        }
+        rankedShare(40);
+        fleet.heal();
+        assertEquals(0, rankedShare(20));
+    }
+
+    @Test
+    void aSteadyTeamHasNoneAfterItsAllocatorWasCutOffAlone() {
+        start(HIGH_LIMIT);
+        int allocator = fleet.allocator(0, "t");
+        entryNode = n -> n == allocator ? (n + 1) % NODES : n;
+        fleet.partition(allocator, 1);
+        rankedShare(25);
+        fleet.heal();
+        assertEquals(0, rankedShare(20));
+    }
+
+    @Test
+    void surplusFadesWhileNoReplyArrives() {
+        start(HIGH_LIMIT);
+        perSecond = SURGE;
+        rankedShare(3);
+        int node = (fleet.allocator(0, "t") + 1) % NODES;
+        fleet.loseReplies(1);
+        assertTrue(selected(node) > 300, "by the last reply: " + selected(node));
+        rankedShare(2);
+        assertEquals(0, selected(node));
+    }
+
     @Test
     void surplusEndsAtANodeThatIsCutOff() {
         start(HIGH_LIMIT);
@@ -89,6 +125,13 @@
         return (double) ranked / admitted;
     }
 
+    /** Returns how many of 1,000 requests would be surplus at a node now. */
+    private long selected(int node) {
+        return LongStream.range(0, 1_000)
+                .filter(i -> fleet.surplus(node, "t", new RequestId(2, i)))
+                .count();
+    }
+
     private void send() {
         long gap = (long) (-Math.log(1 - fleet.random().nextDouble()) * QuotaFleet.SECOND / perSecond);
         fleet.clock().after(gap, () -> {
