Test the wiring of the locality and where lost calls are retried

Cause: no test failed when a settings reader passed on only a part of the locality, when a retry after a link between nodes was lost moved elsewhere, or when it went to an upstream that would refuse it by its reported level.

--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -257,6 +257,27 @@
         assertEquals(calls().get(0).target(), calls().get(1).target());
     }
 
+    /** A connection lost between nodes says nothing about the upstream. */
+    @Test
+    void retriesACallOfALostLinkAtTheSameUpstreamAlsoWhenSetOtherwise() {
+        retryElsewhere();
+        movesAnIdempotentRequestToANewConnectionOfTheSameUpstream();
+    }
+
+    @Test
+    void retriesALostCallAtTheSameUpstreamWhenAllOthersWouldRefuseIt() {
+        retryElsewhere();
+        send(true, 1);
+        String first = calls().getFirst().target().upstream();
+        Message.Report full =
+                new Message.Report(10, 10, Importance.RANKS, Importance.RANKS, false, Message.DeeperLevel.NONE);
+        router.candidates().stream()
+                .filter(c -> !c.upstream().id().equals(first))
+                .forEach(c -> c.reported("GET /read", full, clock.nanos()));
+        refuse(0, RunState.MAY_HAVE_RUN, RefusalReason.UPSTREAM_BROKEN);
+        assertEquals(first, calls().get(1).target().upstream());
+    }
+
     @Test
     void neverRetriesALostNonIdempotentCallElsewhere() {
         retryElsewhere();
--- a/node/src/test/java/org/verbenadyke/node/settings/NodeSettingsReaderTest.java
+++ b/node/src/test/java/org/verbenadyke/node/settings/NodeSettingsReaderTest.java
@@ -7,10 +7,13 @@
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.routing.Locality;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -38,6 +41,17 @@
         assertEquals(1004, settings.control().port());
     }
 
+    /** Guards against a locality that changes deployments without the setting, or only a part of the decisions. */
+    @Test
+    void readsTheLocality() throws IOException {
+        Policy standard = read(GOOD).policy();
+        assertEquals(Locality.STANDARD, standard.locality());
+        assertFalse(standard.dispatch().brokenRetriedElsewhere());
+        Policy slack = read(GOOD + "[routing]\nlocality = slack\n").policy();
+        assertEquals(Locality.SLACK, slack.locality());
+        assertTrue(slack.dispatch().brokenRetriedElsewhere());
+    }
+
     @Test
     void reportsAllProblemsAtOnce() {
         InvalidSettingsException e = assertThrows(InvalidSettingsException.class, () -> read("""
