Test that costs are learned only where a share needs them

Cause: outcomes alone do not show that usage is requested needlessly.

Change: SharesFleetTest asks the entry nodes for learned costs, with a write below a read and without.

--- a/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 
+import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.route.RequestLimits;
 import org.verbenadyke.kernel.route.Route;
@@ -113,6 +114,14 @@
         return direct;
     }
 
+    /** Returns whether some entry node has learned what requests of the lowest importance take at the deep service. */
+    boolean learnsCosts() {
+        long now = fleet.lab().clock().nanos();
+        return fleet.lab().servers().stream()
+                .map(s -> s.node().core().engine().costs())
+                .anyMatch(c -> !c.kindsUsing(Importance.LOW, "deep", now).isEmpty());
+    }
+
     /** Returns the share of all requests that were answered in time. */
     double inTimeShare() {
         double inTime = reads.inTime() + writes.inTime() + direct.inTime();
--- a/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleetTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleetTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests the guaranteed share of less important writes on {@link SharesFleet}. */
@@ -33,9 +34,16 @@
     void changesNothingUnlessAWriteRanksBelowARead() {
         String without =
                 SharesFleet.withReadsBelowWrites(3, false).run(1.7, RUN_NANOS).toString();
-        String with =
-                SharesFleet.withReadsBelowWrites(3, true).run(1.7, RUN_NANOS).toString();
+        SharesFleet with = SharesFleet.withReadsBelowWrites(3, true).run(1.7, RUN_NANOS);
         System.out.println("no write below a read: " + with);
-        assertEquals(without, with);
+        assertEquals(without, with.toString());
+        assertFalse(with.learnsCosts(), "requested usage that no share needs");
+    }
+
+    /** Without costs, the share would stay at its lowest value. */
+    @Test
+    void learnsCostsWhileAWriteRanksBelowARead() {
+        SharesFleet fleet = SharesFleet.withWritesBelowReads(3, true).run(0.8, 2 * Lab.SECOND);
+        assertTrue(fleet.learnsCosts(), "learned nothing: " + fleet);
     }
 }
