Shorten ServerConnectionTest

Change: one reservation takes all memory for every test, the server binds a port that the system chooses, and sending, releasing and advancing the clock are one step each with the run of the channel's tasks.

Ruled out: a reservation without a listener, which the memory does not allow.

--- a/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
@@ -1,8 +1,5 @@
 package org.verbenadyke.node.http1;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -45,9 +42,19 @@
     private RequestKind kind = RequestKind.UPLOAD;
     private final BodyMemory memory =
             BodyMemory.of(LIMIT, clock, () -> Optional.of(plan()), () -> new SplittableRandom(1));
+
+    /** Takes all memory until a test releases it. */
+    private final BodyReservation other = memory.reserve(LIMIT, new BodyMemory.Listener() {
+        @Override
+        public void granted() {}
+
+        @Override
+        public void refused() {}
+    });
+
     private final ServerLimits limits = new ServerLimits(8_192, LIMIT, IDLE_NANOS);
     private final HttpServer server =
-            HttpServer.listen(freeEndpoint(), loops, clock, () -> limits, memory, handled::add);
+            HttpServer.listen(new Endpoint("127.0.0.1", 0), loops, clock, () -> limits, memory, handled::add);
     private final ServerConnection connection = new ServerConnection(server, limits);
     private final EmbeddedChannel channel = new EmbeddedChannel(new HttpServerCodec(), connection);
 
@@ -60,12 +67,10 @@
 
     @Test
     void stopsReadingWhileThereIsNoMemoryAndResumes() {
-        BodyReservation other = fill();
         send(head(BODY_BYTES));
         assertFalse(channel.config().isAutoRead());
         send(body(BODY_BYTES / 2));
-        other.release();
-        run();
+        release();
         assertTrue(channel.config().isAutoRead());
         send(body(BODY_BYTES / 2));
         assertArrayEquals(new byte[BODY_BYTES], handled.getFirst().request().body());
@@ -77,28 +82,22 @@
     /** Closing the connection with unread data would reset it, and the caller could lose the refusal. */
     @Test
     void answersARefusedRequestAtOnceAndServesTheNextOneOnTheConnection() {
-        BodyReservation other = fill();
-        send(head(BODY_BYTES));
-        send(body(BODY_BYTES / 2));
-        clock.advance(NO_WAIT_LEFT_NANOS);
-        run();
+        send(head(BODY_BYTES), body(BODY_BYTES / 2));
+        advance(NO_WAIT_LEFT_NANOS);
         assertTrue(sent().startsWith("HTTP/1.1 503"));
         other.release();
         send(body(BODY_BYTES / 2));
         assertEquals(0, handled.size());
-        send(head(BODY_BYTES));
-        send(body(BODY_BYTES));
+        send(head(BODY_BYTES), body(BODY_BYTES));
         assertEquals(1, handled.size());
         assertTrue(channel.isOpen());
     }
 
     @Test
     void releasesWhenTheCallerLeavesWhileItWaitsOrIsServed() {
-        BodyReservation other = fill();
         send(head(BODY_BYTES));
         channel.close();
-        other.release();
-        run();
+        release();
         assertEquals(0, memory.enteringBytes() + memory.waiting());
         EmbeddedChannel second = new EmbeddedChannel(new HttpServerCodec(), new ServerConnection(server, limits));
         second.writeInbound(head(BODY_BYTES), body(BODY_BYTES));
@@ -110,14 +109,12 @@
 
     @Test
     void reservesTheMostForABodyOfUnknownLengthAndReturnsTheRest() {
-        BodyReservation other = fill();
-        send(ascii("POST /u/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"));
+        send(post("transfer-encoding: chunked"));
         assertTrue(channel.config().isAutoRead());
         sendChunk(20_000);
         assertFalse(channel.config().isAutoRead());
         sendChunk(30_000);
-        other.release();
-        run();
+        release();
         assertEquals(LIMIT, memory.enteringBytes());
         send(ascii("0\r\n\r\n"));
         assertEquals(50_000, handled.getFirst().request().body().length);
@@ -127,8 +124,8 @@
     /** A caller that stalls would otherwise hold its memory for as long as it keeps the connection open. */
     @Test
     void refusesABodyThatDoesNotArriveInTime() {
-        send(head(BODY_BYTES));
-        send(body(1));
+        other.release();
+        send(head(BODY_BYTES), body(1));
         clock.advance(IDLE_NANOS + MILLI);
         connection.closeIfIdle(clock.nanos());
         run();
@@ -139,11 +136,9 @@
 
     @Test
     void invitesABodyOnlyWhenThereIsMemory() {
-        BodyReservation other = fill();
-        send(ascii("POST /u/ HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 50000\r\n\r\n"));
+        send(post("expect: 100-continue\r\ncontent-length: 50000"));
         assertEquals("", sent());
-        other.release();
-        run();
+        release();
         assertTrue(sent().startsWith("HTTP/1.1 100"));
         send(body(50_000));
         assertEquals(1, handled.size());
@@ -151,24 +146,20 @@
 
     @Test
     void closesAConnectionWhoseUninvitedBodyIsRefused() {
-        fill();
-        send(ascii("POST /u/ HTTP/1.1\r\nhost: h\r\nexpect: 100-continue\r\ncontent-length: 50000\r\n\r\n"));
-        clock.advance(NO_WAIT_LEFT_NANOS);
-        run();
+        send(post("expect: 100-continue\r\ncontent-length: 50000"));
+        advance(NO_WAIT_LEFT_NANOS);
         assertTrue(sent().contains("connection: close"));
         assertFalse(channel.isOpen());
     }
 
     @Test
     void aPlannedStopServesAnUploadThatWaits() {
-        BodyReservation other = fill();
         send(head(BODY_BYTES));
         server.shutdownGracefully();
         connection.closeIfIdle(clock.nanos());
         run();
         assertTrue(channel.isOpen());
-        other.release();
-        run();
+        release();
         send(body(BODY_BYTES));
         handled.getFirst().answer(200, List.of(), new byte[0]);
         assertTrue(sent().startsWith("HTTP/1.1 200"));
@@ -177,11 +168,9 @@
 
     @Test
     void aPlannedStopReadsTheRestOfARefusedBodyBeforeItCloses() {
-        fill();
         send(head(BODY_BYTES));
         server.shutdownGracefully();
-        clock.advance(NO_WAIT_LEFT_NANOS);
-        run();
+        advance(NO_WAIT_LEFT_NANOS);
         assertTrue(sent().contains("connection: close"));
         assertTrue(channel.isOpen());
         send(body(BODY_BYTES));
@@ -190,6 +179,7 @@
 
     @Test
     void readsAllBodiesAtOnceWithoutUploadRoutes() {
+        other.release();
         kind = RequestKind.NON_IDEMPOTENT;
         for (int i = 1; i <= 3; i++) {
             send(head(LIMIT));
@@ -201,29 +191,25 @@
         assertEquals(0, memory.enteringBytes());
     }
 
-    private BodyReservation fill() {
-        return memory.reserve(LIMIT, new BodyMemory.Listener() {
-            @Override
-            public void granted() {
-                // Granted at once.
-            }
+    private void send(ByteBuf... parts) {
+        for (ByteBuf part : parts) {
+            channel.writeInbound(part);
+            run();
+        }
+    }
 
-            @Override
-            public void refused() {
-                // Granted at once.
-            }
-        });
+    private void sendChunk(int length) {
+        send(ascii(Integer.toHexString(length) + "\r\n"), body(length), ascii("\r\n"));
     }
 
-    private void send(ByteBuf bytes) {
-        channel.writeInbound(bytes);
+    private void release() {
+        other.release();
         run();
     }
 
-    private void sendChunk(int length) {
-        send(ascii(Integer.toHexString(length) + "\r\n"));
-        send(body(length));
-        send(ascii("\r\n"));
+    private void advance(long nanos) {
+        clock.advance(nanos);
+        run();
     }
 
     private void run() {
@@ -240,7 +226,11 @@
     }
 
     private static ByteBuf head(int length) {
-        return ascii("POST /u/ HTTP/1.1\r\nhost: h\r\ncontent-length: " + length + "\r\n\r\n");
+        return post("content-length: " + length);
+    }
+
+    private static ByteBuf post(String fields) {
+        return ascii("POST /u/ HTTP/1.1\r\nhost: h\r\n" + fields + "\r\n\r\n");
     }
 
     private static ByteBuf body(int length) {
@@ -255,12 +245,4 @@
         Route route = new Route("up", "h", "/u/", List.of(), kind, 2_000 * MILLI, 800 * MILLI, 2, 1, true);
         return RoutePlan.of(1, List.of(route), List.of(), RequestLimits.standard());
     }
-
-    private static Endpoint freeEndpoint() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new Endpoint("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
 }
