Share the set-up of requests in the engine tests

Cause: ChainUsageTest and SurplusRequestTest each build a route and a request, and ChainUsageTest repeats the check of costs after each run.

Change: Engines.request builds both; it takes the number of attempts, which differs. The costs are checked in the same step as the requests that cause them. SurplusRequestTest now uses the path of ChainUsageTest, on which nothing in it depends.

--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ChainUsageTest.java
@@ -7,18 +7,12 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.admission.FixedLimit;
-import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RecordingSink;
 import org.verbenadyke.kernel.dispatch.CallHandle;
-import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.quarantine.Quarantine;
-import org.verbenadyke.kernel.route.RequestKind;
-import org.verbenadyke.kernel.route.Route;
-import org.verbenadyke.kernel.route.ServiceShare;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.Attachment;
@@ -34,7 +28,6 @@
 final class ChainUsageTest {
     private static final long MILLI = 1_000_000L;
     private static final long TTL_NANOS = 10_000 * MILLI;
-    private static final Message.Content CONTENT = new Message.Content("GET", "/p/x", List.of(), new byte[0]);
     private static final int OK = 200;
     private static final int FAILED = 500;
 
@@ -50,19 +43,17 @@
 
     ChainUsageTest() {
         clock.advance(MILLI);
-        Engine front1 = start("front", 2);
-        Engine front2 = start("front", 3);
-        Engine deep1 = start("deep", 4);
-        Engine deep2 = start("deep", 5);
-        Engine base = start("base", 6);
-        route(entry, front1, front2);
-        List.of(front1, front2).forEach(front -> route(front, deep1, deep2));
-        List.of(deep1, deep2).forEach(deep -> route(deep, base));
+        List<Engine> fronts = List.of(start("front", 2), start("front", 3));
+        List<Engine> deep = List.of(start("deep", 4), start("deep", 5));
+        List<Engine> base = List.of(start("base", 6));
+        route(entry, fronts);
+        fronts.forEach(from -> route(from, deep));
+        deep.forEach(from -> route(from, base));
     }
 
     @Test
     void addsUpNestedAndRepeatedCalls() {
-        repeat(front -> {
+        assertCosts(64, 54, 40, front -> {
             work(10);
             for (int i = 0; i < 2; i++) {
                 Served deep = front.call("deep");
@@ -75,12 +66,11 @@
             }
             front.answer(OK);
         });
-        assertCosts(64, 54, 40);
     }
 
     @Test
     void addsUpParallelCalls() {
-        repeat(front -> {
+        assertCosts(30, 50, 0, front -> {
             Served first = front.call("deep");
             Served second = front.call("deep");
             work(20);
@@ -89,13 +79,12 @@
             first.answer(OK);
             front.answer(OK);
         });
-        assertCosts(30, 50, 0);
     }
 
     @Test
     void countsAFailedAttemptWhereItWasUsed() {
         for (Consumer<Served> failure : List.<Consumer<Served>>of(s -> s.answer(FAILED), s -> s.listener.broken())) {
-            repeat(front -> {
+            assertCosts(57, 57, 7, front -> {
                 Served deep = front.call("deep");
                 Served base = deep.call("base");
                 work(7);
@@ -106,38 +95,35 @@
                 last.get("deep").answer(OK);
                 front.answer(OK);
             });
-            assertCosts(57, 57, 7);
         }
     }
 
     @Test
     void countsAnAttemptThatTheEntryRetried() {
-        repeat(front -> {
+        assertCosts(50, 0, 0, front -> {
             work(20);
             front.answer(FAILED);
             work(30);
             last.get("front").answer(OK);
         });
-        assertCosts(50, 0, 0);
     }
 
     /** The report is sent with the head of the answer, so that later calls can't be part of it. */
     @Test
     void ignoresACallThatIsAnsweredAfterTheAnswerOfItsCaller() {
-        repeat(front -> {
+        assertCosts(10, 0, 0, front -> {
             Served deep = front.call("deep");
             work(10);
             front.answer(OK);
             work(10);
             deep.answer(OK);
         });
-        assertCosts(10, 0, 0);
     }
 
     /** Both the head and the refusal that follows it report the slot time, which ends at the head. */
     @Test
     void countsACallThatBreaksOffAfterItsHeadOnce() {
-        repeat(front -> {
+        assertCosts(60, 10, 0, front -> {
             Served deep = front.call("deep");
             work(10);
             deep.listener.head(OK, List.of());
@@ -145,7 +131,6 @@
             deep.listener.broken();
             front.answer(OK);
         });
-        assertCosts(60, 10, 0);
     }
 
     @Test
@@ -179,7 +164,8 @@
         assertEquals(OptionalDouble.empty(), cost("front"));
     }
 
-    private void assertCosts(long frontMillis, long deepMillis, long baseMillis) {
+    private void assertCosts(long frontMillis, long deepMillis, long baseMillis, Consumer<Served> upstream) {
+        repeat(upstream);
         assertEquals(frontMillis * MILLI, cost("front").orElseThrow(), 1);
         assertEquals(deepMillis * MILLI, cost("deep").orElseThrow(), 1);
         assertEquals(baseMillis * MILLI, cost("base").orElseThrow(), 1);
@@ -202,11 +188,7 @@
     }
 
     private CallHandle submit() {
-        List<ServiceShare> shares = List.of(new ServiceShare("front", 1));
-        Route route = new Route("r", "", "/p/", shares, RequestKind.IDEMPOTENT, TTL_NANOS, TTL_NANOS, 2, 0, true);
-        RoutedRequest routed = new RoutedRequest(
-                        route, "front", CONTENT, Importance.NORMAL, Optional.empty(), TTL_NANOS, 0)
-                .withUsageRequested(usageRequested);
+        RoutedRequest routed = Engines.request("front", TTL_NANOS, 2, 0).withUsageRequested(usageRequested);
         return entry.submit(routed, new RecordingSink(outcomes));
     }
 
@@ -214,7 +196,7 @@
         Endpoint endpoint = new Endpoint("10.0.0." + number, 1);
         Engine engine = Engines.create(net, endpoint.host(), number, clock, Quarantine.standalone(clock));
         UpstreamPort port = (handOver, listener) -> {
-            last.put(service, new Served(engine, handOver, listener));
+            last.put(service, new Served(last, engine, handOver, listener));
             return new Engines.Silent();
         };
         engine.attach(new Attachment(endpoint.host(), service, port, number, () -> {}), FixedLimit.of(100));
@@ -222,32 +204,23 @@
         return engine;
     }
 
-    private static void route(Engine from, Engine... to) {
+    private static void route(Engine from, List<Engine> to) {
         from.router()
-                .update(Stream.of(to)
+                .update(to.stream()
                         .map(engine -> engine.server().upstream().orElseThrow())
                         .map(u -> new Upstream(u.id(), u.service(), new Endpoint(u.id(), 1), Engines.LOCATION))
                         .toList());
     }
 
     /** A call that an upstream serves; the test makes its nested calls and answers it. */
-    private final class Served {
-        private final Engine engine;
-        private final UpstreamPort.HandOver handOver;
-        private final UpstreamPort.Listener listener;
-
-        private Served(Engine engine, UpstreamPort.HandOver handOver, UpstreamPort.Listener listener) {
-            this.engine = engine;
-            this.handOver = handOver;
-            this.listener = listener;
-        }
-
+    private record Served(
+            Map<String, Served> last, Engine engine, UpstreamPort.HandOver handOver, UpstreamPort.Listener listener) {
         CallContext context() {
             return engine.server().context(handOver.contextToken()).orElseThrow();
         }
 
         Served call(String service) {
-            InboundRequest nested = new InboundRequest(service, CONTENT, "", Optional.of(TTL_NANOS));
+            InboundRequest nested = new InboundRequest(service, Engines.CONTENT, "", Optional.of(TTL_NANOS));
             engine.submitNested(handOver.contextToken(), nested, new RecordingSink(new ArrayList<>()));
             return last.get(service);
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/SurplusRequestTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/SurplusRequestTest.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.Importance;
@@ -10,9 +9,6 @@
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.quarantine.Quarantine;
-import org.verbenadyke.kernel.route.RequestKind;
-import org.verbenadyke.kernel.route.Route;
-import org.verbenadyke.kernel.route.ServiceShare;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.time.VirtualTimerService;
@@ -54,23 +50,6 @@
     }
 
     private static RoutedRequest request(boolean returning) {
-        return new RoutedRequest(
-                new Route(
-                        "r",
-                        "",
-                        "/",
-                        List.of(new ServiceShare("s", 1)),
-                        RequestKind.IDEMPOTENT,
-                        SECOND,
-                        SECOND,
-                        1,
-                        0,
-                        true),
-                "s",
-                new Message.Content("GET", "/p", List.of(), new byte[0]),
-                Importance.NORMAL,
-                Optional.empty(),
-                SECOND,
-                returning ? 1 : 0);
+        return Engines.request("s", SECOND, 1, returning ? 1 : 0);
     }
 }
