Share the random load of the tests of team limits

Cause: three tests compute the time until the next request, and two wrap an admission in a callback class.

Change: QuotaFleet has the gap and an admission with two actions. The shares of SurplusReplayTest are printed as a record, with all digits.

--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
@@ -76,9 +76,7 @@
     }
 
     @Override
-    public void membersChanged() {
-        // The members stay the same.
-    }
+    public void membersChanged() {}
 
     @Override
     public long sinceNanos() {
@@ -91,7 +89,5 @@
     }
 
     @Override
-    public void refused(Refusal refusal) {
-        // Only admissions are counted.
-    }
+    public void refused(Refusal refusal) {}
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaFleet.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaFleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RequestId;
@@ -88,6 +89,26 @@
         nodes.get(node).limiter.admit(teams.get(team), callback);
     }
 
+    /** Sends a team's request to a node, and runs an action when it is admitted. */
+    void admit(int node, String team, Runnable whenAdmitted, Consumer<Refusal> whenRefused) {
+        admit(node, team, new TeamLimiter.AdmissionCallback() {
+            @Override
+            public void admitted() {
+                whenAdmitted.run();
+            }
+
+            @Override
+            public void refused(Refusal refusal) {
+                whenRefused.accept(refusal);
+            }
+        });
+    }
+
+    /** Returns the random time until the next request, in nanoseconds. */
+    long gap(double perSecond) {
+        return (long) (-Math.log(1 - random.nextDouble()) * SECOND / perSecond);
+    }
+
     /** Returns whether a request belongs to the surplus of its team, as the node where it entered sees it. */
     boolean surplus(int node, String team, RequestId request) {
         return nodes.get(node).limiter.surplus(teams.get(team), request);
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaReplayTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/QuotaReplayTest.java
@@ -177,7 +177,7 @@
     private void send(String name) {
         double perSecond = fleet.team(name).limit().orElseThrow().perSecond() * USUAL_LIMIT_SHARE;
         double rate = Math.max(1.25, perSecond) * loadFactors.get(name);
-        long gap = (long) (-Math.log(1 - fleet.random().nextDouble()) * QuotaFleet.SECOND / rate);
+        long gap = fleet.gap(rate);
         fleet.clock().after(gap, () -> {
             List<Integer> nodes = callers.get(name);
             int node = nodes.get(fleet.random().nextInt(nodes.size()));
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
@@ -3,7 +3,6 @@
 import java.util.function.IntUnaryOperator;
 
 import org.junit.jupiter.api.Test;
-import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.team.Team;
 
@@ -35,8 +34,7 @@
     @Test
     void aTeamWithoutALimitHasNone() {
         start(HIGH_LIMIT);
-        perSecond = SURGE;
-        assertTrue(rankedShare(3) > 0.3);
+        assertTrue(surgeShare(3) > 0.3);
         assertFalse(fleet.surplus(0, "free", new RequestId(1, 1)));
     }
 
@@ -45,16 +43,14 @@
         start(HIGH_LIMIT);
         fleet.loseReplies(0.3);
         assertEquals(0, rankedShare(10), "steady");
-        perSecond = SURGE;
-        double share = rankedShare(4);
+        double share = surgeShare(4);
         assertTrue(share > 0.2, "surging: " + share);
     }
 
     @Test
     void aNewAllocatorStartsWithoutSurplus() {
         start(HIGH_LIMIT);
-        perSecond = SURGE;
-        double before = rankedShare(3);
+        double before = surgeShare(3);
         fleet.kill(fleet.allocator(0, "t"));
         rankedShare(2);
         double after = rankedShare(5);
@@ -64,8 +60,7 @@
     @Test
     void surplusEndsAtANodeThatIsCutOff() {
         start(HIGH_LIMIT);
-        perSecond = SURGE;
-        rankedShare(3);
+        surgeShare(3);
         int node = (fleet.allocator(0, "t") + 1) % NODES;
         fleet.partition(node, 1);
         entryNode = n -> node;
@@ -81,6 +76,11 @@
         assertEquals(0, rankedShare(40), "at the usual rate");
     }
 
+    private double surgeShare(int seconds) {
+        perSecond = SURGE;
+        return rankedShare(seconds);
+    }
+
     /** Returns the share of the admitted requests of the next seconds that are surplus. */
     private double rankedShare(int seconds) {
         admitted = 0;
@@ -90,33 +90,18 @@
     }
 
     private void send() {
-        long gap = (long) (-Math.log(1 - fleet.random().nextDouble()) * QuotaFleet.SECOND / perSecond);
-        fleet.clock().after(gap, () -> {
+        fleet.clock().after(fleet.gap(perSecond), () -> {
             int node = entryNode.applyAsInt(fleet.random().nextInt(NODES));
             if (fleet.running(node)) {
-                fleet.admit(node, "t", new Entry(node));
+                fleet.admit(node, "t", () -> count(node), refusal -> {});
             }
             send();
         });
     }
 
-    /** Counts a request, and whether it is surplus at the node where it entered. */
-    private final class Entry implements TeamLimiter.AdmissionCallback {
-        private final int node;
-
-        private Entry(int node) {
-            this.node = node;
-        }
-
-        @Override
-        public void admitted() {
-            admitted++;
-            ranked += fleet.surplus(node, "t", new RequestId(1, sequence++)) ? 1 : 0;
-        }
-
-        @Override
-        public void refused(Refusal refusal) {
-            // Only admitted requests are ranked.
-        }
+    /** Counts an admitted request, and whether it is surplus at the node where it entered. */
+    private void count(int node) {
+        admitted++;
+        ranked += fleet.surplus(node, "t", new RequestId(1, sequence++)) ? 1 : 0;
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusReplayTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusReplayTest.java
@@ -1,6 +1,5 @@
 package org.verbenadyke.kernel.quota;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.IntStream;
@@ -16,7 +15,6 @@
 import org.verbenadyke.kernel.admission.QueueOrder;
 import org.verbenadyke.kernel.admission.WaitingCall;
 import org.verbenadyke.kernel.call.Importance;
-import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
 
@@ -100,9 +98,8 @@
 
         private void send(int team) {
             double rate = surging && team == 0 ? SURGE * usual : usual;
-            long gap = (long) (-Math.log(1 - fleet.random().nextDouble()) * QuotaFleet.SECOND / rate);
-            fleet.clock().after(Math.min(gap, QuotaFleet.SECOND), () -> {
-                new Request(team, fleet.random().nextInt(NODES), surging).enter();
+            fleet.clock().after(Math.min(fleet.gap(rate), QuotaFleet.SECOND), () -> {
+                new Request(team).enter();
                 send(team);
             });
         }
@@ -113,45 +110,33 @@
                     .toList();
             double all = (double) IntStream.of(served).sum()
                     / IntStream.of(requested).sum();
-            List<Double> others = new ArrayList<>(shares.subList(1, TEAMS));
-            double mean = others.stream().mapToDouble(s -> s).average().orElseThrow();
+            double others =
+                    shares.stream().skip(1).mapToDouble(s -> s).average().orElseThrow();
             double least = shares.stream().mapToDouble(s -> s).min().orElseThrow();
-            return new Shares(
-                    shares.getFirst(),
-                    mean,
-                    least,
-                    all,
-                    IntStream.of(ranked).skip(1).sum() / (double) sequence);
+            double surplusOfOthers = (double) IntStream.of(ranked).skip(1).sum() / sequence;
+            return new Shares(shares.getFirst(), others, least, all, surplusOfOthers);
         }
 
-        /** One request and its call; it counts if it was sent during the surge. */
+        /** One request and its call; it counts if it was sent during the surge, as not served when shed. */
         private final class Request implements WaitingCall {
             private final int team;
-            private final int entry;
-            private final boolean counted;
+            private final int entry = fleet.random().nextInt(NODES);
+            private final boolean counted = surging;
             private final RequestId id = new RequestId(1, sequence++);
             private final long due = fleet.clock().nanos() + 500 * QuotaFleet.MILLI;
 
-            private Request(int team, int entry, boolean counted) {
+            private Request(int team) {
                 this.team = team;
-                this.entry = entry;
-                this.counted = counted;
+                requested[team] += counted ? 1 : 0;
             }
 
             private void enter() {
-                requested[team] += counted ? 1 : 0;
-                fleet.admit(entry, "t" + team, new TeamLimiter.AdmissionCallback() {
-                    @Override
-                    public void admitted() {
-                        dispatch();
-                    }
-
-                    @Override
-                    public void refused(Refusal refusal) {
-                        assertEquals(
-                                RefusalReason.TEAM_UNCERTAIN, refusal.reason(), "all teams are within their limits");
-                    }
-                });
+                fleet.admit(
+                        entry,
+                        "t" + team,
+                        this::dispatch,
+                        refusal -> assertEquals(
+                                RefusalReason.TEAM_UNCERTAIN, refusal.reason(), "all teams are within their limits"));
             }
 
             private void dispatch() {
@@ -199,9 +184,7 @@
             }
 
             @Override
-            public void shed(RefusalReason reason) {
-                // Counts as not served.
-            }
+            public void shed(RefusalReason reason) {}
         }
     }
 
@@ -212,18 +195,7 @@
      * @param others of the mean of the other teams
      * @param least of the least served team
      * @param all of all requests
+     * @param surplusOfOthers the share of the requests that are surplus of the other teams
      */
-    private record Shares(double surging, double others, double least, double all, double surplusOfOthers) {
-        @Override
-        public String toString() {
-            return String.format(
-                    Locale.ROOT,
-                    "surging %.3f others %.3f least %.3f all %.3f, surplus of others %.4f",
-                    surging,
-                    others,
-                    least,
-                    all,
-                    surplusOfOthers);
-        }
-    }
+    private record Shares(double surging, double others, double least, double all, double surplusOfOthers) {}
 }
