Test malformed usages with one parameterized test

Change: the two tests of UsageCodec that reject a frame differ in the number of services and the time, which are now parameters.

--- a/wire/src/test/java/org/verbenadyke/wire/UsageCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/UsageCodecTest.java
@@ -6,6 +6,8 @@
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 import org.verbenadyke.kernel.call.CallId;
@@ -36,22 +38,17 @@
         assertEquals(1, encode(Usage.NONE).length);
     }
 
-    @Test
-    void rejectsMoreServicesThanAllowed() throws IOException {
+    @ParameterizedTest
+    @CsvSource({Usage.MAX_SERVICES + 1 + ", 1", "1, -1"})
+    void rejectsMoreServicesThanAllowedAndANegativeSlotTime(int services, long micros) throws IOException {
         try (MessageBufferPacker p = Buffers.packer()) {
-            p.packArrayHeader(Usage.MAX_SERVICES + 1);
-            for (int i = 0; i <= Usage.MAX_SERVICES; i++) {
-                p.packString("s" + i).packLong(1);
+            p.packArrayHeader(services);
+            for (int i = 0; i < services; i++) {
+                p.packString("s" + i).packLong(micros);
             }
-            assertMalformed(p.toByteArray());
-        }
-    }
-
-    @Test
-    void rejectsANegativeSlotTime() throws IOException {
-        try (MessageBufferPacker p = Buffers.packer()) {
-            p.packArrayHeader(1).packString("s").packLong(-1);
-            assertMalformed(p.toByteArray());
+            byte[] bytes = p.toByteArray();
+            VerbenadykeException e = assertThrows(VerbenadykeException.class, () -> decode(bytes));
+            assertEquals(ErrorCode.FRAME_MALFORMED, e.code());
         }
     }
 
@@ -98,9 +95,4 @@
             return UsageCodec.unpack(u);
         }
     }
-
-    private static void assertMalformed(byte[] bytes) {
-        VerbenadykeException e = assertThrows(VerbenadykeException.class, () -> decode(bytes));
-        assertEquals(ErrorCode.FRAME_MALFORMED, e.code());
-    }
 }
