Shorten the fleets of the tests of costs and shares

Change: ChainCostTest has one method that runs the load, SharesFleet shows its tallies as fields, FleetUpstream has one constructor less.

--- a/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -202,8 +202,8 @@
 
     private void attachWorker(LabServer server) {
         LabNode node = server.node();
-        FleetUpstream worker =
-                new FleetUpstream(node, Map.of(request.name(), request), lab.random(), 1, lab.statements());
+        FleetUpstream worker = new FleetUpstream(
+                node, Map.of(request.name(), request), lab.random(), 1, lab.statements(), new WorkLog());
         node.core()
                 .attachUpstream(
                         UpstreamRegistration.of(server.spec().name(), worker).withSlots(SLOTS));
--- a/bench/src/test/java/org/verbenadyke/bench/lab/ChainCostTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/ChainCostTest.java
@@ -45,7 +45,7 @@
     @ParameterizedTest
     @CsvSource({"3, 0.5", "4, 0.8", "5, 0.8"})
     void learnsTheTimeThatUpstreamsSpentOnRequests(long seed, double times) {
-        run(seed, times, UNEVEN, 8);
+        run(seed, times, UNEVEN, 8, true);
         int compared = 0;
         for (LabServer entry : fleet.lab().servers()) {
             for (FleetOperation root : List.of(LOOKUP, FILING)) {
@@ -64,9 +64,9 @@
     @ParameterizedTest
     @CsvSource({"3, 1.0", "4, 1.3", "5, 1.7", "6, 2.4"})
     void learnsTheSameCostUnderOverload(long seed, double times) {
-        run(seed, times, EVEN, 6);
-        double lookup = mean(LOOKUP, "deep");
-        double filing = mean(FILING, "deep");
+        run(seed, times, EVEN, 6, true);
+        double lookup = meanAtDeep(LOOKUP);
+        double filing = meanAtDeep(FILING);
         System.out.println("chain costs, seed " + seed + ", " + times + " times: lookup " + lookup + " ms, filing "
                 + filing + " ms; lookups " + lookups + "; filings " + filings);
         assertEquals(120, lookup, 12);
@@ -76,7 +76,7 @@
     /** Shares that are weighted by wrong rates would favour rare kinds of request. */
     @Test
     void learnsTheRatesOfRequests() {
-        run(7, 0.5, EVEN, 36);
+        run(7, 0.5, EVEN, 36, true);
         double lookupsPerSecond = perSecond(Importance.NORMAL);
         double filingsPerSecond = perSecond(Importance.HIGH);
         System.out.println(
@@ -87,18 +87,15 @@
 
     @Test
     void learnsNothingUnlessUsageIsRequested() {
-        fleet = CallerFleet.start(3, SERVICES, List.of(LEG, PART, LOOKUP, FILING), EVEN);
-        generateLoad(0.5, 8);
+        run(3, 0.5, EVEN, 8, false);
         assertTrue(entries().allMatch(e -> millis(costs(e), LOOKUP, "front").isEmpty()));
     }
 
-    private void run(long seed, double times, double[] speeds, long seconds) {
+    private void run(long seed, double times, double[] speeds, long seconds, boolean requestsUsage) {
         fleet = CallerFleet.start(seed, SERVICES, List.of(LEG, PART, LOOKUP, FILING), speeds);
-        fleet.requestUsage();
-        generateLoad(times, seconds);
-    }
-
-    private void generateLoad(double times, long seconds) {
+        if (requestsUsage) {
+            fleet.requestUsage();
+        }
         long end = fleet.lab().clock().nanos() + seconds * Lab.SECOND;
         fleet.generateLoad(
                 new CallerFleet.CallerGroup(LOOKUP, Importance.NORMAL, 4_000, lookups),
@@ -115,9 +112,9 @@
         return nanos.isEmpty() ? nanos : OptionalDouble.of(nanos.getAsDouble() / Lab.MILLI);
     }
 
-    private double mean(FleetOperation root, String service) {
+    private double meanAtDeep(FleetOperation root) {
         return entries()
-                .map(e -> millis(costs(e), root, service))
+                .map(e -> millis(costs(e), root, "deep"))
                 .flatMapToDouble(OptionalDouble::stream)
                 .average()
                 .orElseThrow();
--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
@@ -33,15 +33,6 @@
         this(node, operations, random, speed, new Statements(), new WorkLog());
     }
 
-    FleetUpstream(
-            LabNode node,
-            Map<String, FleetOperation> operations,
-            RandomGenerator random,
-            double speed,
-            Statements statements) {
-        this(node, operations, random, speed, statements, new WorkLog());
-    }
-
     FleetUpstream(
             LabNode node,
             Map<String, FleetOperation> operations,
--- a/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
@@ -40,9 +40,9 @@
     private final FleetOperation write;
     private final RoutePlan plan;
     private final CallerFleet fleet;
-    private final CallerFleet.Tally reads = new CallerFleet.Tally();
-    private final CallerFleet.Tally writes = new CallerFleet.Tally();
-    private final CallerFleet.Tally direct = new CallerFleet.Tally();
+    final CallerFleet.Tally reads = new CallerFleet.Tally();
+    final CallerFleet.Tally writes = new CallerFleet.Tally();
+    final CallerFleet.Tally direct = new CallerFleet.Tally();
 
     private SharesFleet(long seed, int readPriority, int writePriority, boolean planInForce) {
         this.read = READ.withPriority(readPriority);
@@ -87,9 +87,7 @@
     private static RoutePlanStore store(RoutePlan plan) {
         RoutePlanStore.Listener listener = new RoutePlanStore.Listener() {
             @Override
-            public void applied(RoutePlan applied, long before, String source) {
-                // The nodes read the plan from the store.
-            }
+            public void applied(RoutePlan applied, long before, String source) {}
 
             @Override
             public void rejected(String source, List<String> problems) {
@@ -101,18 +99,6 @@
         return store;
     }
 
-    CallerFleet.Tally reads() {
-        return reads;
-    }
-
-    CallerFleet.Tally writes() {
-        return writes;
-    }
-
-    CallerFleet.Tally direct() {
-        return direct;
-    }
-
     /** Returns the share of all requests that were answered in time. */
     double inTimeShare() {
         double inTime = reads.inTime() + writes.inTime() + direct.inTime();
--- a/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleetTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleetTest.java
@@ -22,20 +22,18 @@
         System.out.println("seed " + seed + ", " + times + " times, strict: " + strict);
         System.out.println("seed " + seed + ", " + times + " times, shares: " + shares);
         double all = shares.inTimeShare();
-        assertTrue(shares.reads().inTimeShare() > all / 4, "reads: " + shares);
-        assertTrue(shares.writes().inTimeShare() > all / 4, "writes: " + shares);
-        assertTrue(shares.direct().inTimeShare() > 0.99, "direct: " + shares);
+        assertTrue(shares.reads.inTimeShare() > all / 4, "reads: " + shares);
+        assertTrue(shares.writes.inTimeShare() > all / 4, "writes: " + shares);
+        assertTrue(shares.direct.inTimeShare() > 0.99, "direct: " + shares);
         assertTrue(all > strict.inTimeShare() - 0.01, shares + " against " + strict);
     }
 
     /** The plan ranks no write below a read: everything must happen as if the nodes had no plan. */
     @Test
     void changesNothingUnlessAWriteRanksBelowARead() {
-        String without =
-                SharesFleet.withReadsBelowWrites(3, false).run(1.7, RUN_NANOS).toString();
-        String with =
-                SharesFleet.withReadsBelowWrites(3, true).run(1.7, RUN_NANOS).toString();
+        SharesFleet without = SharesFleet.withReadsBelowWrites(3, false).run(1.7, RUN_NANOS);
+        SharesFleet with = SharesFleet.withReadsBelowWrites(3, true).run(1.7, RUN_NANOS);
         System.out.println("no write below a read: " + with);
-        assertEquals(without, with);
+        assertEquals(without.toString(), with.toString());
     }
 }
