--- a/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
@@ -14,8 +14,8 @@
 
 /**
  * A service that is short of slots and serves the nested calls of reads, eight in sequence, those of writes, four in
- * sequence unless stated otherwise, and a few direct requests of the highest importance. At the usual load, its slots are
- * just enough.
+ * sequence unless stated otherwise, and a few direct requests of the highest importance. At the usual load, its slots
+ * are just enough.
  */
 final class SharesFleet {
     private static final double[] SPEEDS = {0.7, 0.9, 1.4};
@@ -45,9 +45,9 @@
     private final FleetOperation write;
     private final RoutePlan plan;
     private final CallerFleet fleet;
-    private final CallerFleet.Tally reads = new CallerFleet.Tally();
-    private final CallerFleet.Tally writes = new CallerFleet.Tally();
-    private final CallerFleet.Tally direct = new CallerFleet.Tally();
+    final CallerFleet.Tally reads = new CallerFleet.Tally();
+    final CallerFleet.Tally writes = new CallerFleet.Tally();
+    final CallerFleet.Tally direct = new CallerFleet.Tally();
 
     private SharesFleet(long seed, int readPriority, int writePriority, int writeCalls, boolean planInForce) {
         this.read = READ.withPriority(readPriority);
@@ -97,9 +97,7 @@
     private static RoutePlanStore store(RoutePlan plan) {
         RoutePlanStore.Listener listener = new RoutePlanStore.Listener() {
             @Override
-            public void applied(RoutePlan applied, long before, String source) {
-                // The nodes read the plan from the store.
-            }
+            public void applied(RoutePlan applied, long before, String source) {}
 
             @Override
             public void rejected(String source, List<String> problems) {
@@ -111,18 +109,6 @@
         return store;
     }
 
-    CallerFleet.Tally reads() {
-        return reads;
-    }
-
-    CallerFleet.Tally writes() {
-        return writes;
-    }
-
-    CallerFleet.Tally direct() {
-        return direct;
-    }
-
     /** Returns whether some entry node has learned what requests of the lowest importance take at the deep service. */
     boolean learnsCosts() {
         long now = fleet.lab().clock().nanos();
--- a/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleetTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleetTest.java
@@ -23,9 +23,9 @@
         System.out.println("seed " + seed + ", " + times + " times, strict: " + strict);
         System.out.println("seed " + seed + ", " + times + " times, shares: " + shares);
         double all = shares.inTimeShare();
-        assertTrue(shares.reads().inTimeShare() > all / 4, "reads: " + shares);
-        assertTrue(shares.writes().inTimeShare() > all / 4, "writes: " + shares);
-        assertTrue(shares.direct().inTimeShare() > 0.99, "direct: " + shares);
+        assertTrue(shares.reads.inTimeShare() > all / 4, "reads: " + shares);
+        assertTrue(shares.writes.inTimeShare() > all / 4, "writes: " + shares);
+        assertTrue(shares.direct.inTimeShare() > 0.99, "direct: " + shares);
         assertTrue(all > strict.inTimeShare() - 0.01, shares + " against " + strict);
     }
 
@@ -35,7 +35,7 @@
     void servesLongWritesAQuarterAsOftenAsAll(long seed, double times) {
         SharesFleet fleet = SharesFleet.withLongWritesBelowReads(seed, 16).run(times, RUN_NANOS);
         System.out.println("seed " + seed + ", " + times + " times, long writes: " + fleet);
-        assertTrue(fleet.writes().inTimeShare() > fleet.inTimeShare() / 4, "writes: " + fleet);
+        assertTrue(fleet.writes.inTimeShare() > fleet.inTimeShare() / 4, "writes: " + fleet);
     }
 
     /** The plan ranks no write below a read: everything must happen as if the nodes had no plan. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/LeaseRenewalTest.java
@@ -81,9 +81,7 @@
     }
 
     @Override
-    public void membersChanged() {
-        // The members stay the same.
-    }
+    public void membersChanged() {}
 
     @Override
     public long sinceNanos() {
@@ -96,7 +94,5 @@
     }
 
     @Override
-    public void refused(Refusal refusal) {
-        // Only admissions are counted.
-    }
+    public void refused(Refusal refusal) {}
 }
