Keep calls near by that have twice the expected latency left

Cause: with four times the expected latency as the time that a call must have left, no direct request of a caller qualified, as target latencies are about three times the work; just the short calls inside the chain did.

Change: twice. An answer that takes twice as long as expected is still in time.

--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/SlackLocality.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/SlackLocality.java
@@ -23,10 +23,10 @@
     private static final double NO_PREFERENCE_UTILISATION = 0.92;
 
     /**
-     * Minimum time left, in expected latencies of the near upstream: room for the spread of its answers, for a retry
-     * and for the calls that follow in the chain.
+     * Minimum time left, in expected latencies of the near upstream: an answer that takes twice as long as expected is
+     * still in time. With 4, direct requests of callers, whose target is three times their work, would never qualify.
      */
-    private static final double MIN_TIME_LEFT_FACTOR = 4;
+    private static final double MIN_TIME_LEFT_FACTOR = 2;
 
     /**
      * How much less utilised an upstream must be that a call leaves the near one for. Reports of two equally loaded
