Bound the memory of bodies that an upstream answered early

The wait is now at most the idle time of the pool, and at most four connections of a pool wait; any further one is closed at once.

Keeping the reservation of the called node until the rest is written was ruled out here: the reservation ends in IncomingCall.complete(), and the port to the upstream has no event for the end of the write. The bound on connections holds the same 8 MB with the largest accepted body.

--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -190,6 +190,7 @@
         if (writeTimeout != null) {
             writeTimeout.cancel();
             writeTimeout = null;
+            pool.endHoldUnread();
             releaseToPool();
         }
     }
@@ -206,12 +207,19 @@
 
     /**
      * Lets the pool reuse the connection once the rest of a request is written that was answered before the server had
-     * read it. A server that doesn't read the rest for as long as an idle connection is kept is disconnected.
+     * read it. A server that doesn't read the rest for as long as the pool keeps an idle connection is disconnected; a
+     * longer idle time that the server names would hold the memory for as long. Beyond the number of connections that
+     * may hold such a rest, the connection is closed at once.
      */
     private void releaseOnceWritten() {
+        if (!pool.tryHoldUnread()) {
+            LOG.info("Too many requests that {} answered are not read to their end.", pool.server());
+            close();
+            return;
+        }
         writeTimeout = pool.timers()
                 .after(
-                        idleNanos,
+                        Math.min(idleNanos, pool.settings().idleNanos()),
                         () -> onEventLoop(() -> {
                             if (!written) {
                                 LOG.info("{} has not read the rest of a request that it answered.", pool.server());
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.TimerService;
@@ -23,6 +24,12 @@
  * first, so that only as many stay open as the load needs. The pool never retries a request.
  */
 public final class HttpPool implements AutoCloseable {
+    /**
+     * The most connections that may hold the rest of a request that was answered before the server had read it. The
+     * rest is not reserved any longer: with the largest accepted body of 2 MB, this many take 8 MB of direct memory.
+     */
+    static final int MAX_UNREAD_REQUESTS = 4;
+
     private static final int HEADER_BYTES = 32 * 1024;
 
     private final Endpoint server;
@@ -32,6 +39,7 @@
     private final Deque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private final ServerProbe probe;
+    private final AtomicInteger unreadRequests = new AtomicInteger();
     private volatile Runnable connectionRefusedListener = () -> {};
     private volatile boolean closed;
 
@@ -146,6 +154,16 @@
         idle.push(connection);
     }
 
+    /** Counts a connection that holds the rest of an answered request, and returns whether it may go on holding it. */
+    boolean tryHoldUnread() {
+        return unreadRequests.getAndUpdate(n -> Math.min(n + 1, MAX_UNREAD_REQUESTS)) < MAX_UNREAD_REQUESTS;
+    }
+
+    /** Called when the rest of a request that {@link #tryHoldUnread} counted is written or dropped. */
+    void endHoldUnread() {
+        unreadRequests.decrementAndGet();
+    }
+
     private ClientConnection takeIdle(String correlationId) {
         long now = timers.nanos();
         for (ClientConnection c : idle) {
--- a/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -28,6 +29,13 @@
     /** More than the buffers of both sockets hold, so that the rest waits in the node. */
     private static final int BODY_BYTES = 64 * 1024 * 1024;
 
+    /** More than the buffers of both sockets hold by default, and little enough for several at once. */
+    private static final int MANY_BODY_BYTES = 16 * 1024 * 1024;
+
+    private static final byte[] LONG_IDLE_ANSWER =
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=999999\r\n\r\n"
+                    .getBytes(StandardCharsets.US_ASCII);
+
     private static final int TIMEOUT_MILLIS = 20_000;
     private static final long IDLE_NANOS = 500_000_000L;
 
@@ -69,13 +77,54 @@
             readHead(early);
             early.getOutputStream().write(ANSWER);
             assertEquals("end", first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
-            for (int i = 0; i < 200 && pool.size() > 0; i++) {
-                Thread.sleep(20);
+            awaitSize(pool, 0);
+        }
+    }
+
+    /** The rest of a body must not stay in memory for as long as the server names. */
+    @Test
+    void waitsForTheRestNoLongerThanThePoolKeepsAnIdleConnection() throws Exception {
+        HttpPool pool = pool(IDLE_NANOS);
+        CompletableFuture<String> first = post(pool, new byte[BODY_BYTES]);
+        try (Socket early = accept()) {
+            readHead(early);
+            early.getOutputStream().write(LONG_IDLE_ANSWER);
+            assertEquals("end", first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            awaitSize(pool, 0);
+        }
+    }
+
+    /** Bodies that a server never reads must not add up. */
+    @Test
+    void closesAtOnceWhenTooManyConnectionsHoldTheRestOfABody() throws Exception {
+        HttpPool pool = pool(PoolSettings.standard().idleNanos() * 1_000);
+        List<Socket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < HttpPool.MAX_UNREAD_REQUESTS + 2; i++) {
+                CompletableFuture<String> outcome = post(pool, new byte[MANY_BODY_BYTES]);
+                Socket early = accept();
+                sockets.add(early);
+                readHead(early);
+                early.getOutputStream().write(ANSWER);
+                assertEquals("end", outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            }
+            awaitSize(pool, HttpPool.MAX_UNREAD_REQUESTS);
+            sockets.removeFirst().close();
+            awaitSize(pool, HttpPool.MAX_UNREAD_REQUESTS - 1);
+        } finally {
+            for (Socket s : sockets) {
+                s.close();
             }
-            assertEquals(0, pool.size());
         }
     }
 
+    private static void awaitSize(HttpPool pool, int size) throws InterruptedException {
+        for (int i = 0; i < 200 && pool.size() != size; i++) {
+            Thread.sleep(20);
+        }
+        assertEquals(size, pool.size());
+    }
+
     private HttpPool pool(long idleNanos) {
         return HttpPool.to(
                 new Endpoint("127.0.0.1", server.getLocalPort()),
