End a call whose request cannot be written to the upstream

A failed write ended only its promise: with the connection still open, the call waited for its deadline, and nothing was logged. The failure is now logged, and the call ends as broken. A call whose connection has closed is still ended by that, since the cause of the close decides whether the upstream crashed.

--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -182,11 +182,12 @@
                         Unpooled.wrappedBuffer(m.body()),
                         headers,
                         EmptyHttpHeaders.INSTANCE))
-                .addListener(f -> requestWritten(f.isSuccess()));
+                .addListener(f -> requestWritten(next, Optional.ofNullable(f.cause())));
     }
 
-    private void requestWritten(boolean success) {
-        written = success;
+    private void requestWritten(ClientCall sent, Optional<Throwable> failure) {
+        written = failure.isEmpty();
+        failure.ifPresent(cause -> writeFailed(sent, cause));
         if (writeTimeout != null) {
             writeTimeout.cancel();
             writeTimeout = null;
@@ -195,6 +196,25 @@
         }
     }
 
+    /**
+     * Ends the call whose request could not be written. A call whose connection has closed is ended by that instead,
+     * since the reason for the close tells what became of the call.
+     */
+    private void writeFailed(ClientCall sent, Throwable cause) {
+        if (closed) {
+            return;
+        }
+        LOG.info("A request to {} could not be written: {}.", pool.server(), cause.toString());
+        if (!context.channel().isActive()) {
+            return;
+        }
+        if (call == sent) {
+            failCall();
+        } else {
+            close();
+        }
+    }
+
     /** Lets the pool reuse the connection, unless it is closed. */
     private void releaseToPool() {
         if (!written || closed || !context.channel().isActive()) {
--- a/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
@@ -18,8 +18,16 @@
 import org.verbenadyke.node.time.EventLoopTimerService;
 import org.verbenadyke.node.transport.EventLoops;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.EncoderException;
+import io.netty.util.ReferenceCountUtil;
+
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 /** Tests {@link ClientConnection} against a server that answers before it has read the body. */
 final class ClientConnectionTest {
@@ -118,6 +126,26 @@
         }
     }
 
+    /** A write that fails without closing the connection must not leave the call waiting for its deadline. */
+    @Test
+    void endsTheCallAsBrokenWhenTheRequestCannotBeWritten() {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        HttpRequestMessage request = new HttpRequestMessage("POST", "/", List.of(), new byte[1]);
+        ChannelOutboundHandlerAdapter failing = new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+                ReferenceCountUtil.release(message);
+                promise.setFailure(new EncoderException("not encodable"));
+            }
+        };
+        ClientCall call = new ClientCall(request, "", new Outcome(outcome));
+        EmbeddedChannel channel =
+                new EmbeddedChannel(failing, new ClientConnection(pool(PoolSettings.standard().idleNanos()), call));
+        channel.runPendingTasks();
+        assertEquals("broken", outcome.getNow("waiting"));
+        assertFalse(channel.isOpen());
+    }
+
     private static void awaitSize(HttpPool pool, int size) throws InterruptedException {
         for (int i = 0; i < 200 && pool.size() != size; i++) {
             Thread.sleep(20);
