Build the rejections of a connection in a class of their own

The answers that it gives by itself, and their status codes, move to Rejections. No change of behaviour.

--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -14,17 +14,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -176,7 +172,7 @@
                 return;
             }
             if (message.decoderResult().isFailure()) {
-                reject(statusOf(message.decoderResult().cause()));
+                reject(Rejections.statusOf(message.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpRequest r) {
@@ -354,22 +350,10 @@
         bodyIncomplete = false;
         dropBody();
         memory.release();
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-        context.writeAndFlush(response).addListener(f -> context.close());
+        context.writeAndFlush(Rejections.response(status)).addListener(f -> context.close());
         LOG.info("Request from {} rejected: {}.", context.channel().remoteAddress(), List.of(status));
     }
 
-    private static HttpResponseStatus statusOf(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-        }
-        if (cause instanceof TooLongHttpLineException) {
-            return HttpResponseStatus.REQUEST_URI_TOO_LONG;
-        }
-        return HttpResponseStatus.BAD_REQUEST;
-    }
-
     /** The wait of one request for memory. The memory may be granted or refused on any thread. */
     private final class MemoryWait implements BodyMemory.Listener {
         @Override
