--- a/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
@@ -139,8 +139,8 @@
             }
         };
         ClientCall call = new ClientCall(request, "", new Outcome(outcome));
-        EmbeddedChannel channel =
-                new EmbeddedChannel(failing, new ClientConnection(pool(PoolSettings.standard().idleNanos()), call));
+        EmbeddedChannel channel = new EmbeddedChannel(
+                failing, new ClientConnection(pool(PoolSettings.standard().idleNanos()), call));
         channel.runPendingTasks();
         assertEquals("broken", outcome.getNow("waiting"));
         assertFalse(channel.isOpen());
--- a/node/src/test/java/org/verbenadyke/node/http1/RejectionsTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/RejectionsTest.java
@@ -13,7 +13,8 @@
 final class RejectionsTest {
     @Test
     void namesWhatTheDecoderFailedToRead() {
-        assertEquals(431, Rejections.statusOf(new TooLongHttpHeaderException("h")).code());
+        assertEquals(
+                431, Rejections.statusOf(new TooLongHttpHeaderException("h")).code());
         assertEquals(414, Rejections.statusOf(new TooLongHttpLineException("l")).code());
         assertEquals(400, Rejections.statusOf(new IllegalArgumentException("x")).code());
     }
