--- a/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
@@ -16,6 +16,17 @@
      */
     void handle(HttpExchange exchange);
 
+    /**
+     * Returns whether the memory for the body of a request is limited. Runs on the connection's event loop and must not
+     * block.
+     *
+     * @param head the request without its body
+     * @return whether the body has to wait for memory
+     */
+    default boolean countsBody(HttpRequestMessage head) {
+        return true;
+    }
+
     /**
      * Refuses a request whose body the server has no memory for. Runs on the connection's event loop and must not
      * block.
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -45,6 +45,7 @@
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private BodyReservation memory = BodyReservation.none();
     private MemoryWait memoryWait;
+    private boolean bodyUncounted;
     private boolean continueExpected;
     private boolean discarding;
     private boolean closeAfterDiscard;
@@ -192,13 +193,14 @@
         closeRequested = !HttpUtil.isKeepAlive(request);
         body = Unpooled.EMPTY_BUFFER;
         memory = BodyReservation.none();
+        bodyUncounted = false;
         continueExpected = HttpUtil.is100ContinueExpected(request);
         long length = HttpUtil.getContentLength(request, 0L);
         if (length > limits.bodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (server.bodies().counts(length)) {
+        if (needsMemory(length)) {
             reserve(length);
         }
         if (memoryWait == null) {
@@ -213,6 +215,15 @@
         }
     }
 
+    /** Returns whether a body of a size has to wait for memory. The handler is asked once for each request. */
+    private boolean needsMemory(long bytes) {
+        if (bodyUncounted || !server.bodies().counts(bytes)) {
+            return false;
+        }
+        bodyUncounted = !server.handler().countsBody(requestWith(EMPTY_BODY));
+        return !bodyUncounted;
+    }
+
     /** Reserves memory for the body, and stops reading if it has to wait. */
     private void reserve(long bytes) {
         MemoryWait wait = new MemoryWait();
@@ -286,7 +297,7 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (!bodyIncomplete && server.bodies().counts(body.readableBytes() + more)) {
+        if (!bodyIncomplete && needsMemory(body.readableBytes() + more)) {
             // The length is not known in advance.
             reserve(limits.bodyBytes());
             if (memoryWait != null) {
@@ -326,9 +337,13 @@
     }
 
     private HttpRequestMessage takeRequest(byte[] bytes) {
-        HttpRequest request = head;
+        HttpRequestMessage request = requestWith(bytes);
         head = null;
-        return new HttpRequestMessage(request.method().name(), request.uri(), HttpFields.of(request.headers()), bytes);
+        return request;
+    }
+
+    private HttpRequestMessage requestWith(byte[] bytes) {
+        return new HttpRequestMessage(head.method().name(), head.uri(), HttpFields.of(head.headers()), bytes);
     }
 
     private void dropBody() {
--- a/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
@@ -42,12 +42,12 @@
     private final EventLoops loops = EventLoops.nio(1);
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final List<HttpExchange> handled = new ArrayList<>();
+    private boolean counted = true;
     private RequestKind kind = RequestKind.UPLOAD;
     private final BodyMemory memory =
             BodyMemory.of(LIMIT, clock, () -> Optional.of(plan()), () -> new SplittableRandom(1));
     private final ServerLimits limits = new ServerLimits(8_192, LIMIT, IDLE_NANOS);
-    private final HttpServer server =
-            HttpServer.listen(freeEndpoint(), loops, clock, () -> limits, memory, handled::add);
+    private final HttpServer server = HttpServer.listen(freeEndpoint(), loops, clock, () -> limits, memory, handler());
     private final ServerConnection connection = new ServerConnection(server, limits);
     private final EmbeddedChannel channel = new EmbeddedChannel(new HttpServerCodec(), connection);
 
@@ -188,6 +188,23 @@
         assertFalse(channel.isOpen());
     }
 
+    /** A call that an upload waits for must not wait behind other uploads, whether its length is known or not. */
+    @Test
+    void readsABodyThatIsNotCountedWhileThereIsNoMemory() {
+        counted = false;
+        fill();
+        send(head(BODY_BYTES));
+        assertTrue(channel.config().isAutoRead());
+        send(body(BODY_BYTES));
+        assertEquals(1, handled.size());
+        handled.getFirst().answer(200, List.of(), new byte[0]);
+        send(ascii("POST /u/ HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"));
+        sendChunk(BODY_BYTES);
+        send(ascii("0\r\n\r\n"));
+        assertEquals(2, handled.size());
+        assertEquals(LIMIT, memory.enteringBytes());
+    }
+
     @Test
     void readsAllBodiesAtOnceWithoutUploadRoutes() {
         kind = RequestKind.NON_IDEMPOTENT;
@@ -201,6 +218,20 @@
         assertEquals(0, memory.enteringBytes());
     }
 
+    private HttpHandler handler() {
+        return new HttpHandler() {
+            @Override
+            public void handle(HttpExchange exchange) {
+                handled.add(exchange);
+            }
+
+            @Override
+            public boolean countsBody(HttpRequestMessage head) {
+                return counted;
+            }
+        };
+    }
+
     private BodyReservation fill() {
         return memory.reserve(LIMIT, new BodyMemory.Listener() {
             @Override
