Refuse a body by the pause since its last part

The 408 for a stalled body measured the time since the memory was granted, so that a slow caller on a long body was refused although it went on sending, and a stalled one held memory for the idle timeout of the plan. It carried no Retry-After and was not counted. The reason stands last in the list, since the wire carries ordinals, and it is not sent between nodes.

ServerConnectionTest advances the time by ten pauses of just under the limit; a body that stalls, and the stalled rest of a refused body, end after it.

--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -74,7 +74,9 @@
     /** The node has no memory left for the body of the request. */
     BODY_MEMORY(503),
     /** An internal error of the node. */
-    INTERNAL(500);
+    INTERNAL(500),
+    /** The caller stopped sending in the middle of the body of its request. Not sent between nodes. */
+    BODY_STALLED(408);
 
     private final int status;
 
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
@@ -36,4 +36,14 @@
     default void refuseBody(HttpExchange exchange) {
         exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), List.of(), new byte[0]);
     }
+
+    /**
+     * Refuses a request whose caller stopped sending in the middle of its body. Runs on the connection's event loop and
+     * must not block. The connection closes after the answer.
+     *
+     * @param exchange the request without its body, and the means to answer it
+     */
+    default void refuseStalledBody(HttpExchange exchange) {
+        exchange.answer(HttpResponseStatus.REQUEST_TIMEOUT.code(), List.of(), new byte[0]);
+    }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -40,6 +40,7 @@
     private final HttpServer server;
     private final ServerLimits limits;
     private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
+    private final StallDetector stall = new StallDetector();
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -50,8 +51,6 @@
     private boolean discarding;
     private boolean closeAfterDiscard;
     private ServerExchange exchange;
-    private volatile boolean bodyIncomplete;
-    private volatile long bodySince;
     private volatile long idleSince;
     private volatile boolean busy;
     private boolean closeRequested;
@@ -88,6 +87,7 @@
         server.ended(this);
         dropPendingMessages();
         memoryWait = null;
+        stall.end();
         dropBody();
         if (exchange != null) {
             exchange.callerDisconnected();
@@ -116,8 +116,8 @@
                 }
             });
         }
-        if (bodyIncomplete && now - bodySince > limits.idleNanos()) {
-            context.executor().execute(this::endIncompleteBody);
+        if (stall.stalled(now)) {
+            context.executor().execute(this::endStalledBody);
         }
     }
 
@@ -237,8 +237,7 @@
     }
 
     private void beginHolding() {
-        bodySince = server.timers().nanos();
-        bodyIncomplete = true;
+        stall.begin(server.timers().nanos());
         if (body == Unpooled.EMPTY_BUFFER && HttpUtil.isContentLengthSet(head)) {
             body = Unpooled.buffer((int) memory.bytes());
         }
@@ -261,19 +260,21 @@
         // A caller that still waits for the interim response sends its body or not: only a new connection is safe.
         closeRequested |= continueExpected;
         discarding = !continueExpected;
-        bodyIncomplete = discarding;
-        bodySince = server.timers().nanos();
+        if (discarding) {
+            stall.begin(server.timers().nanos());
+        }
         dropBody();
         exchange = new ServerExchange(this, takeRequest(EMPTY_BODY));
         server.handler().refuseBody(exchange);
     }
 
     private void discard(HttpObject message) {
+        stall.partArrived(server.timers().nanos());
         if (message.decoderResult().isFailure()) {
             context.close();
         } else if (message instanceof LastHttpContent) {
             discarding = false;
-            bodyIncomplete = false;
+            stall.end();
             becomeIdle();
             if (closeAfterDiscard) {
                 dropPendingMessages();
@@ -282,13 +283,21 @@
         }
     }
 
-    /** Ends a request whose body did not arrive in time, so that a stalled caller does not hold memory. */
-    private void endIncompleteBody() {
+    /** Ends a request whose body stopped arriving, so that a stalled caller does not hold memory. */
+    private void endStalledBody() {
+        if (!stall.stalled(server.timers().nanos())) {
+            return;
+        }
         if (discarding) {
             context.close();
-        } else if (bodyIncomplete) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            return;
         }
+        stall.end();
+        closeRequested = true;
+        dropBody();
+        memory.release();
+        exchange = new ServerExchange(this, takeRequest(EMPTY_BODY));
+        server.handler().refuseStalledBody(exchange);
     }
 
     private void appendBody(HttpContent content) {
@@ -297,7 +306,7 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (!bodyIncomplete && needsMemory(body.readableBytes() + more)) {
+        if (!stall.watching() && needsMemory(body.readableBytes() + more)) {
             // The length is not known in advance.
             reserve(limits.bodyBytes());
             if (memoryWait != null) {
@@ -310,6 +319,7 @@
                 body = Unpooled.buffer(more);
             }
             body.writeBytes(content.content());
+            stall.partArrived(server.timers().nanos());
         }
         if (content instanceof LastHttpContent) {
             dispatchRequest();
@@ -317,7 +327,7 @@
     }
 
     private void dispatchRequest() {
-        bodyIncomplete = false;
+        stall.end();
         byte[] bytes = bodyBytes();
         dropBody();
         memory.shrinkTo(bytes.length);
@@ -362,7 +372,7 @@
 
     private void reject(HttpResponseStatus status) {
         head = null;
-        bodyIncomplete = false;
+        stall.end();
         dropBody();
         memory.release();
         context.writeAndFlush(Rejections.response(status)).addListener(f -> context.close());
