Take no lock for uncounted bodies and scan no list on release

BodyReservation.shrinkTo took the lock of the shared reservation that stands for none on every request, so that all event loops met at one lock; it is guarded as release() is. BodyBudget.release searched the waiting list for reservations that were granted or had been released; it now does so only for one that waits.

No change of behaviour, and no test that fails first: BodyBudgetTest, with its model check of concurrent use, passes before and after.

--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyBudget.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyBudget.java
@@ -92,9 +92,6 @@
     void release(BodyReservation reservation) {
         List<BodyReservation> granted;
         synchronized (this) {
-            if (reservation.state() == BodyReservation.State.GRANTED) {
-                heldBytes -= reservation.bytes();
-            }
             granted = end(reservation);
         }
         granted.forEach(BodyReservation::notifyGranted);
@@ -128,7 +125,14 @@
     }
 
     private List<BodyReservation> end(BodyReservation reservation) {
-        waiting.remove(reservation);
+        if (reservation.state() == BodyReservation.State.RELEASED) {
+            return List.of();
+        }
+        if (reservation.state() == BodyReservation.State.WAITING) {
+            waiting.remove(reservation);
+        } else {
+            heldBytes -= reservation.bytes();
+        }
         reservation.become(BodyReservation.State.RELEASED);
         return grantWaiting();
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyReservation.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyReservation.java
@@ -54,7 +54,9 @@
      * @param actualBytes the actual size, in bytes
      */
     public void shrinkTo(long actualBytes) {
-        budget.shrink(this, actualBytes);
+        if (this != NONE) {
+            budget.shrink(this, actualBytes);
+        }
     }
 
     /** Releases the reservation, or withdraws it if it still waits. Later calls have no effect. */
