Ignore targets of 0 for the wait for memory, and keep a least delay

A target latency of 0 on one upload route made every wait 0 and dropped Retry-After. The tightest target is now that of the routes with a positive one. Bodies stay limited where no upload route has one, and 1 s stands in for it. The Retry-After delay is at least 100 ms before it is spread, also when the plan has just lost its last upload route.

Ruled out: rejecting such a plan, which operators' plans in force may contain.

With BodyMemory unchanged, two of the new tests fail: no request waits where the only target is 0, and no delay is named for a target of 1 ns.

--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
@@ -1,7 +1,6 @@
 package org.verbenadyke.kernel.body;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -42,6 +41,18 @@
     /** The part of the tightest target latency after which a refused caller may retry: bodies are released by then. */
     private static final long RETRY_AFTER_DIVISOR = 4;
 
+    /**
+     * The target latency where no upload route has a positive one, in nanoseconds: callers that state no target wait
+     * for seconds.
+     */
+    private static final long DEFAULT_TARGET_NANOS = 1_000_000_000L;
+
+    /**
+     * The smallest Retry-After delay before it is spread, in milliseconds. An upload holds its memory for some tens of
+     * milliseconds, so that a caller that returns earlier would be refused again.
+     */
+    static final long MIN_RETRY_AFTER_MILLIS = 100;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final BodyBudget entering;
@@ -98,7 +109,8 @@
      * @return whether it does, under the route plan in force
      */
     public boolean counts(long bytes) {
-        return bytes > MAX_UNCOUNTED_BYTES && tightestTargetNanos().isPresent();
+        return bytes > MAX_UNCOUNTED_BYTES
+                && plan.get().filter(RoutePlan::hasUploads).isPresent();
     }
 
     /**
@@ -109,13 +121,12 @@
      * @return the reservation; the body may be read once it is granted
      */
     public BodyReservation reserve(long bytes, Listener listener) {
-        OptionalLong target = tightestTargetNanos();
-        if (!counts(bytes) || target.isEmpty()) {
+        if (!counts(bytes)) {
             return BodyReservation.none();
         }
         BodyReservation reservation = entering.reserve(bytes, listener::granted);
         if (!reservation.granted()) {
-            timers.after(target.getAsLong() / WAIT_DIVISOR, () -> {
+            timers.after(targetNanos() / WAIT_DIVISOR, () -> {
                 if (reservation.withdraw()) {
                     listener.refused();
                 }
@@ -137,13 +148,11 @@
     /**
      * Draws the Retry-After delay of a request that was refused for lack of memory.
      *
-     * @return the delay, in milliseconds; 0 if no bodies are counted
+     * @return the delay, in milliseconds; positive, also when no bodies are counted any more
      */
     public long retryAfterMillis() {
-        OptionalLong target = tightestTargetNanos();
-        return target.isEmpty()
-                ? 0
-                : RetryAfter.spread(target.getAsLong() / RETRY_AFTER_DIVISOR / NANOS_PER_MILLI, random.get());
+        long millis = targetNanos() / RETRY_AFTER_DIVISOR / NANOS_PER_MILLI;
+        return RetryAfter.spread(Math.max(MIN_RETRY_AFTER_MILLIS, millis), random.get());
     }
 
     /**
@@ -173,9 +182,11 @@
         return entering.waiting();
     }
 
-    private OptionalLong tightestTargetNanos() {
+    private long targetNanos() {
         Optional<RoutePlan> current = plan.get();
-        return current.isPresent() ? current.get().tightestUploadTargetNanos() : OptionalLong.empty();
+        return current.isPresent()
+                ? current.get().tightestUploadTargetNanos().orElse(DEFAULT_TARGET_NANOS)
+                : DEFAULT_TARGET_NANOS;
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
@@ -19,6 +19,7 @@
     private final Optional<TeamDirectory> teams;
     private final RouteIndex index;
     private final PriorityBands bands;
+    private final boolean hasUploads;
     private final OptionalLong tightestUploadTargetNanos;
 
     private RoutePlan(
@@ -34,9 +35,11 @@
         this.teams = teams;
         this.index = RouteIndex.of(this.routes);
         this.bands = PriorityBands.of(this.routes, teams);
+        this.hasUploads = this.routes.stream().anyMatch(r -> r.kind() == RequestKind.UPLOAD);
         this.tightestUploadTargetNanos = this.routes.stream()
                 .filter(r -> r.kind() == RequestKind.UPLOAD)
                 .mapToLong(Route::targetNanos)
+                .filter(t -> t > 0)
                 .min();
     }
 
@@ -108,10 +111,19 @@
         return teams;
     }
 
+    /**
+     * Returns whether the plan has a route of kind {@link RequestKind#UPLOAD}.
+     *
+     * @return whether it has
+     */
+    public boolean hasUploads() {
+        return hasUploads;
+    }
+
     /**
      * Returns the tightest target latency of the routes of kind {@link RequestKind#UPLOAD}.
      *
-     * @return the target latency in nanoseconds, empty if there is no such route
+     * @return the target latency in nanoseconds, empty if no such route has a positive one
      */
     public OptionalLong tightestUploadTargetNanos() {
         return tightestUploadTargetNanos;
--- a/kernel/src/test/java/org/verbenadyke/kernel/body/BodyMemoryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/body/BodyMemoryTest.java
@@ -81,6 +81,37 @@
         assertEquals(0, memory.enteringBytes() + memory.callBytes());
     }
 
+    /** A route without a usable target must neither end every wait at once nor drop the Retry-After delay. */
+    @Test
+    void ignoresTargetsThatAreNotPositive() {
+        plan = Optional.of(planOf(route("a", RequestKind.UPLOAD, 0), route("b", RequestKind.UPLOAD, 800 * MILLI)));
+        reserve("a");
+        reserve("b");
+        clock.advance(99 * MILLI);
+        assertEquals(List.of(), notified);
+        assertTrue(memory.retryAfterMillis() >= 200);
+    }
+
+    @Test
+    void limitsBodiesAndWaitsWhenNoUploadRouteHasATarget() {
+        plan = Optional.of(planOf(route("a", RequestKind.UPLOAD, 0)));
+        reserve("a");
+        reserve("b");
+        clock.advance(MILLI);
+        assertEquals(1, memory.waiting());
+        clock.advance(1_000 * MILLI);
+        assertEquals(List.of("b refused"), notified);
+    }
+
+    /** Callers that get no delay would all come back at once. */
+    @Test
+    void namesADelayForTinyTargetsAndAfterTheLastUploadRouteIsGone() {
+        plan = Optional.of(planOf(route("a", RequestKind.UPLOAD, 1)));
+        assertTrue(memory.retryAfterMillis() >= BodyMemory.MIN_RETRY_AFTER_MILLIS);
+        plan = Optional.of(plan(RequestKind.NON_IDEMPOTENT));
+        assertTrue(memory.retryAfterMillis() >= BodyMemory.MIN_RETRY_AFTER_MILLIS);
+    }
+
     private BodyReservation reserve(String name) {
         return memory.reserve(LIMIT, listener(name));
     }
@@ -100,11 +131,14 @@
     }
 
     private static RoutePlan plan(RequestKind kind) {
-        List<Route> routes = List.of(
+        return planOf(
                 route("a", RequestKind.IDEMPOTENT, 80 * MILLI),
                 route("b", kind, 800 * MILLI),
                 route("c", kind, 1_600 * MILLI));
-        return RoutePlan.of(1, routes, List.of(), RequestLimits.standard());
+    }
+
+    private static RoutePlan planOf(Route... routes) {
+        return RoutePlan.of(1, List.of(routes), List.of(), RequestLimits.standard());
     }
 
     private static Route route(String name, RequestKind kind, long targetNanos) {
