Name the largest accepted body and the smallest limit apart

One constant served as both, so that a change of the one would have changed the other unnoticed. BodyMemory.MAX_BODY_BYTES is the largest accepted body, and MIN_BYTES, the smallest limit, follows from it. Both stay 2 MB.

--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
@@ -23,8 +23,11 @@
      */
     public static final long DEFAULT_BYTES = 8L * 1024 * 1024;
 
-    /** The smallest limit, in bytes: the largest body that a node accepts. */
-    public static final long MIN_BYTES = 2L * 1024 * 1024;
+    /** The largest body that a node accepts, in bytes: bodies are held whole, and frames between nodes hold 4 MB. */
+    public static final int MAX_BODY_BYTES = 2 * 1024 * 1024;
+
+    /** The smallest limit, in bytes: a body over the limit would wait for memory that never becomes available. */
+    public static final long MIN_BYTES = MAX_BODY_BYTES;
 
     /**
      * The largest body that is not counted, in bytes: as much as the head of a request may take, which is not limited
@@ -116,7 +119,7 @@
     /**
      * Reserves memory for the body of an entering request.
      *
-     * @param bytes its size, or the most that it may have, in bytes; at most {@link #MIN_BYTES}
+     * @param bytes its size, or the most that it may have, in bytes; at most {@link #MAX_BODY_BYTES}
      * @param listener is notified of a reservation that has to wait, on any thread
      * @return the reservation; the body may be read once it is granted
      */
--- a/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
@@ -36,7 +36,7 @@
     private static final long MILLI = 1_000_000L;
     private static final long IDLE_NANOS = 15_000 * MILLI;
     private static final long PAUSE_NANOS = StallDetector.MAX_PAUSE_NANOS;
-    private static final int LIMIT = (int) BodyMemory.MIN_BYTES;
+    private static final int LIMIT = BodyMemory.MAX_BODY_BYTES;
     private static final int BODY_BYTES = 100_000;
     private static final long NO_WAIT_LEFT_NANOS = 101 * MILLI;
 
