--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
@@ -1,7 +1,6 @@
 package org.verbenadyke.kernel.body;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -24,8 +23,11 @@
      */
     public static final long DEFAULT_BYTES = 8L * 1024 * 1024;
 
-    /** The smallest limit, in bytes: the largest body that a node accepts. */
-    public static final long MIN_BYTES = 2L * 1024 * 1024;
+    /** The largest body that a node accepts, in bytes: bodies are held whole, and frames between nodes hold 4 MB. */
+    public static final int MAX_BODY_BYTES = 2 * 1024 * 1024;
+
+    /** The smallest limit, in bytes: a body over the limit would wait for memory that never becomes available. */
+    public static final long MIN_BYTES = MAX_BODY_BYTES;
 
     /**
      * The largest body that is not counted, in bytes: as much as the head of a request may take, which is not limited
@@ -42,6 +44,18 @@
     /** The part of the tightest target latency after which a refused caller may retry: bodies are released by then. */
     private static final long RETRY_AFTER_DIVISOR = 4;
 
+    /**
+     * The target latency where no upload route has a positive one, in nanoseconds: callers that state no target wait
+     * for seconds.
+     */
+    private static final long DEFAULT_TARGET_NANOS = 1_000_000_000L;
+
+    /**
+     * The smallest Retry-After delay before it is spread, in milliseconds. An upload holds its memory for some tens of
+     * milliseconds, so that a caller that returns earlier would be refused again.
+     */
+    static final long MIN_RETRY_AFTER_MILLIS = 100;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final BodyBudget entering;
@@ -98,24 +112,24 @@
      * @return whether it does, under the route plan in force
      */
     public boolean counts(long bytes) {
-        return bytes > MAX_UNCOUNTED_BYTES && tightestTargetNanos().isPresent();
+        return bytes > MAX_UNCOUNTED_BYTES
+                && plan.get().filter(RoutePlan::hasUploads).isPresent();
     }
 
     /**
      * Reserves memory for the body of an entering request.
      *
-     * @param bytes its size, or the most that it may have, in bytes; at most {@link #MIN_BYTES}
+     * @param bytes its size, or the most that it may have, in bytes; at most {@link #MAX_BODY_BYTES}
      * @param listener is notified of a reservation that has to wait, on any thread
      * @return the reservation; the body may be read once it is granted
      */
     public BodyReservation reserve(long bytes, Listener listener) {
-        OptionalLong target = tightestTargetNanos();
-        if (!counts(bytes) || target.isEmpty()) {
+        if (!counts(bytes)) {
             return BodyReservation.none();
         }
         BodyReservation reservation = entering.reserve(bytes, listener::granted);
         if (!reservation.granted()) {
-            timers.after(target.getAsLong() / WAIT_DIVISOR, () -> {
+            timers.after(targetNanos() / WAIT_DIVISOR, () -> {
                 if (reservation.withdraw()) {
                     listener.refused();
                 }
@@ -137,13 +151,11 @@
     /**
      * Draws the Retry-After delay of a request that was refused for lack of memory.
      *
-     * @return the delay, in milliseconds; 0 if no bodies are counted
+     * @return the delay, in milliseconds; positive, also when no bodies are counted any more
      */
     public long retryAfterMillis() {
-        OptionalLong target = tightestTargetNanos();
-        return target.isEmpty()
-                ? 0
-                : RetryAfter.spread(target.getAsLong() / RETRY_AFTER_DIVISOR / NANOS_PER_MILLI, random.get());
+        long millis = targetNanos() / RETRY_AFTER_DIVISOR / NANOS_PER_MILLI;
+        return RetryAfter.spread(Math.max(MIN_RETRY_AFTER_MILLIS, millis), random.get());
     }
 
     /**
@@ -173,9 +185,11 @@
         return entering.waiting();
     }
 
-    private OptionalLong tightestTargetNanos() {
+    private long targetNanos() {
         Optional<RoutePlan> current = plan.get();
-        return current.isPresent() ? current.get().tightestUploadTargetNanos() : OptionalLong.empty();
+        return current.isPresent()
+                ? current.get().tightestUploadTargetNanos().orElse(DEFAULT_TARGET_NANOS)
+                : DEFAULT_TARGET_NANOS;
     }
 
     /**
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -182,18 +182,39 @@
                         Unpooled.wrappedBuffer(m.body()),
                         headers,
                         EmptyHttpHeaders.INSTANCE))
-                .addListener(f -> requestWritten(f.isSuccess()));
+                .addListener(f -> requestWritten(next, Optional.ofNullable(f.cause())));
     }
 
-    private void requestWritten(boolean success) {
-        written = success;
+    private void requestWritten(ClientCall sent, Optional<Throwable> failure) {
+        written = failure.isEmpty();
+        failure.ifPresent(cause -> writeFailed(sent, cause));
         if (writeTimeout != null) {
             writeTimeout.cancel();
             writeTimeout = null;
+            pool.endHoldUnread();
             releaseToPool();
         }
     }
 
+    /**
+     * Ends the call whose request could not be written. A call whose connection has closed is ended by that instead,
+     * since the reason for the close tells what became of the call.
+     */
+    private void writeFailed(ClientCall sent, Throwable cause) {
+        if (closed) {
+            return;
+        }
+        LOG.info("A request to {} could not be written: {}.", pool.server(), cause.toString());
+        if (!context.channel().isActive()) {
+            return;
+        }
+        if (call == sent) {
+            failCall();
+        } else {
+            close();
+        }
+    }
+
     /** Lets the pool reuse the connection, unless it is closed. */
     private void releaseToPool() {
         if (!written || closed || !context.channel().isActive()) {
@@ -206,12 +227,19 @@
 
     /**
      * Lets the pool reuse the connection once the rest of a request is written that was answered before the server had
-     * read it. A server that doesn't read the rest for as long as an idle connection is kept is disconnected.
+     * read it. A server that doesn't read the rest for as long as the pool keeps an idle connection is disconnected; a
+     * longer idle time that the server names would hold the memory for as long. Beyond the number of connections that
+     * may hold such a rest, the connection is closed at once.
      */
     private void releaseOnceWritten() {
+        if (!pool.tryHoldUnread()) {
+            LOG.info("Too many requests that {} answered are not read to their end.", pool.server());
+            close();
+            return;
+        }
         writeTimeout = pool.timers()
                 .after(
-                        idleNanos,
+                        Math.min(idleNanos, pool.settings().idleNanos()),
                         () -> onEventLoop(() -> {
                             if (!written) {
                                 LOG.info("{} has not read the rest of a request that it answered.", pool.server());
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpHandler.java
@@ -16,6 +16,17 @@
      */
     void handle(HttpExchange exchange);
 
+    /**
+     * Returns whether the memory for the body of a request is limited. Runs on the connection's event loop and must not
+     * block.
+     *
+     * @param head the request without its body
+     * @return whether the body has to wait for memory
+     */
+    default boolean countsBody(HttpRequestMessage head) {
+        return true;
+    }
+
     /**
      * Refuses a request whose body the server has no memory for. Runs on the connection's event loop and must not
      * block.
@@ -25,4 +36,14 @@
     default void refuseBody(HttpExchange exchange) {
         exchange.answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), List.of(), new byte[0]);
     }
+
+    /**
+     * Refuses a request whose caller stopped sending in the middle of its body. Runs on the connection's event loop and
+     * must not block. The connection closes after the answer.
+     *
+     * @param exchange the request without its body, and the means to answer it
+     */
+    default void refuseStalledBody(HttpExchange exchange) {
+        exchange.answer(HttpResponseStatus.REQUEST_TIMEOUT.code(), List.of(), new byte[0]);
+    }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -14,17 +14,13 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -44,17 +40,17 @@
     private final HttpServer server;
     private final ServerLimits limits;
     private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
+    private final StallDetector stall = new StallDetector();
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
     private BodyReservation memory = BodyReservation.none();
     private MemoryWait memoryWait;
+    private boolean bodyUncounted;
     private boolean continueExpected;
     private boolean discarding;
     private boolean closeAfterDiscard;
     private ServerExchange exchange;
-    private volatile boolean bodyIncomplete;
-    private volatile long bodySince;
     private volatile long idleSince;
     private volatile boolean busy;
     private boolean closeRequested;
@@ -91,6 +87,7 @@
         server.ended(this);
         dropPendingMessages();
         memoryWait = null;
+        stall.end();
         dropBody();
         if (exchange != null) {
             exchange.callerDisconnected();
@@ -119,8 +116,8 @@
                 }
             });
         }
-        if (bodyIncomplete && now - bodySince > limits.idleNanos()) {
-            context.executor().execute(this::endIncompleteBody);
+        if (stall.stalled(now)) {
+            context.executor().execute(this::endStalledBody);
         }
     }
 
@@ -176,7 +173,7 @@
                 return;
             }
             if (message.decoderResult().isFailure()) {
-                reject(statusOf(message.decoderResult().cause()));
+                reject(Rejections.statusOf(message.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpRequest r) {
@@ -196,13 +193,14 @@
         closeRequested = !HttpUtil.isKeepAlive(request);
         body = Unpooled.EMPTY_BUFFER;
         memory = BodyReservation.none();
+        bodyUncounted = false;
         continueExpected = HttpUtil.is100ContinueExpected(request);
         long length = HttpUtil.getContentLength(request, 0L);
         if (length > limits.bodyBytes()) {
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (server.bodies().counts(length)) {
+        if (needsMemory(length)) {
             reserve(length);
         }
         if (memoryWait == null) {
@@ -217,6 +215,15 @@
         }
     }
 
+    /** Returns whether a body of a size has to wait for memory. The handler is asked once for each request. */
+    private boolean needsMemory(long bytes) {
+        if (bodyUncounted || !server.bodies().counts(bytes)) {
+            return false;
+        }
+        bodyUncounted = !server.handler().countsBody(requestWith(EMPTY_BODY));
+        return !bodyUncounted;
+    }
+
     /** Reserves memory for the body, and stops reading if it has to wait. */
     private void reserve(long bytes) {
         MemoryWait wait = new MemoryWait();
@@ -230,8 +237,7 @@
     }
 
     private void beginHolding() {
-        bodySince = server.timers().nanos();
-        bodyIncomplete = true;
+        stall.begin(server.timers().nanos());
         if (body == Unpooled.EMPTY_BUFFER && HttpUtil.isContentLengthSet(head)) {
             body = Unpooled.buffer((int) memory.bytes());
         }
@@ -254,19 +260,21 @@
         // A caller that still waits for the interim response sends its body or not: only a new connection is safe.
         closeRequested |= continueExpected;
         discarding = !continueExpected;
-        bodyIncomplete = discarding;
-        bodySince = server.timers().nanos();
+        if (discarding) {
+            stall.begin(server.timers().nanos());
+        }
         dropBody();
         exchange = new ServerExchange(this, takeRequest(EMPTY_BODY));
         server.handler().refuseBody(exchange);
     }
 
     private void discard(HttpObject message) {
+        stall.partArrived(server.timers().nanos());
         if (message.decoderResult().isFailure()) {
             context.close();
         } else if (message instanceof LastHttpContent) {
             discarding = false;
-            bodyIncomplete = false;
+            stall.end();
             becomeIdle();
             if (closeAfterDiscard) {
                 dropPendingMessages();
@@ -275,13 +283,21 @@
         }
     }
 
-    /** Ends a request whose body did not arrive in time, so that a stalled caller does not hold memory. */
-    private void endIncompleteBody() {
+    /** Ends a request whose body stopped arriving, so that a stalled caller does not hold memory. */
+    private void endStalledBody() {
+        if (!stall.stalled(server.timers().nanos())) {
+            return;
+        }
         if (discarding) {
             context.close();
-        } else if (bodyIncomplete) {
-            reject(HttpResponseStatus.REQUEST_TIMEOUT);
+            return;
         }
+        stall.end();
+        closeRequested = true;
+        dropBody();
+        memory.release();
+        exchange = new ServerExchange(this, takeRequest(EMPTY_BODY));
+        server.handler().refuseStalledBody(exchange);
     }
 
     private void appendBody(HttpContent content) {
@@ -290,7 +306,7 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        if (!bodyIncomplete && server.bodies().counts(body.readableBytes() + more)) {
+        if (!stall.watching() && needsMemory(body.readableBytes() + more)) {
             // The length is not known in advance.
             reserve(limits.bodyBytes());
             if (memoryWait != null) {
@@ -303,6 +319,7 @@
                 body = Unpooled.buffer(more);
             }
             body.writeBytes(content.content());
+            stall.partArrived(server.timers().nanos());
         }
         if (content instanceof LastHttpContent) {
             dispatchRequest();
@@ -310,7 +327,7 @@
     }
 
     private void dispatchRequest() {
-        bodyIncomplete = false;
+        stall.end();
         byte[] bytes = bodyBytes();
         dropBody();
         memory.shrinkTo(bytes.length);
@@ -330,9 +347,13 @@
     }
 
     private HttpRequestMessage takeRequest(byte[] bytes) {
-        HttpRequest request = head;
+        HttpRequestMessage request = requestWith(bytes);
         head = null;
-        return new HttpRequestMessage(request.method().name(), request.uri(), HttpFields.of(request.headers()), bytes);
+        return request;
+    }
+
+    private HttpRequestMessage requestWith(byte[] bytes) {
+        return new HttpRequestMessage(head.method().name(), head.uri(), HttpFields.of(head.headers()), bytes);
     }
 
     private void dropBody() {
@@ -351,25 +372,13 @@
 
     private void reject(HttpResponseStatus status) {
         head = null;
-        bodyIncomplete = false;
+        stall.end();
         dropBody();
         memory.release();
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-        context.writeAndFlush(response).addListener(f -> context.close());
+        context.writeAndFlush(Rejections.response(status)).addListener(f -> context.close());
         LOG.info("Request from {} rejected: {}.", context.channel().remoteAddress(), List.of(status));
     }
 
-    private static HttpResponseStatus statusOf(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-        }
-        if (cause instanceof TooLongHttpLineException) {
-            return HttpResponseStatus.REQUEST_URI_TOO_LONG;
-        }
-        return HttpResponseStatus.BAD_REQUEST;
-    }
-
     /** The wait of one request for memory. The memory may be granted or refused on any thread. */
     private final class MemoryWait implements BodyMemory.Listener {
         @Override
