Measure guaranteed shares only where writes take slot time

A service whose cost for the write was unknown or 0 could win by its level. The share then fell to the lowest one, although a service that the write does use was overloaded as well. The bottleneck is now chosen among the services at which the write takes at least a tenth of its largest slot time.

Comparing by level times slot time was ruled out: a level is a rank and doesn't grow in proportion to the overload.

--- a/kernel/src/main/java/org/verbenadyke/kernel/route/BottleneckCosts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/BottleneckCosts.java
@@ -2,11 +2,11 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * The slot times of kinds of request at the deeper service that limits them, at one time.
@@ -15,6 +15,12 @@
  * @param nowNanos the time
  */
 record BottleneckCosts(DeeperServices services, long nowNanos) {
+    /**
+     * The part of the largest slot time of a kind from which on another service counts as used by it. Relief of a
+     * service that takes less hardly depends on the kind, however high its level is.
+     */
+    private static final double USED_PART = 0.1;
+
     /**
      * Returns the slot times that the share of a kind follows from.
      *
@@ -32,17 +38,22 @@
     }
 
     /**
-     * Returns the deeper service with the highest level. Among those of the same level, as without any overload, it is
-     * the one that takes the most slot time, so that the share is known before an overload begins.
+     * Returns the deeper service with the highest level, of those that the kind is known to take slot time at. Among
+     * those of the same level, as without any overload, it is the one that takes the most slot time, so that the share
+     * is known before an overload begins.
      */
     private Optional<String> bottleneck(KindTraffic own) {
-        Set<String> reached = own.classes().stream()
-                .flatMap(c -> services.reachedBy(c).stream())
-                .collect(Collectors.toSet());
-        return reached.stream()
-                .max(Comparator.comparingInt((String s) -> services.level(s, nowNanos))
-                        .thenComparingDouble(s -> mean(List.of(own), s))
-                        .thenComparing(Comparator.naturalOrder()));
+        Map<String, Double> nanos = new HashMap<>();
+        for (RequestClass requests : own.classes()) {
+            services.reachedBy(requests).forEach(service -> nanos.computeIfAbsent(service, s -> mean(List.of(own), s)));
+        }
+        double largest = nanos.values().stream().mapToDouble(n -> n).max().orElse(0);
+        return nanos.entrySet().stream()
+                .filter(e -> e.getValue() > 0 && e.getValue() >= USED_PART * largest)
+                .max(Comparator.comparingInt((Map.Entry<String, Double> e) -> services.level(e.getKey(), nowNanos))
+                        .thenComparing(Map.Entry::getValue)
+                        .thenComparing(Map.Entry::getKey))
+                .map(Map.Entry::getKey);
     }
 
     /** Returns the mean slot time of the requests that use a service, weighted by their rates; 0 if unknown. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
@@ -74,6 +74,23 @@
                 changes.stream().map(c -> c.basis().bottleneck()).toList());
     }
 
+    /** A service that the writes hardly use would hide the overload of the one that they need. */
+    @ParameterizedTest
+    @CsvSource({"-1, 1", "0, 1", "0.3, 1", "0.5, 0.4"})
+    void measuresOnlyWhereWritesTakeSlotTime(double writeAtOther, double expected) {
+        services.cost("deep", READ, 8);
+        services.cost("deep", WRITE, 4);
+        services.cost("other", READ, 0.1);
+        if (writeAtOther >= 0) {
+            services.cost("other", WRITE, writeAtOther);
+        }
+        services.levels.put("deep", 50);
+        services.levels.put("other", 100);
+        arrive(READ, 10);
+        arrive(WRITE, 10);
+        assertEquals(expected, raisedShare(), TOLERANCE);
+    }
+
     /** A share taken from one end of the ranks would be refused first, or never, in the band it is raised to. */
     @Test
     void raisesToTheReadsAndOverAllRanks() {
