Raise less important writes no more than more important ones

With two kinds of writes of different importance below the same read, the less important one got the larger share if it took less slot time, and was served more often. Each share is now at most the smallest share of the more important raised kinds whose callers have the same priority. The kinds are updated in descending order of importance, so that a refresh uses new shares only.

Weighting the cap by traffic was ruled out: the cap would lapse whenever the more important writes pause.

Before the change, GuaranteedSharesTest gives the less important write a share of 1 instead of 0.4 and 0.5.

--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.route;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,8 +57,10 @@
         this.plan = plan;
         this.learned = learned;
         this.kinds = takesEffect(plan) ? kinds(plan) : Map.of();
-        this.raised =
-                kinds.values().stream().filter(k -> k.raisedTo.isPresent()).toList();
+        this.raised = kinds.values().stream()
+                .filter(k -> k.raisedTo.isPresent())
+                .sorted(Comparator.comparing((Kind k) -> k.importance).reversed())
+                .toList();
         learned.ifPresent(l -> refreshedNanos.set(l.startNanos));
     }
 
@@ -164,7 +167,21 @@
         }
         kinds.values().forEach(k -> k.traffic.endPeriod(nowNanos - before));
         BottleneckCosts costs = new BottleneckCosts(with.services, nowNanos);
-        raised.forEach(k -> k.update(costs.basis(k.traffic, above(k)), with.changes));
+        // The most important kinds come first, since their shares limit those of the others.
+        raised.forEach(k -> k.update(costs.basis(k.traffic, above(k)), largestShare(k), with.changes));
+    }
+
+    /**
+     * Returns the largest share of a kind: the smallest one of the more important raised kinds. A more important kind
+     * would otherwise be served less often than a less important one that takes less slot time.
+     */
+    private double largestShare(Kind kind) {
+        return raised.stream()
+                .filter(k -> k.importance.compareTo(kind.importance) > 0)
+                .filter(k -> k.key.teamPriority.equals(kind.key.teamPriority))
+                .mapToDouble(k -> k.share)
+                .min()
+                .orElse(1);
     }
 
     private List<KindTraffic> above(Kind kind) {
@@ -188,7 +205,7 @@
                 .map(r -> plan.importance(r, team))
                 .filter(i -> i.compareTo(importance) > 0)
                 .min(Importance::compareTo);
-        return new Kind(route.name(), importance, route.kind().repeatable(), raisedTo);
+        return new Kind(KindKey.of(route, team), importance, route.kind().repeatable(), raisedTo);
     }
 
     /** Returns the repeatable routes that rank above a route that is not; none for a repeatable route. */
@@ -243,7 +260,7 @@
 
     /** The traffic and the share of one kind of request. */
     private static final class Kind {
-        private final String route;
+        private final KindKey key;
         private final Importance importance;
         private final boolean repeatable;
         private final Optional<Importance> raisedTo;
@@ -251,17 +268,18 @@
         private volatile double share = MIN_SHARE;
         private double reportedShare = MIN_SHARE;
 
-        private Kind(String route, Importance importance, boolean repeatable, Optional<Importance> raisedTo) {
-            this.route = route;
+        private Kind(KindKey key, Importance importance, boolean repeatable, Optional<Importance> raisedTo) {
+            this.key = key;
             this.importance = importance;
             this.repeatable = repeatable;
             this.raisedTo = raisedTo;
         }
 
-        private void update(ShareChange.Basis basis, Consumer<ShareChange> changes) {
-            share = basis.known() ? share(basis.aboveNanos(), basis.ownNanos()) : MIN_SHARE;
+        private void update(ShareChange.Basis basis, double largest, Consumer<ShareChange> changes) {
+            double byCost = basis.known() ? share(basis.aboveNanos(), basis.ownNanos()) : MIN_SHARE;
+            share = Math.min(byCost, largest);
             if (Math.abs(share - reportedShare) > REPORTED_CHANGE) {
-                changes.accept(new ShareChange(route, raisedTo.orElse(importance), reportedShare, share, basis));
+                changes.accept(new ShareChange(key.route, raisedTo.orElse(importance), reportedShare, share, basis));
                 reportedShare = share;
             }
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
@@ -91,6 +91,23 @@
         assertEquals(expected, raisedShare(), TOLERANCE);
     }
 
+    /** Cheap writes would be served more often than more important ones that take more slot time. */
+    @ParameterizedTest
+    @CsvSource({"16, 4, 0.4, 0.4", "8, 4, 0.5, 0.5", "4, 8, 1, 0.5"})
+    void raisesNoMoreOfALessImportantWrite(double important, double other, double ofImportant, double ofOther) {
+        Route transfer = route("transfer", RequestKind.NON_IDEMPOTENT, 2);
+        Route note = route("note", RequestKind.NON_IDEMPOTENT, 3);
+        GuaranteedShares ofBoth =
+                GuaranteedShares.of(plan(READ, transfer, note)).following(services, changes::add, 0);
+        services.cost("deep", READ, 8);
+        services.cost("deep", transfer, important);
+        services.cost("deep", note, other);
+        Stream.of(READ, transfer, note).forEach(r -> ofBoth.arrived(r, Optional.empty(), requests(r)));
+        Importance ofReads = ofBoth.importance(READ, Optional.empty(), new RequestId(5, 1), SECOND);
+        assertEquals(ofImportant, shareAt(ofReads, ofBoth, transfer, Optional.empty()), TOLERANCE);
+        assertEquals(ofOther, shareAt(ofReads, ofBoth, note, Optional.empty()), TOLERANCE);
+    }
+
     /** A share taken from one end of the ranks would be refused first, or never, in the band it is raised to. */
     @Test
     void raisesToTheReadsAndOverAllRanks() {
@@ -137,10 +154,13 @@
     }
 
     private static double raisedShare(GuaranteedShares of, Optional<Team> team) {
+        return shareAt(Importance.NORMAL, of, WRITE, team);
+    }
+
+    private static double shareAt(Importance importance, GuaranteedShares of, Route route, Optional<Team> team) {
         int raised = 0;
         for (int i = 0; i < REQUESTS; i++) {
-            Importance importance = of.importance(WRITE, team, new RequestId(5, i), SECOND);
-            raised += importance == Importance.NORMAL ? 1 : 0;
+            raised += of.importance(route, team, new RequestId(5, i), SECOND) == importance ? 1 : 0;
         }
         return (double) raised / REQUESTS;
     }
