Skip only bands that are empty beyond chance

One period without arrivals in a band of few calls skipped the band and closed it for seconds. A band is now skipped only if at least 150 calls arrived in the period and no call of the band waits. Among 150 arrivals, a band with 3 % of the calls is empty by chance with a probability of 0.01. GateLoad tells the lowest importance of the waiting calls.

Counting waiting calls by band was ruled out: all bands from the lowest one with a waiting call on are kept, which needs one look at the queue.

Before the change, LoadLevelTest skips the band after 149 arrivals and with a waiting call of the band.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -177,6 +177,7 @@
                 limit.current(),
                 inFlight.get(),
                 queue.size(),
+                queue.leastImportance(),
                 holdTime.nanos(),
                 directHoldTime.nanos(),
                 rateLimit.perSecond()));
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -67,6 +67,12 @@
      */
     private static final double EXHAUSTED_SHARE = 0.03;
 
+    /**
+     * The arrivals of one period from which on a band without any is empty and not just rarely used: among so many, a
+     * band with {@link #EXHAUSTED_SHARE} of the calls has none with a probability of 0.01.
+     */
+    private static final int MIN_ARRIVALS_TO_SKIP = 150;
+
     /** The exponent of the correction: less than 1, since a change takes about two periods to take full effect. */
     private static final double CORRECTION_EXPONENT = 0.75;
 
@@ -153,8 +159,10 @@
         double slotLoad = offered / capacity;
         double rateLoad = (arrived + load.queued()) / (load.maxCallsPerSecond() * PERIOD_SECONDS * RATE_LIMIT_MARGIN);
         double measuredLoad = Math.max(slotLoad, rateLoad);
-        if (measuredLoad > HIGH_LOAD && skipsEmptyBands.getAsBoolean()) {
-            skipEmptyBands(inBands);
+        boolean skips = measuredLoad > HIGH_LOAD && arrived >= MIN_ARRIVALS_TO_SKIP;
+        if (skips && skipsEmptyBands.getAsBoolean()) {
+            int end = load.leastQueued().map(Importance::ordinal).orElse(REFUSABLE_BANDS);
+            skipEmptyBands(inBands, Math.min(end, REFUSABLE_BANDS));
         }
         adjust(measuredLoad, (double) inBands[band] / Math.max(1, arrived));
         // A rate limit counts calls, however long they hold a slot.
@@ -191,13 +199,16 @@
     }
 
     /**
-     * Goes on to the next band from which calls arrive; stays if there is none that may be refused. Load pattern: the
-     * requests of the lowest importance are all raised to the next one or go to other services, so that closing their
-     * band over several periods would only delay the relief.
+     * Goes on to the next band from which calls arrive or wait; stays if there is none that may be refused. Load
+     * pattern: the requests of the lowest importance are all raised to the next one or go to other services, so that
+     * closing their band over several periods would only delay the relief.
+     *
+     * @param inBands the arrivals of each band
+     * @param end the lowest band that has waiting calls, or the first one that may not be refused
      */
-    private void skipEmptyBands(long[] inBands) {
+    private void skipEmptyBands(long[] inBands, int end) {
         int next = band;
-        while (next < REFUSABLE_BANDS && inBands[next] == 0) {
+        while (next < end && inBands[next] == 0) {
             next++;
         }
         if (next > band && next < REFUSABLE_BANDS) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelTest.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.kernel.admission;
 
+import java.util.Optional;
+
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.verbenadyke.kernel.call.Importance;
@@ -14,7 +16,7 @@
     private static final int NORMAL = Importance.NORMAL.ordinal() * RequestId.BUCKETS;
 
     /** Three times what the slots can do. */
-    private static final GateLoad OVERLOAD = new GateLoad(10, 10, 100, 40_000_000L, 0, Double.POSITIVE_INFINITY);
+    private static final GateLoad OVERLOAD = overload(Optional.of(Importance.CRITICAL));
 
     /** An empty band that is closed over several periods would delay the relief of the next one. */
     @ParameterizedTest
@@ -27,6 +29,16 @@
         assertEquals(refusesNormal, level.current() > NORMAL, "level " + level.current());
     }
 
+    /** A band of few calls would be closed for seconds after a period in which none of them arrived. */
+    @ParameterizedTest
+    @CsvSource({"149, , false", "150, , true", "150, LOW, false", "150, NORMAL, true"})
+    void skipsNoBandThatMayHaveCalls(int arrivals, Importance leastQueued, boolean refusesNormal) {
+        LoadLevel level = LoadLevel.open(() -> true);
+        arrive(level, Importance.NORMAL, arrivals);
+        endPeriod(level, overload(Optional.ofNullable(leastQueued)));
+        assertEquals(refusesNormal, level.current() > NORMAL, "level " + level.current());
+    }
+
     /** A service that gets only calls which are never refused, or none, must not close the bands of others. */
     @ParameterizedTest
     @CsvSource({"0", "200"})
@@ -44,8 +56,16 @@
     }
 
     private static void endPeriod(LoadLevel level) {
+        endPeriod(level, OVERLOAD);
+    }
+
+    private static void endPeriod(LoadLevel level, GateLoad load) {
         for (int i = 0; i < LoadLevel.PERIOD_WINDOWS; i++) {
-            level.endWindow(OVERLOAD);
+            level.endWindow(load);
         }
     }
+
+    private static GateLoad overload(Optional<Importance> leastQueued) {
+        return new GateLoad(10, 10, 100, leastQueued, 40_000_000L, 0, Double.POSITIVE_INFINITY);
+    }
 }
