Report the usage of plain calls without sums

Each answer of a call whose usage is requested built a map, a sum and a sorted list, also for calls without nested calls. Such a call now reports its own slot time directly, the sum of the nested calls is created when the first of them reports, and a single usage is passed on as it is.

Reusing one map per thread was ruled out: calls are answered on threads of links and of timers. The processor time was not measured.

--- a/kernel/src/main/java/org/verbenadyke/kernel/cost/Usage.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/cost/Usage.java
@@ -27,6 +27,17 @@
         slotTimes = List.copyOf(slotTimes);
     }
 
+    /**
+     * Returns the usage of a call that took slot time at one service only.
+     *
+     * @param service the service
+     * @param micros the slot time, in microseconds
+     * @return the usage
+     */
+    public static Usage of(String service, long micros) {
+        return new Usage(List.of(new SlotTime(service, micros)));
+    }
+
     /**
      * Returns whether nothing is known.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/cost/UsageSum.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/cost/UsageSum.java
@@ -19,7 +19,11 @@
     private static final Comparator<Usage.SlotTime> MOST_FIRST =
             Comparator.comparingLong(Usage.SlotTime::micros).reversed().thenComparing(Usage.SlotTime::service);
 
-    private final Map<String, Long> micros = new HashMap<>();
+    /** The first usage that was added, until a second one is: most requests have one attempt. */
+    private Usage first = Usage.NONE;
+
+    /** The sums by service; empty until a second usage is added. */
+    private Map<String, Long> micros = Map.of();
 
     private UsageSum() {}
 
@@ -38,9 +42,17 @@
      * @param usage the usage
      */
     public synchronized void add(Usage usage) {
-        for (Usage.SlotTime used : usage.slotTimes()) {
-            micros.merge(used.service(), used.micros(), UsageSum::saturatedSum);
+        if (usage.isEmpty()) {
+            return;
+        }
+        if (micros.isEmpty() && first.isEmpty()) {
+            first = usage;
+            return;
         }
+        if (micros.isEmpty()) {
+            micros = snapshot();
+        }
+        addTo(micros, usage);
         while (micros.size() > MAX_SERVICES) {
             micros.entrySet().stream()
                     .min(Comparator.comparingLong(Map.Entry::getValue))
@@ -53,8 +65,8 @@
      *
      * @return the services with the most slot time
      */
-    public Usage total() {
-        return top(snapshot());
+    public synchronized Usage total() {
+        return micros.isEmpty() ? first : top(micros);
     }
 
     /**
@@ -71,7 +83,17 @@
     }
 
     private synchronized Map<String, Long> snapshot() {
-        return new HashMap<>(micros);
+        Map<String, Long> all = new HashMap<>(micros);
+        if (micros.isEmpty()) {
+            addTo(all, first);
+        }
+        return all;
+    }
+
+    private static void addTo(Map<String, Long> sums, Usage usage) {
+        for (Usage.SlotTime used : usage.slotTimes()) {
+            sums.merge(used.service(), used.micros(), UsageSum::saturatedSum);
+        }
     }
 
     private static Usage top(Map<String, Long> all) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
@@ -26,11 +26,14 @@
     private final int depth;
     private final CallTimes times;
     private final String service;
-    private final Optional<UsageSum> nestedUsage;
+    private final boolean usageRequested;
     private final ParentBudget budget;
     private final Set<String> services = ConcurrentHashMap.newKeySet();
     private volatile boolean childFailed;
 
+    /** The slot time of the nested calls; empty until one reports any, as most calls have none. */
+    private volatile Optional<UsageSum> nestedUsage = Optional.empty();
+
     private CallContext(String token, Message.Call call, CallTimes times, Supplier<Link> link) {
         this.token = token;
         this.request = call.request();
@@ -38,7 +41,7 @@
         this.depth = call.depth();
         this.times = times;
         this.service = call.target().service();
-        this.nestedUsage = call.usageRequested() ? Optional.of(UsageSum.empty()) : Optional.empty();
+        this.usageRequested = call.usageRequested();
         this.budget = ParentBudget.of(link, call.id());
     }
 
@@ -123,9 +126,11 @@
      * Returns the slot time of the served call and of the nested calls that have been answered; empty if not requested.
      */
     Usage usage() {
-        return nestedUsage
-                .map(n -> n.totalWith(service, times.slotNanos() / NANOS_PER_MICRO))
-                .orElse(Usage.NONE);
+        if (!usageRequested) {
+            return Usage.NONE;
+        }
+        long ownMicros = times.slotNanos() / NANOS_PER_MICRO;
+        return nestedUsage.map(n -> n.totalWith(service, ownMicros)).orElseGet(() -> Usage.of(service, ownMicros));
     }
 
     @Override
@@ -140,11 +145,21 @@
 
     @Override
     public boolean collectsUsage() {
-        return nestedUsage.isPresent();
+        return usageRequested;
     }
 
     @Override
     public void usageReported(Usage usage) {
-        nestedUsage.ifPresent(n -> n.add(usage));
+        if (usageRequested && !usage.isEmpty()) {
+            nestedSum().add(usage);
+        }
+    }
+
+    private synchronized UsageSum nestedSum() {
+        UsageSum sum = nestedUsage.orElseGet(UsageSum::empty);
+        if (nestedUsage.isEmpty()) {
+            nestedUsage = Optional.of(sum);
+        }
+        return sum;
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/cost/UsageSumTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/cost/UsageSumTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /** Tests {@link UsageSum}: its size must be bounded, and parallel calls must not lose slot time. */
@@ -39,6 +40,17 @@
         assertThrows(IllegalArgumentException.class, () -> usage("a", 1, "b", 1, "c", 1, "d", 1, "e", 1));
     }
 
+    /** A map and a sorted list for each of the many requests with one attempt would cost processor time. */
+    @Test
+    void passesOnTheUsageOfASingleAttempt() {
+        Usage only = usage("a", 10, "b", 5);
+        sum.add(Usage.NONE);
+        sum.add(only);
+        assertSame(only, sum.total());
+        assertEquals(usage("b", 12, "a", 10), sum.totalWith("b", 7));
+        assertSame(only, sum.total());
+    }
+
     @Test
     void neverOverflows() {
         sum.add(usage("a", Long.MAX_VALUE));
