--- a/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/SharesFleet.java
@@ -13,8 +13,8 @@
 
 /**
  * A service that is short of slots and serves the nested calls of reads, eight in sequence, those of writes, four in
- * sequence unless stated otherwise, and a few direct requests of the highest importance. At the usual load, its slots are
- * just enough.
+ * sequence unless stated otherwise, and a few direct requests of the highest importance. At the usual load, its slots
+ * are just enough.
  */
 final class SharesFleet {
     private static final double[] SPEEDS = {0.7, 0.9, 1.4};
