Request usage only of requests that shares follow from

With guaranteed shares, the usage of all requests was requested, also that of the most important writes, which no share depends on. Usage is now requested for requests that are raised and for those that shares are measured against. The kinds are selected once per plan.

Selecting by route alone was ruled out: the same route is raised for one priority of teams and not for another. The processor time was not measured.

--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -62,7 +62,7 @@
 
     /** Dispatches a request, and learns its cost if it begins a call chain and the plan or the request needs that. */
     CallHandle dispatch(Dispatcher dispatcher, RoutedRequest routed, Request request, AnswerSink sink) {
-        boolean learns = routed.parent().isEmpty() && (routed.usageRequested() || takesEffect());
+        boolean learns = routed.parent().isEmpty() && (routed.usageRequested() || needsCost(routed));
         if (!learns) {
             return dispatcher.dispatch(request, sink);
         }
@@ -70,6 +70,10 @@
         return dispatcher.dispatch(request.observedBy(cost), cost);
     }
 
+    private boolean needsCost(RoutedRequest routed) {
+        return shares().filter(s -> s.needsCost(routed.route(), routed.team())).isPresent();
+    }
+
     /** Returns what is known about the slot time of requests that entered at this node. */
     RequestCosts costs() {
         return costs;
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -6,8 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.verbenadyke.kernel.call.Importance;
@@ -51,6 +53,10 @@
     private final Optional<Learned> learned;
     private final Map<KindKey, Kind> kinds;
     private final List<Kind> raised;
+
+    /** The raised kinds and those that their shares are measured against. */
+    private final Set<Kind> costed;
+
     private final AtomicLong refreshedNanos = new AtomicLong();
 
     private GuaranteedShares(RoutePlan plan, Optional<Learned> learned) {
@@ -61,6 +67,9 @@
                 .filter(k -> k.raisedTo.isPresent())
                 .sorted(Comparator.comparing((Kind k) -> k.importance).reversed())
                 .toList();
+        this.costed = kinds.values().stream()
+                .filter(k -> k.raisedTo.isPresent() || raised.stream().anyMatch(r -> measuredAgainst(r, k)))
+                .collect(Collectors.toUnmodifiableSet());
         learned.ifPresent(l -> refreshedNanos.set(l.startNanos));
     }
 
@@ -117,6 +126,17 @@
         kind(route, team).ifPresent(k -> k.traffic.arrived(requests));
     }
 
+    /**
+     * Returns whether a share depends on the slot time of a request.
+     *
+     * @param route a route of the plan
+     * @param team the caller's team, if it is known
+     * @return whether such requests are raised, or shares are measured against them
+     */
+    public boolean needsCost(Route route, Optional<Team> team) {
+        return kind(route, team).filter(costed::contains).isPresent();
+    }
+
     /**
      * Returns the importance of a request that enters at this node. The same request gets the same importance as long
      * as the share is the same.
@@ -186,11 +206,15 @@
 
     private List<KindTraffic> above(Kind kind) {
         return kinds.values().stream()
-                .filter(k -> k.repeatable && kind.raisedTo.equals(Optional.of(k.importance)))
+                .filter(k -> measuredAgainst(kind, k))
                 .map(k -> k.traffic)
                 .toList();
     }
 
+    private static boolean measuredAgainst(Kind kind, Kind other) {
+        return other.repeatable && kind.raisedTo.equals(Optional.of(other.importance));
+    }
+
     private static Map<KindKey, Kind> kinds(RoutePlan plan) {
         Map<KindKey, Kind> kinds = new HashMap<>();
         for (Route route : plan.routes()) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
@@ -135,6 +135,16 @@
         assertTrue(GuaranteedShares.takesEffect(plan(WRITE, READ)));
     }
 
+    /** The most important writes would pay for costs that no share follows from. */
+    @Test
+    void needsTheCostsOfRaisedAndComparedRoutesOnly() {
+        for (Route route : List.of(WRITE, READ, VIEW)) {
+            assertTrue(shares.needsCost(route, Optional.empty()), route.name());
+        }
+        assertFalse(shares.needsCost(DIRECT, Optional.empty()));
+        assertFalse(GuaranteedShares.of(plan(READ, DIRECT)).needsCost(READ, Optional.empty()));
+    }
+
     /** Callers without a team share the lowest importance with the least urgent team, but have no reads above it. */
     @Test
     void raisesOnlyToTheReadsOfTheSameTeam() {
