Request usage of a quarter of the requests of known cost

Once the cost of a kind is known, each further answer moves it by a tenth, and usage of all requests costs processor time on each node of their chains. While the cost is known and its last answer is at most 7.5 s old, usage is requested for a quarter of the requests, drawn by the request's id with a salt of its own. Older costs are learned from all requests, so that a rare kind does not lose its cost at 30 s.

A smaller part was ruled out: costs would follow a change of the upstreams more than four times as slowly. The processor time was not measured.

--- a/kernel/src/main/java/org/verbenadyke/kernel/cost/LearnedCost.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/cost/LearnedCost.java
@@ -20,6 +20,12 @@
     /** The age of the last answer above which the cost is no longer known, in nanoseconds. */
     static final long MAX_AGE_NANOS = 30_000_000_000L;
 
+    /**
+     * The age of the last answer up to which a known cost is fresh, in nanoseconds. A quarter of the age at which it is
+     * lost, so that the cost of a rare kind is learned anew from all its requests well before.
+     */
+    static final long FRESH_NANOS = MAX_AGE_NANOS / 4;
+
     /** The weight of one answer. The first ten weigh the same, since a mean of one answer says little. */
     private static final double ANSWER_WEIGHT = 0.1;
 
@@ -61,6 +67,10 @@
         return answers >= MIN_ANSWERS && nowNanos - lastNanos <= MAX_AGE_NANOS;
     }
 
+    synchronized boolean fresh(long nowNanos) {
+        return known(nowNanos) && nowNanos - lastNanos <= FRESH_NANOS;
+    }
+
     synchronized double slotNanos(String service) {
         return slotNanos.getOrDefault(service, 0.0);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/cost/RequestCosts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/cost/RequestCosts.java
@@ -71,6 +71,20 @@
         return OptionalDouble.of(cost.slotNanos(deepService));
     }
 
+    /**
+     * Returns whether the cost of a kind is known and was confirmed lately, so that a part of its requests is enough to
+     * follow it.
+     *
+     * @param service the service that the requests are sent to
+     * @param pathClass the class of their paths
+     * @param nowNanos the time
+     * @return whether it is
+     */
+    public boolean fresh(String service, String pathClass, long nowNanos) {
+        LearnedCost cost = kinds.get(new Kind(service, pathClass));
+        return cost != null && cost.fresh(nowNanos);
+    }
+
     /**
      * Returns the kinds of request of an importance that use a service, with their costs and rates. A kind with
      * repeatable and other requests is listed once for each.
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -26,6 +26,12 @@
  * costs that the shares follow. Thread-safe.
  */
 final class ImportanceRaising {
+    /** The part of the requests of a kind whose usage is requested while its cost is known and fresh. */
+    private static final double SAMPLED_PART = 0.25;
+
+    /** Makes the selection of requests whose usage is requested independent of other selections by a request's id. */
+    private static final long USAGE_SALT = 0x4cf5ad432745937fL;
+
     private final EngineParts parts;
     private final RequestCosts costs = RequestCosts.empty();
     private final DeeperServices services;
@@ -62,16 +68,26 @@
 
     /** Dispatches a request, and learns its cost if it begins a call chain and the plan or the request needs that. */
     CallHandle dispatch(Dispatcher dispatcher, RoutedRequest routed, Request request, AnswerSink sink) {
-        boolean learns = routed.parent().isEmpty() && (routed.usageRequested() || needsCost(routed));
-        if (!learns) {
+        if (!learns(routed, request.id())) {
             return dispatcher.dispatch(request, sink);
         }
         EntryCost cost = EntryCost.of(request, costs, parts.timers(), sink);
         return dispatcher.dispatch(request.observedBy(cost), cost);
     }
 
-    private boolean needsCost(RoutedRequest routed) {
-        return shares().filter(s -> s.needsCost(routed.route(), routed.team())).isPresent();
+    /** Returns whether the cost of a request is learned. */
+    boolean learns(RoutedRequest routed, RequestId id) {
+        return routed.parent().isEmpty() && (routed.usageRequested() || needsCost(routed, id));
+    }
+
+    private boolean needsCost(RoutedRequest routed, RequestId id) {
+        Optional<GuaranteedShares> shares = shares();
+        if (shares.isEmpty() || !shares.get().needsCost(routed.route(), routed.team())) {
+            return false;
+        }
+        String pathClass = Request.pathClass(routed.content());
+        return id.sample(USAGE_SALT) < SAMPLED_PART
+                || !costs.fresh(routed.service(), pathClass, parts.timers().nanos());
     }
 
     /** Returns what is known about the slot time of requests that entered at this node. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/cost/RequestCostsTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/cost/RequestCostsTest.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.call.Importance;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.verbenadyke.kernel.cost.UsageSumTest.usage;
 
@@ -51,6 +52,19 @@
         assertTrue(slotNanos(READ, "deep").isPresent());
     }
 
+    /** The cost of a rare kind would be lost if only a part of its requests could renew it. */
+    @Test
+    void isFreshUntilAQuarterOfTheMaximumAge() {
+        record(READ, 7, usage("deep", 40));
+        assertFalse(costs.fresh("front", READ, now));
+        record(READ, 1, usage("deep", 40));
+        now += 7_500 * SECOND / 1_000;
+        assertTrue(costs.fresh("front", READ, now));
+        now++;
+        assertFalse(costs.fresh("front", READ, now));
+        assertFalse(costs.fresh("front", "GET /other", now));
+    }
+
     @Test
     void followsAChangeByATenthPerAnswer() {
         record(READ, 100, usage("deep", 40, "gone", 100));
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
@@ -2,11 +2,13 @@
 
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.quarantine.Quarantine;
+import org.verbenadyke.kernel.route.RoutePlan;
 import org.verbenadyke.kernel.routing.Location;
 import org.verbenadyke.kernel.serve.KeyClaims;
 import org.verbenadyke.kernel.serve.UpstreamPort;
@@ -21,8 +23,18 @@
 
     static Engine create(
             MemoryNet net, String name, long incarnation, VirtualTimerService clock, Quarantine quarantine) {
+        return Engine.create(parts(net, name, incarnation, clock, quarantine, Optional::empty), Policy.standard());
+    }
+
+    static EngineParts parts(
+            MemoryNet net,
+            String name,
+            long incarnation,
+            VirtualTimerService clock,
+            Quarantine quarantine,
+            Supplier<Optional<RoutePlan>> plan) {
         SplittableRandom random = new SplittableRandom(incarnation);
-        EngineParts parts = new EngineParts(
+        return new EngineParts(
                 name,
                 incarnation,
                 LOCATION,
@@ -33,13 +45,12 @@
                 Ledger.disabled(),
                 DecisionLog.none(),
                 quarantine,
-                Optional::empty,
+                plan,
                 BodyMemory.unlimited(clock),
                 KeyClaims.unshared(),
                 (link, message) -> {},
                 (link, message) -> {},
                 (link, message) -> {});
-        return Engine.create(parts, Policy.standard());
     }
 
     /** A running call that ignores its caller; the test sends the answer. */
