Keep the importance of requests across a change of plan

After a change of plan, a request whose route or priority of team was missing in the new plan fell to the lowest importance, and a thread that had read the older plan replaced the shares and rates of the newer one. A request now keeps at least the importance that its own plan gave it, is raised only if its route is a route of the plan of the shares, and shares are replaced by those of a plan of the same or a higher version only.

Holding the shares of both plans for a while was ruled out: a request that is not raised in between is served by its own importance.

Before the change, ImportanceRaisingTest gives LOW instead of HIGH for a priority of a team that is not in the plan.

--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -59,7 +59,8 @@
         }
         RequestClass requests = new RequestClass(routed.service(), Request.pathClass(routed.content()));
         shares.get().arrived(routed.route(), routed.team(), requests);
-        Importance importance = shares.get().importance(routed.route(), routed.team(), id, nowNanos);
+        Importance importance =
+                shares.get().importance(routed.route(), routed.team(), routed.importance(), id, nowNanos);
         if (importance.compareTo(routed.importance()) > 0) {
             parts.counters().count(Event.IMPORTANCE_RAISED);
         }
@@ -108,6 +109,10 @@
         if (before != null && before.plan == plan.get()) {
             return before.shares;
         }
+        // The plan may have changed since this thread read it.
+        if (before != null && before.plan.version() > plan.get().version()) {
+            return before.shares;
+        }
         Current next = new Current(plan.get(), sharesOf(plan.get()));
         return current.compareAndSet(before, next) ? next.shares : current.get().shares;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -141,18 +141,20 @@
      * Returns the importance of a request that enters at this node. The same request gets the same importance as long
      * as the share is the same.
      *
-     * @param route a route of the plan
+     * @param route the request's route; its requests are raised only if it is a route of the plan
      * @param team the caller's team, if it is known
+     * @param own the importance that the request has unless it is raised
      * @param request the request's id, which selects the requests that are raised
      * @param nowNanos the time
-     * @return the importance according to the plan, or the one it is raised to
+     * @return the importance, never below its own
      */
-    public Importance importance(Route route, Optional<Team> team, RequestId request, long nowNanos) {
+    public Importance importance(Route route, Optional<Team> team, Importance own, RequestId request, long nowNanos) {
         learned.ifPresent(l -> refreshIfDue(l, nowNanos));
         return kind(route, team)
                 .filter(k -> request.sample(RAISED_SALT) < k.share)
                 .flatMap(k -> k.raisedTo)
-                .orElseGet(() -> plan.importance(route, team));
+                .filter(raisedTo -> raisedTo.compareTo(own) > 0)
+                .orElse(own);
     }
 
     /**
@@ -176,7 +178,9 @@
     }
 
     private Optional<Kind> kind(Route route, Optional<Team> team) {
-        return kinds.isEmpty() ? Optional.empty() : Optional.ofNullable(kinds.get(KindKey.of(route, team)));
+        return kinds.isEmpty()
+                ? Optional.empty()
+                : Optional.ofNullable(kinds.get(KindKey.of(route, team))).filter(k -> k.route.equals(route));
     }
 
     private void refreshIfDue(Learned with, long nowNanos) {
@@ -212,7 +216,7 @@
     }
 
     private static boolean measuredAgainst(Kind kind, Kind other) {
-        return other.repeatable && kind.raisedTo.equals(Optional.of(other.importance));
+        return other.route.kind().repeatable() && kind.raisedTo.equals(Optional.of(other.importance));
     }
 
     private static Map<KindKey, Kind> kinds(RoutePlan plan) {
@@ -229,7 +233,7 @@
                 .map(r -> plan.importance(r, team))
                 .filter(i -> i.compareTo(importance) > 0)
                 .min(Importance::compareTo);
-        return new Kind(KindKey.of(route, team), importance, route.kind().repeatable(), raisedTo);
+        return new Kind(KindKey.of(route, team), route, importance, raisedTo);
     }
 
     /** Returns the repeatable routes that rank above a route that is not; none for a repeatable route. */
@@ -285,17 +289,17 @@
     /** The traffic and the share of one kind of request. */
     private static final class Kind {
         private final KindKey key;
+        private final Route route;
         private final Importance importance;
-        private final boolean repeatable;
         private final Optional<Importance> raisedTo;
         private final KindTraffic traffic = KindTraffic.none();
         private volatile double share = MIN_SHARE;
         private double reportedShare = MIN_SHARE;
 
-        private Kind(KindKey key, Importance importance, boolean repeatable, Optional<Importance> raisedTo) {
+        private Kind(KindKey key, Route route, Importance importance, Optional<Importance> raisedTo) {
             this.key = key;
+            this.route = route;
             this.importance = importance;
-            this.repeatable = repeatable;
             this.raisedTo = raisedTo;
         }
 
@@ -303,7 +307,7 @@
             double byCost = basis.known() ? share(basis.aboveNanos(), basis.ownNanos()) : MIN_SHARE;
             share = Math.min(byCost, largest);
             if (Math.abs(share - reportedShare) > REPORTED_CHANGE) {
-                changes.accept(new ShareChange(key.route, raisedTo.orElse(importance), reportedShare, share, basis));
+                changes.accept(new ShareChange(route.name(), raisedTo.orElse(importance), reportedShare, share, basis));
                 reportedShare = share;
             }
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ImportanceRaisingTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ImportanceRaisingTest.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
@@ -16,9 +19,12 @@
 import org.verbenadyke.kernel.route.RoutePlan;
 import org.verbenadyke.kernel.route.ServiceShare;
 import org.verbenadyke.kernel.routing.ServiceLevels;
+import org.verbenadyke.kernel.team.Team;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests how the shares of the plan in force are applied to requests. */
 final class ImportanceRaisingTest {
@@ -48,6 +54,39 @@
         assertEquals(1, learnedShare(WRITE));
     }
 
+    /** Between two plans, a request would lose the importance that its own plan gave it. */
+    @Test
+    void neverLowersTheImportanceAfterAChangeOfPlan() {
+        Team team = new Team("t", OptionalInt.of(7), Optional.empty());
+        RoutedRequest ofTeam = request(WRITE, Importance.HIGH).withTeam(Optional.of(team));
+        assertEquals(Set.of(Importance.HIGH), importances(ofTeam));
+        assertEquals(Set.of(Importance.NORMAL), importances(request(READ, Importance.NORMAL)));
+        assertEquals(Set.of(Importance.LOW, Importance.NORMAL), importances(request(WRITE, Importance.LOW)));
+    }
+
+    @Test
+    void raisesOnlyRequestsOfTheRoutesOfThePlan() {
+        Route otherPriority = route("write", RequestKind.NON_IDEMPOTENT, 3);
+        assertEquals(Set.of(Importance.LOW), importances(request(otherPriority, Importance.LOW)));
+    }
+
+    /** A thread that still reads the older plan would discard the shares and rates of the newer one. */
+    @Test
+    void keepsTheSharesOfTheNewerPlan() {
+        plan = plan(2, READ, DIRECT);
+        assertFalse(raising.takesEffect());
+        plan = plan(1, READ, WRITE, DIRECT);
+        assertFalse(raising.takesEffect());
+        plan = plan(3, READ, WRITE);
+        assertTrue(raising.takesEffect());
+    }
+
+    private Set<Importance> importances(RoutedRequest routed) {
+        return IntStream.range(0, REQUESTS)
+                .mapToObj(i -> raising.importance(routed, new RequestId(5, i), clock.nanos()))
+                .collect(Collectors.toSet());
+    }
+
     private double learnedShare(Route route) {
         RoutedRequest routed = request(route, Importance.LOW);
         long learned = IntStream.range(0, REQUESTS)
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
@@ -103,7 +103,7 @@
         services.cost("deep", transfer, important);
         services.cost("deep", note, other);
         Stream.of(READ, transfer, note).forEach(r -> ofBoth.arrived(r, Optional.empty(), requests(r)));
-        Importance ofReads = ofBoth.importance(READ, Optional.empty(), new RequestId(5, 1), SECOND);
+        Importance ofReads = importance(ofBoth, READ, Optional.empty(), new RequestId(5, 1), SECOND);
         assertEquals(ofImportant, shareAt(ofReads, ofBoth, transfer, Optional.empty()), TOLERANCE);
         assertEquals(ofOther, shareAt(ofReads, ofBoth, note, Optional.empty()), TOLERANCE);
     }
@@ -114,15 +114,15 @@
         int[] raised = new int[4];
         for (int i = 0; i < REQUESTS; i++) {
             RequestId id = new RequestId(5, i);
-            Importance importance = shares.importance(WRITE, Optional.empty(), id, 0);
-            assertEquals(importance, shares.importance(WRITE, Optional.empty(), id, 0));
+            Importance importance = importance(shares, WRITE, Optional.empty(), id, 0);
+            assertEquals(importance, importance(shares, WRITE, Optional.empty(), id, 0));
             raised[id.bucket() * raised.length / RequestId.BUCKETS] += importance == Importance.NORMAL ? 1 : 0;
             assertTrue(importance.compareTo(Importance.NORMAL) <= 0, "raised to " + importance);
         }
         for (int quarter : raised) {
             assertEquals(GuaranteedShares.MIN_SHARE / 4, (double) quarter / REQUESTS, TOLERANCE / 2);
         }
-        assertEquals(Importance.HIGH, shares.importance(DIRECT, Optional.empty(), new RequestId(5, 1), 0));
+        assertEquals(Importance.HIGH, importance(shares, DIRECT, Optional.empty(), new RequestId(5, 1), 0));
     }
 
     @Test
@@ -156,7 +156,7 @@
                 GuaranteedShares.of(plan(WRITE, READ, DIRECT).servingTeams(TeamDirectory.of(entries)));
         assertEquals(GuaranteedShares.MIN_SHARE, raisedShare(ofTeams, Optional.of(other)), TOLERANCE);
         assertEquals(0, raisedShare(ofTeams, Optional.empty()));
-        assertEquals(Importance.HIGH, ofTeams.importance(WRITE, Optional.of(urgent), new RequestId(5, 1), 0));
+        assertEquals(Importance.HIGH, importance(ofTeams, WRITE, Optional.of(urgent), new RequestId(5, 1), 0));
     }
 
     private double raisedShare() {
@@ -170,11 +170,16 @@
     private static double shareAt(Importance importance, GuaranteedShares of, Route route, Optional<Team> team) {
         int raised = 0;
         for (int i = 0; i < REQUESTS; i++) {
-            raised += of.importance(route, team, new RequestId(5, i), SECOND) == importance ? 1 : 0;
+            raised += importance(of, route, team, new RequestId(5, i), SECOND) == importance ? 1 : 0;
         }
         return (double) raised / REQUESTS;
     }
 
+    private static Importance importance(
+            GuaranteedShares of, Route route, Optional<Team> team, RequestId id, long nowNanos) {
+        return of.importance(route, team, of.plan().importance(route, team), id, nowNanos);
+    }
+
     private void arrive(Route route, int times) {
         for (int i = 0; i < times; i++) {
             shares.arrived(route, Optional.empty(), requests(route));
