Tell the share of kinds with traffic and the priority of the team

The gauge verbenadyke_guaranteed_share took the minimum over all raised kinds, also those without any traffic, which stay at the lowest share. It now takes those of which requests arrived lately, and is -1 without any.

A gauge for each kind was ruled out: their number follows the teams' priorities.

--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -34,7 +34,7 @@
      */
     public static final double MIN_SHARE = 0.4;
 
-    /** The gauge's value if no request is ever raised. */
+    /** The gauge's value if no requests arrived lately that a share of is raised. */
     public static final double NO_SHARE = -1;
 
     /** The weight of one step of importance: a write at full share takes at most half the slot time of a read. */
@@ -158,12 +158,16 @@
     }
 
     /**
-     * Returns the lowest share among the routes whose requests are raised.
+     * Returns the lowest share among the kinds of requests that are raised and of which some arrived lately.
      *
-     * @return the share, {@link #NO_SHARE} if there are no such routes
+     * @return the share, {@link #NO_SHARE} if there are no such kinds
      */
     public double lowestShare() {
-        return raised.stream().mapToDouble(k -> k.share).min().orElse(NO_SHARE);
+        return raised.stream()
+                .filter(k -> !k.traffic.classes().isEmpty())
+                .mapToDouble(k -> k.share)
+                .min()
+                .orElse(NO_SHARE);
     }
 
     /**
@@ -307,7 +311,8 @@
             double byCost = basis.known() ? share(basis.aboveNanos(), basis.ownNanos()) : MIN_SHARE;
             share = Math.min(byCost, largest);
             if (Math.abs(share - reportedShare) > REPORTED_CHANGE) {
-                changes.accept(new ShareChange(route.name(), raisedTo.orElse(importance), reportedShare, share, basis));
+                changes.accept(new ShareChange(
+                        route.name(), key.teamPriority, raisedTo.orElse(importance), reportedShare, share, basis));
                 reportedShare = share;
             }
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/ShareChange.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/ShareChange.java
@@ -1,17 +1,21 @@
 package org.verbenadyke.kernel.route;
 
+import java.util.OptionalInt;
+
 import org.verbenadyke.kernel.call.Importance;
 
 /**
  * A change of the share of a route's requests that is raised to a higher importance.
  *
  * @param route the name of the route
+ * @param teamPriority the priority of the callers' teams, empty if they have none
  * @param importance the importance to which the share is raised
  * @param before the share last reported
  * @param share the share from now on
  * @param basis the slot times that the share follows from
  */
-public record ShareChange(String route, Importance importance, double before, double share, Basis basis) {
+public record ShareChange(
+        String route, OptionalInt teamPriority, Importance importance, double before, double share, Basis basis) {
     /**
      * The slot times at the service that limits the requests.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/route/GuaranteedSharesTest.java
@@ -108,6 +108,35 @@
         assertEquals(ofOther, shareAt(ofReads, ofBoth, note, Optional.empty()), TOLERANCE);
     }
 
+    /** The gauge would show the lowest share as long as any kind has no traffic, whatever the others get. */
+    @Test
+    void reportsTheLowestShareOfKindsWithTraffic() {
+        Route note = route("note", RequestKind.NON_IDEMPOTENT, 3);
+        GuaranteedShares ofBoth = GuaranteedShares.of(plan(READ, WRITE, note)).following(services, changes::add, 0);
+        assertEquals(GuaranteedShares.NO_SHARE, ofBoth.lowestShare());
+        services.cost("deep", READ, 8);
+        services.cost("deep", WRITE, 4);
+        Stream.of(READ, WRITE).forEach(r -> ofBoth.arrived(r, Optional.empty(), requests(r)));
+        importance(ofBoth, READ, Optional.empty(), new RequestId(5, 1), SECOND);
+        assertEquals(1, ofBoth.lowestShare());
+    }
+
+    /** Kinds that differ only in the priority of their teams could not be told apart in the log. */
+    @Test
+    void reportsChangesWithThePriorityOfTheTeam() {
+        Team team = new Team("t", OptionalInt.of(1), Optional.empty());
+        TeamDirectory teams = TeamDirectory.of(List.of(new TeamEntry(team, List.of())));
+        GuaranteedShares ofTeam =
+                GuaranteedShares.of(plan(READ, WRITE).servingTeams(teams)).following(services, changes::add, 0);
+        services.cost("deep", READ, 8);
+        services.cost("deep", WRITE, 4);
+        Stream.of(READ, WRITE).forEach(r -> ofTeam.arrived(r, Optional.of(team), requests(r)));
+        importance(ofTeam, READ, Optional.of(team), new RequestId(5, 1), SECOND);
+        assertEquals(
+                List.of(OptionalInt.of(1)),
+                changes.stream().map(ShareChange::teamPriority).toList());
+    }
+
     /** A share taken from one end of the ranks would be refused first, or never, in the band it is raised to. */
     @Test
     void raisesToTheReadsAndOverAllRanks() {
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.node.trace;
 
+import java.util.OptionalInt;
+
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -175,7 +177,9 @@
     }
 
     private static void addFields(StringMapMessage line, ShareChange change) {
+        OptionalInt team = change.teamPriority();
         line.with(ROUTE, change.route())
+                .with("teamPriority", team.isPresent() ? Integer.toString(team.getAsInt()) : "")
                 .with("importance", change.importance())
                 .with("before", change.before())
                 .with("share", change.share())
