Skip empty bands also while calls of them wait

The condition that no call of the band waits kept the skip from taking place under overload: calls of the lowest importance wait as long as the overload lasts. The minimum of 150 arrivals stays.

Counting waiting calls exactly by band was ruled out: the first band has the waiting calls.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
@@ -1,14 +1,11 @@
 package org.verbenadyke.kernel.admission;
 
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-import org.verbenadyke.kernel.call.Importance;
-
 /**
  * The calls that wait for a slot, in the order in which they are served. Thread-safe.
  */
@@ -123,17 +120,6 @@
         return size.get();
     }
 
-    /**
-     * Returns the lowest importance of the waiting calls.
-     *
-     * @return the importance, empty if no call waits
-     */
-    public Optional<Importance> leastImportance() {
-        // Both orders begin with the importance.
-        Iterator<Entry> leastFirst = inServiceOrder.descendingIterator();
-        return leastFirst.hasNext() ? Optional.of(leastFirst.next().call().importance()) : Optional.empty();
-    }
-
     private Optional<Entry> countRemoved(Entry entry) {
         if (entry != null) {
             size.decrementAndGet();
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -177,7 +177,6 @@
                 limit.current(),
                 inFlight.get(),
                 queue.size(),
-                queue.leastImportance(),
                 holdTime.nanos(),
                 directHoldTime.nanos(),
                 rateLimit.perSecond()));
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/LoadLevel.java
@@ -161,8 +161,7 @@
         double measuredLoad = Math.max(slotLoad, rateLoad);
         boolean skips = measuredLoad > HIGH_LOAD && arrived >= MIN_ARRIVALS_TO_SKIP;
         if (skips && skipsEmptyBands.getAsBoolean()) {
-            int end = load.leastQueued().map(Importance::ordinal).orElse(REFUSABLE_BANDS);
-            skipEmptyBands(inBands, Math.min(end, REFUSABLE_BANDS));
+            skipEmptyBands(inBands);
         }
         adjust(measuredLoad, (double) inBands[band] / Math.max(1, arrived));
         // A rate limit counts calls, however long they hold a slot.
@@ -199,16 +198,14 @@
     }
 
     /**
-     * Goes on to the next band from which calls arrive or wait; stays if there is none that may be refused. Load
-     * pattern: the requests of the lowest importance are all raised to the next one or go to other services, so that
-     * closing their band over several periods would only delay the relief.
-     *
-     * @param inBands the arrivals of each band
-     * @param end the lowest band that has waiting calls, or the first one that may not be refused
+     * Goes on to the next band from which calls arrive; stays if there is none that may be refused. Load pattern: the
+     * requests of the lowest importance are all raised to the next one or go to other services, so that closing their
+     * band over several periods would only delay the relief. Waiting calls are not counted: those of the lowest
+     * importance wait as long as the overload lasts, and would prevent the skip when it is needed.
      */
-    private void skipEmptyBands(long[] inBands, int end) {
+    private void skipEmptyBands(long[] inBands) {
         int next = band;
-        while (next < end && inBands[next] == 0) {
+        while (next < REFUSABLE_BANDS && inBands[next] == 0) {
             next++;
         }
         if (next > band && next < REFUSABLE_BANDS) {
