--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/ImportanceRaising.java
@@ -26,6 +26,12 @@
  * costs that the shares follow. Thread-safe.
  */
 final class ImportanceRaising {
+    /** The part of the requests of a kind whose usage is requested while its cost is known and fresh. */
+    private static final double SAMPLED_PART = 0.25;
+
+    /** Makes the selection of requests whose usage is requested independent of other selections by a request's id. */
+    private static final long USAGE_SALT = 0x4cf5ad432745937fL;
+
     private final EngineParts parts;
     private final RequestCosts costs = RequestCosts.empty();
     private final DeeperServices services;
@@ -53,7 +59,8 @@
         }
         RequestClass requests = new RequestClass(routed.service(), Request.pathClass(routed.content()));
         shares.get().arrived(routed.route(), routed.team(), requests);
-        Importance importance = shares.get().importance(routed.route(), routed.team(), id, nowNanos);
+        Importance importance =
+                shares.get().importance(routed.route(), routed.team(), routed.importance(), id, nowNanos);
         if (importance.compareTo(routed.importance()) > 0) {
             parts.counters().count(Event.IMPORTANCE_RAISED);
         }
@@ -62,14 +69,28 @@
 
     /** Dispatches a request, and learns its cost if it begins a call chain and the plan or the request needs that. */
     CallHandle dispatch(Dispatcher dispatcher, RoutedRequest routed, Request request, AnswerSink sink) {
-        boolean learns = routed.parent().isEmpty() && (routed.usageRequested() || takesEffect());
-        if (!learns) {
+        if (!learns(routed, request.id())) {
             return dispatcher.dispatch(request, sink);
         }
         EntryCost cost = EntryCost.of(request, costs, parts.timers(), sink);
         return dispatcher.dispatch(request.observedBy(cost), cost);
     }
 
+    /** Returns whether the cost of a request is learned. */
+    boolean learns(RoutedRequest routed, RequestId id) {
+        return routed.parent().isEmpty() && (routed.usageRequested() || needsCost(routed, id));
+    }
+
+    private boolean needsCost(RoutedRequest routed, RequestId id) {
+        Optional<GuaranteedShares> shares = shares();
+        if (shares.isEmpty() || !shares.get().needsCost(routed.route(), routed.team())) {
+            return false;
+        }
+        String pathClass = Request.pathClass(routed.content());
+        return id.sample(USAGE_SALT) < SAMPLED_PART
+                || !costs.fresh(routed.service(), pathClass, parts.timers().nanos());
+    }
+
     /** Returns what is known about the slot time of requests that entered at this node. */
     RequestCosts costs() {
         return costs;
@@ -88,6 +109,10 @@
         if (before != null && before.plan == plan.get()) {
             return before.shares;
         }
+        // The plan may have changed since this thread read it.
+        if (before != null && before.plan.version() > plan.get().version()) {
+            return before.shares;
+        }
         Current next = new Current(plan.get(), sharesOf(plan.get()));
         return current.compareAndSet(before, next) ? next.shares : current.get().shares;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -1,12 +1,15 @@
 package org.verbenadyke.kernel.route;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.verbenadyke.kernel.call.Importance;
@@ -31,7 +34,7 @@
      */
     public static final double MIN_SHARE = 0.4;
 
-    /** The gauge's value if no request is ever raised. */
+    /** The gauge's value if no requests arrived lately that a share of is raised. */
     public static final double NO_SHARE = -1;
 
     /** The weight of one step of importance: a write at full share takes at most half the slot time of a read. */
@@ -50,14 +53,23 @@
     private final Optional<Learned> learned;
     private final Map<KindKey, Kind> kinds;
     private final List<Kind> raised;
+
+    /** The raised kinds and those that their shares are measured against. */
+    private final Set<Kind> costed;
+
     private final AtomicLong refreshedNanos = new AtomicLong();
 
     private GuaranteedShares(RoutePlan plan, Optional<Learned> learned) {
         this.plan = plan;
         this.learned = learned;
         this.kinds = takesEffect(plan) ? kinds(plan) : Map.of();
-        this.raised =
-                kinds.values().stream().filter(k -> k.raisedTo.isPresent()).toList();
+        this.raised = kinds.values().stream()
+                .filter(k -> k.raisedTo.isPresent())
+                .sorted(Comparator.comparing((Kind k) -> k.importance).reversed())
+                .toList();
+        this.costed = kinds.values().stream()
+                .filter(k -> k.raisedTo.isPresent() || raised.stream().anyMatch(r -> measuredAgainst(r, k)))
+                .collect(Collectors.toUnmodifiableSet());
         learned.ifPresent(l -> refreshedNanos.set(l.startNanos));
     }
 
@@ -114,31 +126,48 @@
         kind(route, team).ifPresent(k -> k.traffic.arrived(requests));
     }
 
+    /**
+     * Returns whether a share depends on the slot time of a request.
+     *
+     * @param route a route of the plan
+     * @param team the caller's team, if it is known
+     * @return whether such requests are raised, or shares are measured against them
+     */
+    public boolean needsCost(Route route, Optional<Team> team) {
+        return kind(route, team).filter(costed::contains).isPresent();
+    }
+
     /**
      * Returns the importance of a request that enters at this node. The same request gets the same importance as long
      * as the share is the same.
      *
-     * @param route a route of the plan
+     * @param route the request's route; its requests are raised only if it is a route of the plan
      * @param team the caller's team, if it is known
+     * @param own the importance that the request has unless it is raised
      * @param request the request's id, which selects the requests that are raised
      * @param nowNanos the time
-     * @return the importance according to the plan, or the one it is raised to
+     * @return the importance, never below its own
      */
-    public Importance importance(Route route, Optional<Team> team, RequestId request, long nowNanos) {
+    public Importance importance(Route route, Optional<Team> team, Importance own, RequestId request, long nowNanos) {
         learned.ifPresent(l -> refreshIfDue(l, nowNanos));
         return kind(route, team)
                 .filter(k -> request.sample(RAISED_SALT) < k.share)
                 .flatMap(k -> k.raisedTo)
-                .orElseGet(() -> plan.importance(route, team));
+                .filter(raisedTo -> raisedTo.compareTo(own) > 0)
+                .orElse(own);
     }
 
     /**
-     * Returns the lowest share among the routes whose requests are raised.
+     * Returns the lowest share among the kinds of requests that are raised and of which some arrived lately.
      *
-     * @return the share, {@link #NO_SHARE} if there are no such routes
+     * @return the share, {@link #NO_SHARE} if there are no such kinds
      */
     public double lowestShare() {
-        return raised.stream().mapToDouble(k -> k.share).min().orElse(NO_SHARE);
+        return raised.stream()
+                .filter(k -> !k.traffic.classes().isEmpty())
+                .mapToDouble(k -> k.share)
+                .min()
+                .orElse(NO_SHARE);
     }
 
     /**
@@ -153,7 +182,9 @@
     }
 
     private Optional<Kind> kind(Route route, Optional<Team> team) {
-        return kinds.isEmpty() ? Optional.empty() : Optional.ofNullable(kinds.get(KindKey.of(route, team)));
+        return kinds.isEmpty()
+                ? Optional.empty()
+                : Optional.ofNullable(kinds.get(KindKey.of(route, team))).filter(k -> k.route.equals(route));
     }
 
     private void refreshIfDue(Learned with, long nowNanos) {
@@ -164,16 +195,34 @@
         }
         kinds.values().forEach(k -> k.traffic.endPeriod(nowNanos - before));
         BottleneckCosts costs = new BottleneckCosts(with.services, nowNanos);
-        raised.forEach(k -> k.update(costs.basis(k.traffic, above(k)), with.changes));
+        // The most important kinds come first, since their shares limit those of the others.
+        raised.forEach(k -> k.update(costs.basis(k.traffic, above(k)), largestShare(k), with.changes));
+    }
+
+    /**
+     * Returns the largest share of a kind: the smallest one of the more important raised kinds. A more important kind
+     * would otherwise be served less often than a less important one that takes less slot time.
+     */
+    private double largestShare(Kind kind) {
+        return raised.stream()
+                .filter(k -> k.importance.compareTo(kind.importance) > 0)
+                .filter(k -> k.key.teamPriority.equals(kind.key.teamPriority))
+                .mapToDouble(k -> k.share)
+                .min()
+                .orElse(1);
     }
 
     private List<KindTraffic> above(Kind kind) {
         return kinds.values().stream()
-                .filter(k -> k.repeatable && kind.raisedTo.equals(Optional.of(k.importance)))
+                .filter(k -> measuredAgainst(kind, k))
                 .map(k -> k.traffic)
                 .toList();
     }
 
+    private static boolean measuredAgainst(Kind kind, Kind other) {
+        return other.route.kind().repeatable() && kind.raisedTo.equals(Optional.of(other.importance));
+    }
+
     private static Map<KindKey, Kind> kinds(RoutePlan plan) {
         Map<KindKey, Kind> kinds = new HashMap<>();
         for (Route route : plan.routes()) {
@@ -188,7 +237,7 @@
                 .map(r -> plan.importance(r, team))
                 .filter(i -> i.compareTo(importance) > 0)
                 .min(Importance::compareTo);
-        return new Kind(route.name(), importance, route.kind().repeatable(), raisedTo);
+        return new Kind(KindKey.of(route, team), route, importance, raisedTo);
     }
 
     /** Returns the repeatable routes that rank above a route that is not; none for a repeatable route. */
@@ -243,25 +292,27 @@
 
     /** The traffic and the share of one kind of request. */
     private static final class Kind {
-        private final String route;
+        private final KindKey key;
+        private final Route route;
         private final Importance importance;
-        private final boolean repeatable;
         private final Optional<Importance> raisedTo;
         private final KindTraffic traffic = KindTraffic.none();
         private volatile double share = MIN_SHARE;
         private double reportedShare = MIN_SHARE;
 
-        private Kind(String route, Importance importance, boolean repeatable, Optional<Importance> raisedTo) {
+        private Kind(KindKey key, Route route, Importance importance, Optional<Importance> raisedTo) {
+            this.key = key;
             this.route = route;
             this.importance = importance;
-            this.repeatable = repeatable;
             this.raisedTo = raisedTo;
         }
 
-        private void update(ShareChange.Basis basis, Consumer<ShareChange> changes) {
-            share = basis.known() ? share(basis.aboveNanos(), basis.ownNanos()) : MIN_SHARE;
+        private void update(ShareChange.Basis basis, double largest, Consumer<ShareChange> changes) {
+            double byCost = basis.known() ? share(basis.aboveNanos(), basis.ownNanos()) : MIN_SHARE;
+            share = Math.min(byCost, largest);
             if (Math.abs(share - reportedShare) > REPORTED_CHANGE) {
-                changes.accept(new ShareChange(route, raisedTo.orElse(importance), reportedShare, share, basis));
+                changes.accept(new ShareChange(
+                        route.name(), key.teamPriority, raisedTo.orElse(importance), reportedShare, share, basis));
                 reportedShare = share;
             }
         }
--- a/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/admission/LoadLevelTest.java
@@ -27,6 +27,16 @@
         assertEquals(refusesNormal, level.current() > NORMAL, "level " + level.current());
     }
 
+    /** A band of few calls would be closed for seconds after a period in which none of them arrived. */
+    @ParameterizedTest
+    @CsvSource({"149, false", "150, true"})
+    void skipsNoBandThatMayHaveCalls(int arrivals, boolean refusesNormal) {
+        LoadLevel level = LoadLevel.open(() -> true);
+        arrive(level, Importance.NORMAL, arrivals);
+        endPeriod(level);
+        assertEquals(refusesNormal, level.current() > NORMAL, "level " + level.current());
+    }
+
     /** A service that gets only calls which are never refused, or none, must not close the bands of others. */
     @ParameterizedTest
     @CsvSource({"0", "200"})
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 
 import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.call.Importance;
@@ -12,6 +13,7 @@
 import org.verbenadyke.kernel.quarantine.Quarantine;
 import org.verbenadyke.kernel.route.RequestKind;
 import org.verbenadyke.kernel.route.Route;
+import org.verbenadyke.kernel.route.RoutePlan;
 import org.verbenadyke.kernel.route.ServiceShare;
 import org.verbenadyke.kernel.routing.Location;
 import org.verbenadyke.kernel.serve.KeyClaims;
@@ -28,8 +30,18 @@
 
     static Engine create(
             MemoryNet net, String name, long incarnation, VirtualTimerService clock, Quarantine quarantine) {
+        return Engine.create(parts(net, name, incarnation, clock, quarantine, Optional::empty), Policy.standard());
+    }
+
+    static EngineParts parts(
+            MemoryNet net,
+            String name,
+            long incarnation,
+            VirtualTimerService clock,
+            Quarantine quarantine,
+            Supplier<Optional<RoutePlan>> plan) {
         SplittableRandom random = new SplittableRandom(incarnation);
-        EngineParts parts = new EngineParts(
+        return new EngineParts(
                 name,
                 incarnation,
                 LOCATION,
@@ -40,13 +52,12 @@
                 Ledger.disabled(),
                 DecisionLog.none(),
                 quarantine,
-                Optional::empty,
+                plan,
                 BodyMemory.unlimited(clock),
                 KeyClaims.unshared(),
                 (link, message) -> {},
                 (link, message) -> {},
                 (link, message) -> {});
-        return Engine.create(parts, Policy.standard());
     }
 
     /** Returns a request of a caller on an idempotent route to a service. */
