Shed calls by rank alone where the plan guarantees shares

A full queue sheds the shallowest call of an importance first, and the chain of a transfer is one call shorter than that of a lookup, so that all transfers lost their calls before any lookup did.

Change: where the plan guarantees shares, calls of one importance are shed by rank, which all calls of a request share.

Ruled out: counting depth from the end of the chain, which isn't known.

--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/AdmissionQueue.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 /**
  * The calls that wait for a slot, in the order in which they are served. Thread-safe.
@@ -22,8 +23,11 @@
      * request fails with any of them. All calls of a request have the same rank at every upstream, so that the same
      * requests lose their calls everywhere and the other requests keep all of theirs.
      */
-    private static final Comparator<Entry> RETENTION_ORDER =
-            BY_IMPORTANCE_AND_DEPTH.thenComparingInt(e -> -e.rank()).thenComparingLong(Entry::arrival);
+    private static final Comparator<Entry> RETENTION_ORDER = Comparator.<Entry>comparingInt(
+                    e -> -e.call().importance().ordinal())
+            .thenComparingInt(e -> -e.retentionDepth())
+            .thenComparingInt(e -> -e.rank())
+            .thenComparingLong(Entry::arrival);
 
     /**
      * The more important first, then the one due first. Load pattern: more calls than fit, before the node where
@@ -39,8 +43,10 @@
     private final ConcurrentSkipListSet<Entry> inRetentionOrder = new ConcurrentSkipListSet<>(RETENTION_ORDER);
     private final AtomicInteger size = new AtomicInteger();
     private final AtomicLong arrivalNumbers = new AtomicLong();
+    private final BooleanSupplier shedsByRankAlone;
 
-    private AdmissionQueue(QueueOrder order) {
+    private AdmissionQueue(QueueOrder order, BooleanSupplier shedsByRankAlone) {
+        this.shedsByRankAlone = shedsByRankAlone;
         this.inServiceOrder = new ConcurrentSkipListSet<>(order == QueueOrder.DUE ? DUE_ORDER : IMPORTANCE_ORDER);
     }
 
@@ -48,10 +54,13 @@
      * Creates a queue.
      *
      * @param order which call is served next; the first one to be shed is always the least important
+     * @param shedsByRankAlone whether calls of one importance are shed by their rank whatever their depth. Where the
+     *     route plan guarantees shares, kinds of request whose chains differ in length share an importance; by depth,
+     *     all calls of the shorter chains would be shed before any of the longer ones.
      * @return an empty queue
      */
-    public static AdmissionQueue in(QueueOrder order) {
-        return new AdmissionQueue(order);
+    public static AdmissionQueue in(QueueOrder order, BooleanSupplier shedsByRankAlone) {
+        return new AdmissionQueue(order, shedsByRankAlone);
     }
 
     /**
@@ -61,7 +70,8 @@
      * @param nowNanos the time
      */
     public void add(WaitingCall call, long nowNanos) {
-        Entry entry = new Entry(call, call.rank(), arrivalNumbers.getAndIncrement(), nowNanos);
+        int retentionDepth = shedsByRankAlone.getAsBoolean() ? 0 : call.depth();
+        Entry entry = new Entry(call, call.rank(), retentionDepth, arrivalNumbers.getAndIncrement(), nowNanos);
         inRetentionOrder.add(entry);
         inServiceOrder.add(entry);
         size.incrementAndGet();
@@ -132,8 +142,9 @@
      *
      * @param call the call
      * @param rank the call's rank, computed once
+     * @param retentionDepth the depth in the call chain as far as it decides what is shed first, determined once
      * @param arrival the order of arrival, which decides among equals
      * @param sinceNanos when the call began to wait, in nanoseconds
      */
-    public record Entry(WaitingCall call, int rank, long arrival, long sinceNanos) {}
+    public record Entry(WaitingCall call, int rank, int retentionDepth, long arrival, long sinceNanos) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/admission/Gate.java
@@ -32,15 +32,15 @@
             ConcurrencyLimit limit,
             AnnouncedRate announcedRate,
             Optional<TimerService> timers,
-            BooleanSupplier skipsEmptyBands) {
+            BooleanSupplier sharesGuaranteed) {
         this.settings = settings;
         this.limit = limit;
         this.rateLimit = UpstreamRateLimit.following(
                 announcedRate, timers.map(TimerService::nanos).orElse(0L));
         this.wasRateLimited = rateLimit.limited();
         this.timers = timers;
-        this.queue = AdmissionQueue.in(settings.order());
-        this.level = settings.order() == QueueOrder.DUE ? LoadLevel.open(skipsEmptyBands) : AdmissionLevel.open();
+        this.queue = AdmissionQueue.in(settings.order(), sharesGuaranteed);
+        this.level = settings.order() == QueueOrder.DUE ? LoadLevel.open(sharesGuaranteed) : AdmissionLevel.open();
     }
 
     /**
@@ -61,7 +61,8 @@
      * @param limit how many calls may be in flight
      * @param announcedRate the rate limit that the upstream names
      * @param timers wakes up the calls that wait for the rate limit
-     * @param skipsEmptyBands whether the level skips an importance without arriving calls
+     * @param sharesGuaranteed whether the route plan guarantees shares: the level then skips an importance without
+     *     arriving calls, and the queue sheds calls of one importance by their rank alone
      * @return the gate
      */
     public static Gate of(
@@ -69,8 +70,8 @@
             ConcurrencyLimit limit,
             AnnouncedRate announcedRate,
             TimerService timers,
-            BooleanSupplier skipsEmptyBands) {
-        return new Gate(settings, limit, announcedRate, Optional.of(timers), skipsEmptyBands);
+            BooleanSupplier sharesGuaranteed) {
+        return new Gate(settings, limit, announcedRate, Optional.of(timers), sharesGuaranteed);
     }
 
     /**
