Test that a reported surplus fades

Why the case of a node that is cut off does not show it was not traced.

Change: a parameterized test checks the share 1, 1.5, 2 and 9 s after a report. The other cases stay as they are.

--- a/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quota/SurplusFleetTest.java
@@ -4,6 +4,8 @@
 import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.team.Team;
 
@@ -104,6 +106,13 @@
         assertEquals(0, rankedShare(2));
     }
 
+    /** A node without replies would otherwise rank by the last report for as long as it is cut off. */
+    @ParameterizedTest
+    @CsvSource({"1.0, 0.5", "1.5, 0.25", "2.0, 0", "9.0, 0"})
+    void aReportFadesAfterASecond(double seconds, double share) {
+        assertEquals(share, ReportedSurplus.of(0.5, 0).at((long) (seconds * QuotaFleet.SECOND)));
+    }
+
     private void start(double limit) {
         fleet.putTeam(QuotaReplayTest.team("t", limit, limit));
         fleet.putTeam(Team.named("free"));
