Print the placement measurements with a program instead of a skipped test

The table asserts nothing and was a test that ran only with a property set, so that each run of the tests showed one as skipped.

--- a/kernel/src/test/java/org/verbenadyke/kernel/routing/PlacementTableTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/routing/PlacementTable.java
@@ -4,19 +4,21 @@
 import java.util.Locale;
 import java.util.Map;
 
-import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
-
-/** Prints the measurements of docs/design/placement.md; run with {@code -Dplacement.table=true}. */
-@EnabledIfSystemProperty(named = "placement.table", matches = "true")
-final class PlacementTableTest {
+/** Prints the measurements of docs/design/placement.md; a program, not a test. */
+final class PlacementTable {
     private static final int FIRST_SEED = 7;
     private static final int SEEDS = 3;
     private static final double[] LOADS = {0.5, 0.8, 1.0};
     private static final double HURRIED = 0.25;
 
-    @Test
-    void printsTheTable() {
+    private PlacementTable() {}
+
+    /**
+     * Prints a line for each fleet, load, locality and seed.
+     *
+     * @param args not used
+     */
+    public static void main(String[] args) {
         double[] one = {1};
         double[] two = {1, 1};
         double[] four = {1, 1, 1, 1};
