Compute guaranteed shares only for kinds of request in use

Cause: each refresh, 300 ms apart, compared all raised kinds with all kinds of the plan, and building the shares went over all teams for each route. With 1,400 routes that are 650,000 comparisons a refresh, on the event loop. A more important write that nobody sends also held the share of the others at its lowest value.

Change: what a share is measured against is determined once a plan, callers by the priorities of teams, and only kinds of which requests arrived lately are refreshed, and limit the others.

Not measured on a plan of that size; by counting.

--- a/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/GuaranteedShares.java
@@ -1,7 +1,9 @@
 package org.verbenadyke.kernel.route;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -52,7 +54,9 @@
     private final RoutePlan plan;
     private final Optional<Learned> learned;
     private final Map<KindKey, Kind> kinds;
-    private final List<Kind> raised;
+
+    /** The raised kinds, the most important ones first, and the kinds that the share of each is measured against. */
+    private final Map<Kind, List<Kind>> measuredAgainst;
 
     /** The raised kinds and those that their shares are measured against. */
     private final Set<Kind> costed;
@@ -63,12 +67,9 @@
         this.plan = plan;
         this.learned = learned;
         this.kinds = takesEffect(plan) ? kinds(plan) : Map.of();
-        this.raised = kinds.values().stream()
-                .filter(k -> k.raisedTo.isPresent())
-                .sorted(Comparator.comparing((Kind k) -> k.importance).reversed())
-                .toList();
-        this.costed = kinds.values().stream()
-                .filter(k -> k.raisedTo.isPresent() || raised.stream().anyMatch(r -> measuredAgainst(r, k)))
+        this.measuredAgainst = measuredAgainst(kinds.values());
+        this.costed = measuredAgainst.entrySet().stream()
+                .flatMap(e -> Stream.concat(Stream.of(e.getKey()), e.getValue().stream()))
                 .collect(Collectors.toUnmodifiableSet());
         learned.ifPresent(l -> refreshedNanos.set(l.startNanos));
     }
@@ -163,11 +164,7 @@
      * @return the share, {@link #NO_SHARE} if there are no such kinds
      */
     public double lowestShare() {
-        return raised.stream()
-                .filter(k -> !k.traffic.classes().isEmpty())
-                .mapToDouble(k -> k.share)
-                .min()
-                .orElse(NO_SHARE);
+        return raisedWithTraffic().mapToDouble(k -> k.share).min().orElse(NO_SHARE);
     }
 
     /**
@@ -196,7 +193,13 @@
         kinds.values().forEach(k -> k.traffic.endPeriod(nowNanos - before));
         BottleneckCosts costs = new BottleneckCosts(with.services, nowNanos);
         // The most important kinds come first, since their shares limit those of the others.
-        raised.forEach(k -> k.update(costs.basis(k.traffic, above(k)), largestShare(k), with.changes));
+        raisedWithTraffic()
+                .forEach(k -> k.update(costs.basis(k.traffic, trafficAbove(k)), largestShare(k), with.changes));
+    }
+
+    /** Returns the raised kinds of which requests arrived lately: few, also if the plan has a thousand routes. */
+    private Stream<Kind> raisedWithTraffic() {
+        return measuredAgainst.keySet().stream().filter(k -> k.traffic.active());
     }
 
     /**
@@ -204,7 +207,7 @@
      * would otherwise be served less often than a less important one that takes less slot time.
      */
     private double largestShare(Kind kind) {
-        return raised.stream()
+        return raisedWithTraffic()
                 .filter(k -> k.importance.compareTo(kind.importance) > 0)
                 .filter(k -> k.key.teamPriority.equals(kind.key.teamPriority))
                 .mapToDouble(k -> k.share)
@@ -212,15 +215,26 @@
                 .orElse(1);
     }
 
-    private List<KindTraffic> above(Kind kind) {
-        return kinds.values().stream()
-                .filter(k -> measuredAgainst(kind, k))
+    private List<KindTraffic> trafficAbove(Kind kind) {
+        return measuredAgainst.get(kind).stream()
                 .map(k -> k.traffic)
+                .filter(KindTraffic::active)
                 .toList();
     }
 
-    private static boolean measuredAgainst(Kind kind, Kind other) {
-        return other.route.kind().repeatable() && kind.raisedTo.equals(Optional.of(other.importance));
+    private static Map<Kind, List<Kind>> measuredAgainst(Collection<Kind> kinds) {
+        Map<Kind, List<Kind>> measured = new LinkedHashMap<>();
+        kinds.stream()
+                .filter(k -> k.raisedTo.isPresent())
+                .sorted(Comparator.comparing((Kind k) -> k.importance).reversed())
+                .forEach(k -> measured.put(k, readsOf(kinds, k.raisedTo.get())));
+        return measured;
+    }
+
+    private static List<Kind> readsOf(Collection<Kind> kinds, Importance importance) {
+        return kinds.stream()
+                .filter(k -> k.route.kind().repeatable() && k.importance == importance)
+                .toList();
     }
 
     private static Map<KindKey, Kind> kinds(RoutePlan plan) {
@@ -250,12 +264,15 @@
                 .toList();
     }
 
+    /** Returns a caller without a team, and one of each priority that teams have. */
     private static Stream<Optional<Team>> callers(RoutePlan plan) {
-        Stream<Optional<Team>> teams = plan.teams().stream()
+        Map<OptionalInt, Team> teams = new HashMap<>();
+        plan.teams().stream()
                 .flatMap(t -> t.entries().stream())
                 .map(TeamEntry::team)
-                .map(Optional::of);
-        return Stream.concat(Stream.of(Optional.empty()), teams);
+                .forEach(t -> teams.putIfAbsent(t.priority(), t));
+        return Stream.concat(
+                Stream.of(Optional.empty()), teams.values().stream().map(Optional::of));
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/KindTraffic.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/KindTraffic.java
@@ -50,6 +50,11 @@
         return classes.keySet().stream().filter(c -> perSecond(c) > 0).collect(Collectors.toSet());
     }
 
+    /** Returns whether requests arrived lately. */
+    boolean active() {
+        return classes.values().stream().anyMatch(a -> a.perSecond > 0);
+    }
+
     double perSecond(RequestClass requests) {
         Arrivals known = classes.get(requests);
         return known == null ? 0 : known.perSecond;
