Log and measure how current a node's plan is known to be

A request refused with 404 named the version that it was matched against and nothing else, so that the hypotheses of the incident could not be told apart: whether nobody read the store, a newer version was heard of and not held, or a reader had an answer and missed the change.

No decision changes. WholePathTest, TeamsTest, FollowDutyTest pass.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -66,12 +66,7 @@
         this.engine = Engine.create(engineParts(), settings.policy());
         this.limiter = TeamLimiter.create(limiterParts(), settings.quota());
         owners.connectThrough(engine.links());
-        this.followDuty = FollowDuty.of(
-                parts.timers(),
-                FollowSettings.standard(),
-                this::self,
-                table,
-                () -> parts.plans().plan().isPresent());
+        this.followDuty = FollowDuty.of(parts.timers(), FollowSettings.standard(), this::self, table, parts.plans());
         this.gossip = Gossip.start(
                 new Gossip.Parts(
                         parts.timers(), parts.datagrams(), parts.random().get(), parts.counters(), table, quarantine),
@@ -145,8 +140,13 @@
         lifecycle.resize(slots);
     }
 
-    /** Informs other nodes that this one has new routes. */
-    public void plansChanged() {
+    /**
+     * Informs other nodes that this one has new routes.
+     *
+     * @param source what brought the routes
+     */
+    public void plansChanged(String source) {
+        followDuty.currency().applied(source);
         gossip.pushPlan();
     }
 
@@ -378,8 +378,8 @@
         }
 
         @Override
-        public void followerAgeReceived(int ageMillis) {
-            followDuty.followerAgeReceived(ageMillis);
+        public void followerAgeReceived(long planVersion, int ageMillis) {
+            followDuty.followerAgeReceived(planVersion, ageMillis);
         }
 
         @Override
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
@@ -4,12 +4,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.membership.MemberTable;
+import org.verbenadyke.kernel.route.RoutePlanStore;
 import org.verbenadyke.kernel.routing.Location;
 import org.verbenadyke.kernel.time.TimerService;
 
@@ -25,7 +25,7 @@
  */
 public final class FollowDuty {
     /** The age reported when no follower was ever known: exceeds every timeout. */
-    public static final int NEVER_MILLIS = 3_600_000;
+    public static final int NEVER_MILLIS = PlanCurrency.NEVER_MILLIS;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long NO_TURN = -1;
@@ -36,7 +36,8 @@
     private final FollowSettings settings;
     private final Supplier<MemberRecord> self;
     private final MemberTable table;
-    private final BooleanSupplier routesKnown;
+    private final RoutePlanStore plans;
+    private final PlanCurrency currency;
     private final long startNanos;
     private final AtomicLong newestFollowerNanos;
     private volatile boolean following;
@@ -49,12 +50,13 @@
             FollowSettings settings,
             Supplier<MemberRecord> self,
             MemberTable table,
-            BooleanSupplier routesKnown) {
+            RoutePlanStore plans) {
         this.timers = timers;
         this.settings = settings;
         this.self = self;
         this.table = table;
-        this.routesKnown = routesKnown;
+        this.plans = plans;
+        this.currency = PlanCurrency.of(timers, plans);
         this.startNanos = timers.nanos();
         this.newestFollowerNanos = new AtomicLong(startNanos - NEVER_MILLIS * NANOS_PER_MILLI);
     }
@@ -66,7 +68,7 @@
      * @param settings how many nodes follow, and when substitutes follow
      * @param self this node's record
      * @param table the members
-     * @param routesKnown returns whether this node knows the routes
+     * @param plans the plan in force
      * @return the duty
      */
     public static FollowDuty of(
@@ -74,8 +76,8 @@
             FollowSettings settings,
             Supplier<MemberRecord> self,
             MemberTable table,
-            BooleanSupplier routesKnown) {
-        return new FollowDuty(timers, settings, self, table, routesKnown);
+            RoutePlanStore plans) {
+        return new FollowDuty(timers, settings, self, table, plans);
     }
 
     /**
@@ -118,7 +120,7 @@
         if (membershipStable() ? designated() : registered) {
             return true;
         }
-        long timeout = routesKnown.getAsBoolean() ? settings.timeoutNanos() : settings.firstTimeoutNanos();
+        long timeout = plans.plan().isPresent() ? settings.timeoutNanos() : settings.firstTimeoutNanos();
         long overdue = Math.min(now - newestFollowerNanos.get(), now - startNanos) - timeout;
         if (following || overdue < 0) {
             lastTurn = NO_TURN;
@@ -134,6 +136,24 @@
         return rank < settings.substitutesPerTurn();
     }
 
+    /**
+     * Returns how current the plan of this node is known to be.
+     *
+     * @return the record
+     */
+    public PlanCurrency currency() {
+        return currency;
+    }
+
+    /**
+     * Returns what this node knows of its plan now.
+     *
+     * @return the status
+     */
+    public PlanStatus planStatus() {
+        return currency.status(followerAgeMillis());
+    }
+
     /** Called when this node is registered on the log: it then reads at once, for the nodes that find it there. */
     public void registered() {
         registered = true;
@@ -154,9 +174,11 @@
     /**
      * Handles the age of the newest follower heartbeat that another node knows of.
      *
+     * @param planVersion the version that the other node has in force
      * @param ageMillis the age, in milliseconds
      */
-    public void followerAgeReceived(int ageMillis) {
+    public void followerAgeReceived(long planVersion, int ageMillis) {
+        currency.heard(planVersion);
         recordFollower(timers.nanos() - Math.max(0, ageMillis) * NANOS_PER_MILLI);
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
@@ -130,6 +130,7 @@
     }
 
     private void apply(PlanSource.Result.Documents page) {
+        duty.currency().answered();
         if (unavailable) {
             listener.available();
         }
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanStatus.java
@@ -0,0 +1,14 @@
+package org.verbenadyke.kernel.follow;
+
+/**
+ * What a node knows of its route plan at some moment.
+ *
+ * @param version the version in force, -1 if there is none
+ * @param inForceMillis how long it has been in force here, in milliseconds
+ * @param source what brought it: the store or a peer; empty if there is none
+ * @param highestHeard the highest version that a peer was heard to have, or the version in force
+ * @param answerAgeMillis how long ago this node last had an answer of the store, in milliseconds
+ * @param ageMillis how long ago some node was known to read the operators' record, in milliseconds
+ */
+public record PlanStatus(
+        long version, long inForceMillis, String source, long highestHeard, int answerAgeMillis, int ageMillis) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -264,7 +264,7 @@
     }
 
     private void compare(Endpoint from, GossipMessage.Summary theirs) {
-        listener.followerAgeReceived(theirs.followerAgeMillis());
+        listener.followerAgeReceived(theirs.planVersion(), theirs.followerAgeMillis());
         if (theirs.configVersion() > listener.config().map(ConfigState::version).orElse(-1L)) {
             send(from, new GossipMessage.ConfigRequest(self().nodeId()));
         }
@@ -371,9 +371,10 @@
         /**
          * Called with the age of the newest follower heartbeat that another node reports.
          *
+         * @param planVersion the version of the routes of that node, -1 if it has none
          * @param ageMillis the age, in milliseconds
          */
-        void followerAgeReceived(int ageMillis);
+        void followerAgeReceived(long planVersion, int ageMillis);
 
         /**
          * Returns the configuration to send to others.
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -5,6 +5,7 @@
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.follow.PlanStatus;
 import org.verbenadyke.kernel.notice.RateChange;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.route.ShareChange;
@@ -47,6 +48,14 @@
     record CallerUnidentified(String request, long planVersion, String fault, long heartbeatAgeMillis)
             implements Decision {}
 
+    /**
+     * A request was refused because no route of the plan matches it.
+     *
+     * @param request the request id set by the caller
+     * @param plan what this node knew of its plan
+     */
+    record NoRoute(String request, PlanStatus plan) implements Decision {}
+
     /**
      * A request got an upstream's answer with an error status.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
@@ -123,8 +123,8 @@
         private void gossipWithOne(Node node) {
             Node other = nodes.get(random.nextInt(nodes.size()));
             int age = node.duty.followerAgeMillis();
-            node.duty.followerAgeReceived(other.duty.followerAgeMillis());
-            other.duty.followerAgeReceived(age);
+            node.duty.followerAgeReceived(0, other.duty.followerAgeMillis());
+            other.duty.followerAgeReceived(0, age);
         }
 
         private void run(long millis) {
@@ -168,7 +168,11 @@
             this.number = number;
             this.locations = locations;
             this.duty = FollowDuty.of(
-                    clock, FollowSettings.standard(), () -> member(number, locations, state), table, () -> true);
+                    clock,
+                    FollowSettings.standard(),
+                    () -> member(number, locations, state),
+                    table,
+                    VersionedPlans.at(1));
         }
 
         private void check() {
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.verbenadyke.kernel.follow.PlanStatus;
 import org.verbenadyke.kernel.notice.RateChange;
 import org.verbenadyke.kernel.route.ShareChange;
 import org.verbenadyke.kernel.time.TimerService;
@@ -92,6 +93,7 @@
         return switch (decision) {
             case Decision.Refused d -> "refused-" + d.reason().label();
             case Decision.CallerUnidentified d -> "caller-unidentified";
+            case Decision.NoRoute d -> "no-route";
             case Decision.Failed d -> "answered-failed";
             case Decision.CallRefused d -> "turned-away-" + d.reason().label();
             case Decision.OverRateLimit d -> "turned-away-upstream-limited";
@@ -125,6 +127,7 @@
         switch (decision) {
             case Decision.Refused d -> addFields(line, d);
             case Decision.CallerUnidentified d -> addFields(line, d);
+            case Decision.NoRoute d -> addFields(line.with(REQUEST, d.request()), d.plan());
             case Decision.Failed d -> addFields(line, d);
             case Decision.CallRefused d ->
                 line.with(CHAIN, d.chain())
@@ -201,6 +204,15 @@
         }
     }
 
+    private static void addFields(StringMapMessage line, PlanStatus plan) {
+        line.with(PLAN, plan.version())
+                .with("inForceMs", plan.inForceMillis())
+                .with("from", plan.source())
+                .with("highestHeard", plan.highestHeard())
+                .with("answerAgeMs", plan.answerAgeMillis())
+                .with("signAgeMs", plan.ageMillis());
+    }
+
     private static void addFields(StringMapMessage line, Decision.Refused d) {
         line.with(REQUEST, d.request())
                 .with(CHAIN, d.chain())
