Count an answer of the store as reading, not a read that waits for one

Cause: a follower told its peers a heartbeat of age 0 from the moment at which its long poll was sent until that poll ended, 4 to 8 s later, or 1.5 s after that without an answer. Others read only once the newest heartbeat was 1.5 s old. With all followers silenced together nobody read, and nobody took over. The class: a role, or something pending, is told to others as evidence.

Fix: nodes tell until when their plan is known to be complete (PlanCurrency). Only answers of the store show that, for the version that they were about; a peer with a newer version shows the opposite. Substitutes read once, three, six, twelve and then two a turn, in turns numbered by the time of day, so that neither who follows nor what was heard last has to be agreed on. All times follow from the bound that the operators state (config-within), which was not known to the program before.

FollowDutyTest's model no longer notices a lost store at once, and its limit for the time without any answer is 1.5 s for a bound of 2 s instead of 2.5 s without a reader; the limit on calls in an outage is as before.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationFleet.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationFleet.java
@@ -42,7 +42,8 @@
     private long longestNanos;
 
     private ConfigurationFleet(long seed, int nodes, int dataCentres, long boundNanos) {
-        this.lab = Lab.create(seed, CoreSettings.withoutConfigLog(Policy.standard()), false);
+        this.lab = Lab.create(
+                seed, CoreSettings.withoutConfigLog(Policy.standard()).withConfigBound(boundNanos), false);
         this.record = new OperatorRecord(lab.clock());
         this.boundNanos = boundNanos;
         List<Location> locations = IntStream.range(0, dataCentres)
@@ -206,7 +207,7 @@
      */
     private static final class SilentListener implements PlanFollower.Listener {
         @Override
-        public void reading(boolean designated, int followerAgeMillis) {
+        public void reading(boolean designated, int planAgeMillis) {
             // Nothing is logged in emulated runs.
         }
 
--- a/bench/src/main/java/org/verbenadyke/bench/lab/OperatorRecord.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/OperatorRecord.java
@@ -105,7 +105,7 @@
         List<byte[]> documents = changes.subList((int) from, changes.size()).stream()
                 .map(c -> Long.toString(c.version()).getBytes(StandardCharsets.US_ASCII))
                 .toList();
-        return new PlanSource.Result.Documents(documents, new PlanSource.Position(EPOCH, changes.size()));
+        return new PlanSource.Result.Documents(documents, new PlanSource.Position(EPOCH, changes.size()), true);
     }
 
     /**
--- a/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorkload.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/SoakWorkload.java
@@ -6,6 +6,7 @@
 import org.verbenadyke.kernel.config.ConfigSettings;
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.engine.Policy;
+import org.verbenadyke.kernel.follow.FollowSettings;
 import org.verbenadyke.kernel.membership.GossipSettings;
 import org.verbenadyke.kernel.owner.OwnerSettings;
 import org.verbenadyke.kernel.quota.QuotaSettings;
@@ -72,6 +73,7 @@
                 30 * Lab.SECOND,
                 0,
                 QuotaSettings.with(QuotaTolerance.none()),
+                FollowSettings.standard(),
                 BodyMemory.DEFAULT_BYTES);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreSettings.java
@@ -3,6 +3,7 @@
 import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.config.ConfigSettings;
 import org.verbenadyke.kernel.engine.Policy;
+import org.verbenadyke.kernel.follow.FollowSettings;
 import org.verbenadyke.kernel.membership.GossipSettings;
 import org.verbenadyke.kernel.owner.OwnerSettings;
 import org.verbenadyke.kernel.quota.QuotaSettings;
@@ -19,6 +20,7 @@
  * @param startSpreadNanos over how long nodes that start together spread their first read of the members' stream, in
  *     nanoseconds
  * @param quota how teams' limits are enforced
+ * @param follow how the operators' record is followed
  * @param bodyBytes the limit of the memory for request bodies, in bytes; see {@link BodyMemory}
  */
 public record CoreSettings(
@@ -29,6 +31,7 @@
         long rewriteNanos,
         long startSpreadNanos,
         QuotaSettings quota,
+        FollowSettings follow,
         long bodyBytes) {
     private static final long DEFAULT_REWRITE_NANOS = 3_600_000_000_000L;
 
@@ -53,6 +56,7 @@
                 DEFAULT_REWRITE_NANOS,
                 0,
                 QuotaSettings.with(QuotaTolerance.none()),
+                FollowSettings.standard(),
                 BodyMemory.DEFAULT_BYTES);
     }
 
@@ -65,7 +69,15 @@
     public static CoreSettings withoutConfigLog(Policy policy) {
         CoreSettings s = with(policy);
         return new CoreSettings(
-                policy, s.gossip, ConfigSettings.notFollowing(), s.owner, s.rewriteNanos, 0, s.quota, s.bodyBytes);
+                policy,
+                s.gossip,
+                ConfigSettings.notFollowing(),
+                s.owner,
+                s.rewriteNanos,
+                0,
+                s.quota,
+                s.follow,
+                s.bodyBytes);
     }
 
     /**
@@ -75,7 +87,7 @@
      */
     public CoreSettings firstStart() {
         return new CoreSettings(
-                policy, gossip, config, owner, rewriteNanos, FIRST_START_SPREAD_NANOS, quota, bodyBytes);
+                policy, gossip, config, owner, rewriteNanos, FIRST_START_SPREAD_NANOS, quota, follow, bodyBytes);
     }
 
     /**
@@ -93,6 +105,7 @@
                 rewriteNanos,
                 startSpreadNanos,
                 QuotaSettings.with(tolerance),
+                follow,
                 bodyBytes);
     }
 
@@ -103,6 +116,25 @@
      * @return the settings
      */
     public CoreSettings withBodyBytes(long bytes) {
-        return new CoreSettings(policy, gossip, config, owner, rewriteNanos, startSpreadNanos, quota, bytes);
+        return new CoreSettings(policy, gossip, config, owner, rewriteNanos, startSpreadNanos, quota, follow, bytes);
+    }
+
+    /**
+     * Returns the same settings with a bound for changes of the operators' record.
+     *
+     * @param nanos how long a change may take until it is in force everywhere, in nanoseconds
+     * @return the settings
+     */
+    public CoreSettings withConfigBound(long nanos) {
+        return new CoreSettings(
+                policy,
+                gossip,
+                config,
+                owner,
+                rewriteNanos,
+                startSpreadNanos,
+                quota,
+                FollowSettings.within(nanos),
+                bodyBytes);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -10,7 +10,6 @@
 import org.verbenadyke.kernel.engine.Engine;
 import org.verbenadyke.kernel.engine.EngineParts;
 import org.verbenadyke.kernel.follow.FollowDuty;
-import org.verbenadyke.kernel.follow.FollowSettings;
 import org.verbenadyke.kernel.membership.Gossip;
 import org.verbenadyke.kernel.membership.GossipMessage;
 import org.verbenadyke.kernel.membership.MemberRecord;
@@ -66,7 +65,7 @@
         this.engine = Engine.create(engineParts(), settings.policy());
         this.limiter = TeamLimiter.create(limiterParts(), settings.quota());
         owners.connectThrough(engine.links());
-        this.followDuty = FollowDuty.of(parts.timers(), FollowSettings.standard(), this::self, table, parts.plans());
+        this.followDuty = FollowDuty.of(parts.timers(), settings.follow(), this::self, table, parts.plans());
         this.gossip = Gossip.start(
                 new Gossip.Parts(
                         parts.timers(), parts.datagrams(), parts.random().get(), parts.counters(), table, quarantine),
@@ -374,12 +373,12 @@
 
         @Override
         public int followerAgeMillis() {
-            return followDuty.followerAgeMillis();
+            return followDuty.currency().ageMillis();
         }
 
         @Override
         public void followerAgeReceived(long planVersion, int ageMillis) {
-            followDuty.followerAgeReceived(planVersion, ageMillis);
+            followDuty.currency().heard(planVersion, ageMillis);
         }
 
         @Override
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
@@ -1,10 +1,10 @@
 package org.verbenadyke.kernel.follow;
 
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.Map;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
@@ -19,13 +19,23 @@
  *
  * <p>Load pattern: every call to the store is paid for, and with a follower on each node the calls grow with nodes
  * times changes (ten per node at a start, one per node and change, one per node and second while the store rejects it).
- * So only a few nodes of each data centre follow the record, and gossip spreads the age of the newest follower
- * heartbeat: the last time that one of them was known to read. When that heartbeat grows old, a few other nodes at a
- * time substitute for the followers, different ones in each turn, until one of them succeeds.
+ * So only a few nodes of each data centre follow the record, and gossip spreads the age of the newest answer that some
+ * node had of the store. When that answer grows old, a few other nodes at a time read the record once, different ones
+ * in each turn, until one of them has an answer. A follower that waits for an answer counts for nothing, since its
+ * connection may be silent.
  */
 public final class FollowDuty {
-    /** The age reported when no follower was ever known: exceeds every timeout. */
-    public static final int NEVER_MILLIS = PlanCurrency.NEVER_MILLIS;
+    /** The substitutes of each turn after that: the store is down for nearly all, and calls in vain are paid for. */
+    private static final int OUTAGE_SUBSTITUTES = 2;
+
+    /** How many answers of the store the followers of the fleet together have within the timeout. */
+    private static final int ANSWERS_PER_TIMEOUT = 3;
+
+    /** The turns after the first in which the number of substitutes doubles, for when most nodes lost the store. */
+    private static final int DOUBLED_TURNS = 2;
+
+    /** The shortest poll, of a fleet with few followers. */
+    private static final long MIN_POLL_MILLIS = 250;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long NO_TURN = -1;
@@ -39,8 +49,6 @@
     private final RoutePlanStore plans;
     private final PlanCurrency currency;
     private final long startNanos;
-    private final AtomicLong newestFollowerNanos;
-    private volatile boolean following;
     private volatile boolean registered;
     private volatile Ranking cachedRanking;
     private long lastTurn = NO_TURN;
@@ -58,7 +66,6 @@
         this.plans = plans;
         this.currency = PlanCurrency.of(timers, plans);
         this.startNanos = timers.nanos();
-        this.newestFollowerNanos = new AtomicLong(startNanos - NEVER_MILLIS * NANOS_PER_MILLI);
     }
 
     /**
@@ -90,14 +97,7 @@
         if (me.state() == MemberState.DRAINING) {
             return false;
         }
-        long digest = table.digest();
-        Ranking known = cachedRanking;
-        if (known == null || known.digest() != digest) {
-            // Called ten times a second, and ranking visits all members: done only when the members changed.
-            known = new Ranking(digest, ranksAmongFollowers(me));
-            cachedRanking = known;
-        }
-        return known.follower();
+        return ranking(me).follower();
     }
 
     /**
@@ -116,42 +116,56 @@
      * @return whether this node should send requests to the store
      */
     public synchronized boolean shouldStart() {
-        long now = timers.nanos();
-        if (membershipStable() ? designated() : registered) {
+        if (keepsReading()) {
             return true;
         }
         long timeout = plans.plan().isPresent() ? settings.timeoutNanos() : settings.firstTimeoutNanos();
-        long overdue = Math.min(now - newestFollowerNanos.get(), now - startNanos) - timeout;
-        if (following || overdue < 0) {
+        long ageNanos = currency.ageMillis() * NANOS_PER_MILLI;
+        long overdue = Math.min(ageNanos, timers.nanos() - startNanos) - timeout;
+        if (overdue < 0) {
             lastTurn = NO_TURN;
             return false;
         }
-        long turn = overdue / settings.turnNanos();
+        // Turns follow the time of day, so that nodes agree on them that don't know of the same answer.
+        long turn = timers.wallMillis() * NANOS_PER_MILLI / settings.turnNanos();
         if (turn == lastTurn) {
             return false;
         }
         lastTurn = turn;
         int rank = MemberRank.of(
                 self.get().nodeId(), TURN_DUTY_PREFIX + turn, table.present(), r -> r.state() == MemberState.ALIVE);
-        return rank < settings.substitutesPerTurn();
+        return rank < substitutes(overdue / settings.turnNanos());
     }
 
     /**
-     * Returns how current the plan of this node is known to be.
+     * Returns whether to wait for the next change after a read; a substitute reads once.
      *
-     * @return the record
+     * @return whether this node follows the record
      */
-    public PlanCurrency currency() {
-        return currency;
+    public boolean keepsReading() {
+        return membershipStable() ? designated() : registered;
+    }
+
+    /**
+     * Returns how long a follower may wait for a change before it reads again. The more followers the fleet has, the
+     * longer each one waits, so that the store answers some of them a few times within the timeout.
+     *
+     * @param random the source of randomness, so that followers don't read at the same time
+     * @return the time, in milliseconds
+     */
+    public long pollMillis(RandomGenerator random) {
+        long mean =
+                settings.timeoutNanos() / NANOS_PER_MILLI * ranking(self.get()).followers() / ANSWERS_PER_TIMEOUT;
+        return Math.max(MIN_POLL_MILLIS, mean / 2 + random.nextLong(Math.max(1, mean)));
     }
 
     /**
-     * Returns what this node knows of its plan now.
+     * Returns how current the plan of this node is known to be.
      *
-     * @return the status
+     * @return the record
      */
-    public PlanStatus planStatus() {
-        return currency.status(followerAgeMillis());
+    public PlanCurrency currency() {
+        return currency;
     }
 
     /** Called when this node is registered on the log: it then reads at once, for the nodes that find it there. */
@@ -160,66 +174,54 @@
     }
 
     /**
-     * Sets whether this node has the operators' newest change and waits for the next.
+     * Returns the settings.
      *
-     * @param now whether this node follows now
+     * @return how many nodes follow, and when substitutes follow
      */
-    public void setFollowing(boolean now) {
-        if (now) {
-            recordFollower(timers.nanos());
-        }
-        following = now;
+    public FollowSettings settings() {
+        return settings;
     }
 
-    /**
-     * Handles the age of the newest follower heartbeat that another node knows of.
-     *
-     * @param planVersion the version that the other node has in force
-     * @param ageMillis the age, in milliseconds
-     */
-    public void followerAgeReceived(long planVersion, int ageMillis) {
-        currency.heard(planVersion);
-        recordFollower(timers.nanos() - Math.max(0, ageMillis) * NANOS_PER_MILLI);
+    private int substitutes(long turnsOverdue) {
+        return turnsOverdue > DOUBLED_TURNS ? OUTAGE_SUBSTITUTES : settings.substitutesPerTurn() << turnsOverdue;
     }
 
-    /**
-     * Returns the age of the newest known follower heartbeat.
-     *
-     * @return the age in milliseconds, at most {@link #NEVER_MILLIS}
-     */
-    public int followerAgeMillis() {
-        if (following) {
-            return 0;
+    private Ranking ranking(MemberRecord me) {
+        long digest = table.digest();
+        Ranking known = cachedRanking;
+        if (known == null || known.digest() != digest) {
+            // Called ten times a second, and ranking visits all members: done only when the members changed.
+            known = rank(me, digest);
+            cachedRanking = known;
         }
-        long millis = (timers.nanos() - newestFollowerNanos.get()) / NANOS_PER_MILLI;
-        return (int) Math.min(NEVER_MILLIS, Math.max(0, millis));
+        return known;
     }
 
-    private boolean ranksAmongFollowers(MemberRecord me) {
+    private Ranking rank(MemberRecord me, long digest) {
         List<MemberRecord> present = table.present();
-        Set<Location> locations = new HashSet<>(Set.of(me.location()));
-        present.forEach(r -> locations.add(r.location()));
+        Map<Location, Integer> alive = new HashMap<>(Map.of(me.location(), 0));
+        present.forEach(r -> alive.merge(r.location(), r.state() == MemberState.ALIVE ? 1 : 0, Integer::sum));
         int rank = MemberRank.of(
                 me.nodeId(),
                 FOLLOWER_DUTY,
                 present,
                 r -> r.state() == MemberState.ALIVE && r.location().equals(me.location()));
-        return rank < Math.max(1, settings.followers() / locations.size());
+        int perLocation = Math.max(1, settings.followers() / alive.size());
+        int followers =
+                alive.values().stream().mapToInt(n -> Math.min(n, perLocation)).sum();
+        return new Ranking(digest, rank < perLocation, Math.max(1, followers));
     }
 
     private boolean membershipStable() {
         return timers.nanos() - startNanos >= settings.settleNanos();
     }
 
-    private void recordFollower(long at) {
-        newestFollowerNanos.accumulateAndGet(at, (a, b) -> b - a > 0 ? b : a);
-    }
-
     /**
      * Whether this node ranks among the followers of its data centre.
      *
      * @param digest the hash of the member table for which the rank was computed
      * @param follower whether the node ranks among the followers
+     * @param followers how many followers the fleet has
      */
-    private record Ranking(long digest, boolean follower) {}
+    private record Ranking(long digest, boolean follower, int followers) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanCurrency.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanCurrency.java
@@ -1,12 +1,12 @@
 package org.verbenadyke.kernel.follow;
 
-import java.util.concurrent.atomic.AtomicLong;
-
 import org.verbenadyke.kernel.route.RoutePlanStore;
 import org.verbenadyke.kernel.time.TimerService;
 
 /**
- * Records how current the route plan of this node is known to be. Thread-safe.
+ * Records until when the route plan of this node is known to be complete: every change that was made before that time
+ * is in it. Only answers of the store show that, those to this node and those that peers with the same or an older
+ * version tell of. A read that waits for its answer shows nothing. Thread-safe.
  */
 public final class PlanCurrency {
     /** The age reported for what never happened: exceeds every timeout. */
@@ -14,17 +14,27 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /**
+     * How long a version that a peer was heard to have counts: many rounds of gossip, in which the peers that have it
+     * tell of it again.
+     */
+    private static final long HEARD_TIMEOUT_NANOS = 10_000 * NANOS_PER_MILLI;
+
     private final TimerService timers;
     private final RoutePlanStore plans;
-    private final AtomicLong highestHeard = new AtomicLong(RoutePlanStore.NO_VERSION);
     private volatile Applied applied;
     private volatile long answeredNanos;
+    private long completeNanos;
+    private Heard highest;
 
     private PlanCurrency(TimerService timers, RoutePlanStore plans) {
+        long never = timers.nanos() - NEVER_MILLIS * NANOS_PER_MILLI;
         this.timers = timers;
         this.plans = plans;
         this.applied = new Applied("", timers.nanos());
-        this.answeredNanos = timers.nanos() - NEVER_MILLIS * NANOS_PER_MILLI;
+        this.answeredNanos = never;
+        this.completeNanos = never;
+        this.highest = new Heard(RoutePlanStore.NO_VERSION, never, timers.nanos());
     }
 
     /**
@@ -47,36 +57,83 @@
         applied = new Applied(source, timers.nanos());
     }
 
+    /** Called when the store answered a read of this node. */
+    public void answered() {
+        answeredNanos = timers.nanos();
+    }
+
     /**
-     * Called when a peer told which version it has.
+     * Called when the plan in force has everything that the store had at some time. An answer that lacks a version
+     * which a peer has is out of date and shows nothing.
+     *
+     * @param atNanos a time at which the store had no more, in nanoseconds
+     */
+    public synchronized void confirmed(long atNanos) {
+        if (highestHeard() <= plans.version()) {
+            advance(atNanos);
+        }
+    }
+
+    /**
+     * Called when a peer told which version it has, and how long ago that was known to be complete.
      *
      * @param version the version, -1 if it has none
+     * @param ageMillis the age, in milliseconds
      */
-    public void heard(long version) {
-        highestHeard.accumulateAndGet(version, Math::max);
+    public synchronized void heard(long version, int ageMillis) {
+        long now = timers.nanos();
+        long complete = now - Math.max(0, ageMillis) * NANOS_PER_MILLI;
+        if (version <= plans.version()) {
+            advance(complete);
+            return;
+        }
+        if (version > highestHeard()) {
+            highest = new Heard(version, complete, now);
+        } else if (version == highest.version()) {
+            highest = new Heard(version, later(complete, highest.completeNanos()), now);
+        }
     }
 
-    /** Called when the store answered a read of this node. */
-    public void answered() {
-        answeredNanos = timers.nanos();
+    /**
+     * Returns how long ago the plan in force was known to be complete.
+     *
+     * @return the age in milliseconds, at most {@link #NEVER_MILLIS}
+     */
+    public synchronized int ageMillis() {
+        if (highest.version() <= plans.version()) {
+            advance(highest.completeNanos());
+        }
+        return millisSince(completeNanos);
     }
 
     /**
      * Returns what is known now.
      *
-     * @param ageMillis how long ago some node was known to read the operators' record, in milliseconds
      * @return the status
      */
-    public PlanStatus status(int ageMillis) {
+    public synchronized PlanStatus status() {
         Applied last = applied;
         long version = plans.version();
         return new PlanStatus(
                 version,
                 (timers.nanos() - last.atNanos()) / NANOS_PER_MILLI,
                 last.source(),
-                Math.max(version, highestHeard.get()),
+                Math.max(version, highestHeard()),
                 millisSince(answeredNanos),
-                ageMillis);
+                ageMillis());
+    }
+
+    private long highestHeard() {
+        boolean expired = timers.nanos() - highest.heardNanos() > HEARD_TIMEOUT_NANOS;
+        return expired ? RoutePlanStore.NO_VERSION : highest.version();
+    }
+
+    private void advance(long nanos) {
+        completeNanos = later(nanos, completeNanos);
+    }
+
+    private static long later(long a, long b) {
+        return a - b > 0 ? a : b;
     }
 
     private int millisSince(long nanos) {
@@ -90,4 +147,13 @@
      * @param atNanos the time, in nanoseconds
      */
     private record Applied(String source, long atNanos) {}
+
+    /**
+     * The highest version that a peer told of.
+     *
+     * @param version the version
+     * @param completeNanos until when it is known to be complete, in nanoseconds
+     * @param heardNanos when a peer last told of it, in nanoseconds
+     */
+    private record Heard(long version, long completeNanos, long heardNanos) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
@@ -18,13 +18,6 @@
     /** How often the node checks whether to start reading: a small part of the time that a change may take. */
     private static final long POLL_INTERVAL_NANOS = 100 * NANOS_PER_MILLI;
 
-    /**
-     * The shortest long poll, during which the store delays its answer while there is no new record; polls are long
-     * because each read is paid for. The longest poll is twice as long, and each duration is drawn anew, so that of
-     * several followers whose connections went silent together one notices soon: of six, within 4 s in 95 of 100 cases.
-     */
-    private static final long MIN_LONG_POLL_MILLIS = 4_000;
-
     /** How long further changes are gathered after one: a tenth of the shortest time that a change may take. */
     private static final long BATCH_DELAY_NANOS = 150 * NANOS_PER_MILLI;
 
@@ -87,56 +80,69 @@
     private void pollIfDue() {
         if (!reading && timers.nanos() - nextAttemptNanos >= 0 && duty.shouldStart()) {
             reading = true;
-            listener.reading(duty.designated(), duty.followerAgeMillis());
+            listener.reading(duty.designated(), duty.currency().ageMillis());
             readNewest();
         }
     }
 
     private void readNewest() {
+        long sentNanos = timers.nanos();
         source.newest(result -> {
             if (!(result instanceof PlanSource.Result.Documents page)) {
                 failed(result);
                 return;
             }
-            apply(page);
-            duty.setFollowing(true);
-            readFrom(page.next());
+            apply(page, sentNanos);
+            continueAfter(page);
         });
     }
 
-    private void readFrom(PlanSource.Position from) {
-        long longPollMillis = MIN_LONG_POLL_MILLIS + random.get().nextLong(MIN_LONG_POLL_MILLIS);
-        source.next(from, longPollMillis, result -> {
+    private void readFrom(PlanSource.Position from, long pollMillis) {
+        long sentNanos = timers.nanos();
+        source.next(from, pollMillis, result -> {
             switch (result) {
                 case PlanSource.Result.Gone g -> readNewest();
                 case PlanSource.Result.Failed f -> failed(f);
                 case PlanSource.Result.Documents page -> {
-                    apply(page);
+                    apply(page, answeredNanos(page, sentNanos, pollMillis));
                     continueAfter(page);
                 }
             }
         });
     }
 
+    /** Returns a time that the answer is not older than; one without documents is given at the end of the poll. */
+    private long answeredNanos(PlanSource.Result.Documents page, long sentNanos, long pollMillis) {
+        long pollEnd = sentNanos + pollMillis * NANOS_PER_MILLI;
+        return page.documents().isEmpty() && timers.nanos() - pollEnd >= 0 ? pollEnd : sentNanos;
+    }
+
     private void continueAfter(PlanSource.Result.Documents page) {
-        duty.setFollowing(true);
-        if (!duty.designated()) {
-            duty.setFollowing(false);
+        if (!duty.keepsReading()) {
             reading = false;
             return;
         }
-        long delay = page.documents().isEmpty() ? 0 : BATCH_DELAY_NANOS;
-        timers.after(delay, () -> readFrom(page.next()));
+        long pollMillis = duty.pollMillis(random.get());
+        if (page.documents().isEmpty()) {
+            readFrom(page.next(), pollMillis);
+            return;
+        }
+        // All followers had the change at once; with shorter polls some of them soon have the next answer.
+        long shortened = random.get().nextLong(pollMillis);
+        timers.after(BATCH_DELAY_NANOS, () -> readFrom(page.next(), shortened));
     }
 
-    private void apply(PlanSource.Result.Documents page) {
-        duty.currency().answered();
+    private void apply(PlanSource.Result.Documents page, long answeredNanos) {
         if (unavailable) {
             listener.available();
         }
         unavailable = false;
         retryDelayNanos = MIN_RETRY_DELAY_NANOS;
         page.documents().forEach(d -> plans.offer(d, SOURCE));
+        duty.currency().answered();
+        if (page.complete()) {
+            duty.currency().confirmed(answeredNanos);
+        }
     }
 
     private void failed(PlanSource.Result result) {
@@ -145,7 +151,6 @@
                     result instanceof PlanSource.Result.Failed f ? f.reason() : "no records", plans.version());
         }
         unavailable = true;
-        duty.setFollowing(false);
         reading = false;
         nextAttemptNanos = timers.nanos() + retryDelayNanos / 2 + random.get().nextLong(retryDelayNanos);
         retryDelayNanos = Math.min(MAX_RETRY_DELAY_NANOS, retryDelayNanos * 2);
@@ -159,9 +164,9 @@
          * Called when the node begins to read.
          *
          * @param designated whether the node is a designated follower of its data centre
-         * @param followerAgeMillis the age of the newest follower heartbeat, in milliseconds
+         * @param planAgeMillis how long ago the plan in force was known to be complete, in milliseconds
          */
-        void reading(boolean designated, int followerAgeMillis);
+        void reading(boolean designated, int planAgeMillis);
 
         /**
          * Called when the source fails, unless it had already failed before.
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanSource.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanSource.java
@@ -41,8 +41,9 @@
          *
          * @param documents the documents in their order; empty if there were none
          * @param next the position after them
+         * @param complete whether there were no further documents when the stream was read
          */
-        record Documents(List<byte[]> documents, Position next) implements Result {}
+        record Documents(List<byte[]> documents, Position next, boolean complete) implements Result {}
 
         /** The stream no longer has the records at the requested position. */
         record Gone() implements Result {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanStatus.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanStatus.java
@@ -8,7 +8,17 @@
  * @param source what brought it: the store or a peer; empty if there is none
  * @param highestHeard the highest version that a peer was heard to have, or the version in force
  * @param answerAgeMillis how long ago this node last had an answer of the store, in milliseconds
- * @param ageMillis how long ago some node was known to read the operators' record, in milliseconds
+ * @param ageMillis how long ago the plan in force was known to have every change, in milliseconds
  */
 public record PlanStatus(
-        long version, long inForceMillis, String source, long highestHeard, int answerAgeMillis, int ageMillis) {}
+        long version, long inForceMillis, String source, long highestHeard, int answerAgeMillis, int ageMillis) {
+    /**
+     * Returns whether the plan is known to have every change that was made longer ago than a bound.
+     *
+     * @param boundNanos the bound, in nanoseconds
+     * @return whether no peer has a newer version, and the store was heard within the bound
+     */
+    public boolean current(long boundNanos) {
+        return highestHeard <= version && ageMillis * 1_000_000L <= boundNanos;
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -361,15 +361,14 @@
         void newerPlanFound(Endpoint node);
 
         /**
-         * Returns the age of the newest known follower heartbeat: when some node was last known to read the operators'
-         * record.
+         * Returns how long ago the routes in force were known to be complete.
          *
          * @return the age, in milliseconds
          */
         int followerAgeMillis();
 
         /**
-         * Called with the age of the newest follower heartbeat that another node reports.
+         * Called when another node told how long ago its routes were known to be complete.
          *
          * @param planVersion the version of the routes of that node, -1 if it has none
          * @param ageMillis the age, in milliseconds
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
@@ -24,8 +24,8 @@
     private static final int SEEDS = 20;
     private static final int MAX_LOCATIONS = 5;
 
-    /** A change may take 3 s on a fleet of this size, of which spreading the update takes less than half a second. */
-    private static final long MAX_UNFOLLOWED_NANOS = 2_500 * MILLI;
+    /** A change may take 2 s by the standard settings, of which spreading the update takes less than half a second. */
+    private static final long MAX_UNREAD_NANOS = 1_500 * MILLI;
 
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
 
@@ -39,7 +39,9 @@
     @Test
     void reportsNoFollowerBeforeOneIsKnown() {
         Fleet fleet = new Fleet(1, 1, new SplittableRandom(1));
-        assertEquals(FollowDuty.NEVER_MILLIS, fleet.nodes.getFirst().duty.followerAgeMillis());
+        assertEquals(
+                PlanCurrency.NEVER_MILLIS,
+                fleet.nodes.getFirst().duty.currency().ageMillis());
     }
 
     @Test
@@ -64,7 +66,7 @@
             fleet.run(5_000);
             for (int i = 0; i < 4; i++) {
                 fleet.nodes.forEach(n -> n.storeLost = random.nextInt(3) == 0);
-                assertTrue(fleet.longestUnfollowed(6_000) <= MAX_UNFOLLOWED_NANOS, "seed " + seed);
+                assertTrue(fleet.longestUnread(6_000) <= MAX_UNREAD_NANOS, "seed " + seed);
             }
         }
     }
@@ -76,7 +78,7 @@
             Fleet fleet = new Fleet(random.nextInt(13, 97), random.nextInt(3, MAX_LOCATIONS + 1), random);
             fleet.run(5_000);
             fleet.nodes.forEach(n -> n.storeLost = n.following);
-            assertTrue(fleet.longestUnfollowed(10_000) <= MAX_UNFOLLOWED_NANOS, "seed " + seed);
+            assertTrue(fleet.longestUnread(10_000) <= MAX_UNREAD_NANOS, "seed " + seed);
         }
     }
 
@@ -104,6 +106,7 @@
     private final class Fleet {
         private final List<Node> nodes = new ArrayList<>();
         private final SplittableRandom random;
+        private long lastAnswerNanos = clock.nanos();
 
         private Fleet(int size, int locations, SplittableRandom random) {
             this.random = random;
@@ -112,7 +115,7 @@
                 table.merge(member(i, locations, MemberState.ALIVE), clock.nanos());
             }
             for (int i = 0; i < size; i++) {
-                nodes.add(new Node(i, locations, table));
+                nodes.add(new Node(this, i, locations, table));
             }
             for (Node n : nodes) {
                 clock.after(random.nextLong(CHECK_NANOS), () -> clock.every(CHECK_NANOS, n::check));
@@ -122,23 +125,21 @@
 
         private void gossipWithOne(Node node) {
             Node other = nodes.get(random.nextInt(nodes.size()));
-            int age = node.duty.followerAgeMillis();
-            node.duty.followerAgeReceived(0, other.duty.followerAgeMillis());
-            other.duty.followerAgeReceived(0, age);
+            int age = node.duty.currency().ageMillis();
+            node.duty.currency().heard(1, other.duty.currency().ageMillis());
+            other.duty.currency().heard(1, age);
         }
 
         private void run(long millis) {
             clock.advance(millis * MILLI);
         }
 
-        private long longestUnfollowed(long millis) {
+        /** Returns the longest time in which no node had an answer of the store. */
+        private long longestUnread(long millis) {
             long longest = 0;
-            long unfollowed = 0;
             for (long t = 0; t < millis; t += 10) {
                 run(10);
-                boolean followed = nodes.stream().anyMatch(n -> n.following && !n.storeLost);
-                unfollowed = followed ? 0 : unfollowed + 10 * MILLI;
-                longest = Math.max(longest, unfollowed);
+                longest = Math.max(longest, clock.nanos() - lastAnswerNanos);
             }
             return longest;
         }
@@ -152,19 +153,23 @@
         }
     }
 
-    /** A node that follows for some seconds at a time, and notices at once when the store rejects it. */
+    /** A node that reads, and learns of a lost store only at the end of its poll. */
     private final class Node {
+        private static final long RETRY_NANOS = 2_000 * MILLI;
+
+        private final Fleet fleet;
         private final FollowDuty duty;
         private final int number;
         private final int locations;
         private MemberState state = MemberState.ALIVE;
         private boolean storeLost;
         private boolean following;
-        private long until;
+        private long pollEnd;
         private long notBefore;
         private int tries;
 
-        private Node(int number, int locations, MemberTable table) {
+        private Node(Fleet fleet, int number, int locations, MemberTable table) {
+            this.fleet = fleet;
             this.number = number;
             this.locations = locations;
             this.duty = FollowDuty.of(
@@ -176,25 +181,24 @@
         }
 
         private void check() {
-            if (following && storeLost) {
-                stop();
-                notBefore = clock.nanos() + 2_000 * MILLI;
-            }
-            if (following && clock.nanos() >= until && !duty.designated()) {
-                stop();
-            }
-            if (!following && clock.nanos() >= notBefore && duty.shouldStart()) {
+            if (following && clock.nanos() >= pollEnd) {
+                read();
+            } else if (!following && clock.nanos() >= notBefore && duty.shouldStart()) {
                 tries++;
-                following = !storeLost;
-                duty.setFollowing(following);
-                until = clock.nanos() + 6_000 * MILLI;
-                notBefore = clock.nanos() + (storeLost ? 2_000 * MILLI : 0);
+                read();
             }
         }
 
-        private void stop() {
-            following = false;
-            duty.setFollowing(false);
+        private void read() {
+            if (storeLost) {
+                following = false;
+                notBefore = clock.nanos() + RETRY_NANOS;
+                return;
+            }
+            fleet.lastAnswerNanos = clock.nanos();
+            duty.currency().confirmed(clock.nanos());
+            following = duty.keepsReading();
+            pollEnd = clock.nanos() + duty.pollMillis(fleet.random) * MILLI;
         }
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -70,10 +70,14 @@
         text.gauge("call_body_bytes", () -> core.engine().bodies().callBytes());
         text.gauge("body_waiting", () -> core.engine().bodies().waiting());
         text.gauge("configuration_version", () -> core.engine().configuration().version());
-        text.gauge("plan_version", () -> core.followDuty().planStatus().version());
-        text.gauge("plan_highest_heard", () -> core.followDuty().planStatus().highestHeard());
-        text.gauge("plan_age_ms", () -> core.followDuty().planStatus().ageMillis());
-        text.gauge("plan_answer_age_ms", () -> core.followDuty().planStatus().answerAgeMillis());
+        text.gauge("plan_version", () -> core.followDuty().currency().status().version());
+        text.gauge(
+                "plan_highest_heard",
+                () -> core.followDuty().currency().status().highestHeard());
+        text.gauge("plan_age_ms", () -> core.followDuty().currency().status().ageMillis());
+        text.gauge(
+                "plan_answer_age_ms",
+                () -> core.followDuty().currency().status().answerAgeMillis());
         text.gauge("links", () -> core.engine().links().size());
         text.gauge("members_present", () -> core.members().present().size());
         return text;
