--- a/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 
+import org.verbenadyke.bench.lab.ConfigurationSoak;
 import org.verbenadyke.bench.lab.Soak;
 import org.verbenadyke.bench.lab.SoakReport;
 import org.verbenadyke.bench.lab.SoakSettings;
@@ -40,7 +41,7 @@
     @CommandLine.Option(
             names = "--faults",
             defaultValue = "all",
-            description = "all, mixed, keyed, crashes or notices.")
+            description = "all, mixed, keyed, crashes, notices or configuration.")
     private String faults;
 
     @CommandLine.Option(names = "--trace", description = "Print each fault.")
@@ -65,6 +66,9 @@
             violations.forEach(v -> System.out.println("violation: " + v));
             return violations.isEmpty() ? 0 : 1;
         }
+        if (faults.equals("configuration")) {
+            return runConfiguration();
+        }
         int failed = 0;
         for (int i = 0; i < runs; i++) {
             SoakReport report = Soak.run(settings(seed + i));
@@ -83,6 +87,17 @@
         return failed == 0 ? 0 : 1;
     }
 
+    private int runConfiguration() {
+        int failed = 0;
+        for (int i = 0; i < runs; i++) {
+            ConfigurationSoak.Report report = ConfigurationSoak.run(seed + i, seconds);
+            System.out.println(report.summary());
+            failed += report.violations().isEmpty() ? 0 : 1;
+        }
+        System.out.println(failed + " of " + runs + " runs with violations");
+        return failed == 0 ? 0 : 1;
+    }
+
     private SoakSettings settings(long oneSeed) {
         return switch (faults) {
             case "keyed" -> SoakSettings.keyed(oneSeed, seconds, rate);
--- a/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationFleet.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationFleet.java
@@ -39,6 +39,7 @@
     private final Map<LabServer, Long> disturbedNanos = new HashMap<>();
     private final Set<LabServer> isolated = new HashSet<>();
     private final Set<String> violations = new LinkedHashSet<>();
+    private long storeDisturbedNanos = Long.MIN_VALUE / 2;
     private long longestNanos;
 
     private ConfigurationFleet(long seed, int nodes, int dataCentres, long boundNanos) {
@@ -95,6 +96,12 @@
         disturb(server);
     }
 
+    /** Lets readers hear nothing for a while; then the store drops its history. */
+    void dropHistory(long deafNanos) {
+        record.dropHistory(deafNanos);
+        storeDisturbedNanos = lab.clock().nanos() + deafNanos;
+    }
+
     /** Cuts a node off from all others, or ends that. */
     void isolate(LabServer server, boolean cut) {
         if (cut ? isolated.add(server) : isolated.remove(server)) {
@@ -186,6 +193,9 @@
     private void check() {
         long now = lab.clock().nanos();
         List<OperatorRecord.Change> changes = record.changes();
+        if (now - storeDisturbedNanos < STABILITY_NANOS) {
+            return;
+        }
         for (LabServer server : servers()) {
             if (!inTouch(server, now)) {
                 continue;
