Fetch a newer version from one node at a time, and from the next one in time

A node that heard of a newer version asked its sender at once, every sender, and then waited for nothing: a request on a link that had gone silent was lost, and as no answer counted as awaited, the link was found silent up to 3.7 s later. A document that this node rejects was fetched again with every round of gossip, by each peer.

PlanExchange now asks the node that told last, passes to the next one after 0.4 s or when the link can't be had, counts the answer as awaited, so that a silent link is closed after 0.8 s, takes late answers, and pauses for 5 s after three rejected documents of a version.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -61,7 +61,7 @@
         this.quarantine = Quarantine.create(
                 parts.timers(), QuarantineSettings.standard(), parts.counters(), parts.decisions(), duties);
         this.owners = KeyOwners.create(view, settings.owner(), parts.timers(), this::isolated);
-        this.planExchange = PlanExchange.of(parts.plans());
+        this.planExchange = PlanExchange.of(parts.plans(), parts.timers());
         this.engine = Engine.create(engineParts(), settings.policy());
         this.limiter = TeamLimiter.create(limiterParts(), settings.quota());
         owners.connectThrough(engine.links());
@@ -367,8 +367,8 @@
         }
 
         @Override
-        public void newerPlanFound(Endpoint node) {
-            planExchange.fetch(engine.links(), node);
+        public void newerPlanFound(Endpoint node, long version) {
+            planExchange.fetch(engine.links(), node, version);
         }
 
         @Override
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -269,7 +269,7 @@
             send(from, new GossipMessage.ConfigRequest(self().nodeId()));
         }
         if (theirs.planVersion() > listener.planVersion()) {
-            listener.newerPlanFound(from);
+            listener.newerPlanFound(from, theirs.planVersion());
         }
         antiEntropy.compareDigest(from, theirs.digest());
         crashGossip.compareFingerprint(from, theirs.crashesFingerprint());
@@ -357,8 +357,9 @@
          * Called when another node has newer routes.
          *
          * @param node where the other node listens
+         * @param version the version of its routes
          */
-        void newerPlanFound(Endpoint node);
+        void newerPlanFound(Endpoint node, long version);
 
         /**
          * Returns how long ago the routes in force were known to be complete.
