Refuse a request that no route matches for good only while the plan is current

What callers saw: 404 for a route that a newer version had added, from a node that had no way to know whether its version was the newest; clients give up after a 404.

Cause: the refusal rested on the plan that was held, whatever its age. Keys already had a limit of their own, 3 s since somebody was believed to read, which is longer than the bounds of most deployments and rested on the same wrong belief.

Now 404 and 401 for an unknown key need a plan that is known to have every change older than the bound, and no peer that was heard to have a newer version; else 503 with Retry-After (plan-uncertain, team-uncertain). During an outage of the store requests on routes that never were get 503 instead of 404 once the bound has passed.

--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RefusalReason.java
@@ -76,7 +76,12 @@
     /** An internal error of the node. */
     INTERNAL(500),
     /** The caller stopped sending in the middle of the body of its request. Not sent between nodes. */
-    BODY_STALLED(408);
+    BODY_STALLED(408),
+    /**
+     * No route matches the request, and the node can't determine at present whether a newer version has one. Not sent
+     * between nodes.
+     */
+    PLAN_UNCERTAIN(503);
 
     private final int status;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/team/RejectionPolicy.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/team/RejectionPolicy.java
@@ -2,6 +2,7 @@
 
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.follow.PlanStatus;
 
 /**
  * Chooses the refusal for a caller that could not be identified.
@@ -11,9 +12,6 @@
  * request without a usable key is always refused permanently.
  */
 public final class RejectionPolicy {
-    /** Maximum age of the last follower heartbeat for a node to be sure that it knows all keys. */
-    private static final long MAX_HEARTBEAT_AGE_MILLIS = 3_000;
-
     /** Retry-After delay for callers of a node that isn't sure, in milliseconds: some rounds of gossip. */
     private static final long RETRY_MILLIS = 500;
 
@@ -23,11 +21,12 @@
      * Chooses the refusal.
      *
      * @param fault why the caller could not be identified
-     * @param heartbeatAgeMillis how long ago some node was known to follow the operators' record, in milliseconds
+     * @param plan what the node knows of its plan
+     * @param boundNanos how long a change may take until it is in force everywhere, in nanoseconds
      * @return the refusal
      */
-    public static Refusal refusal(KeyFault fault, long heartbeatAgeMillis) {
-        if (fault == KeyFault.UNKNOWN && heartbeatAgeMillis > MAX_HEARTBEAT_AGE_MILLIS) {
+    public static Refusal refusal(KeyFault fault, PlanStatus plan, long boundNanos) {
+        if (fault == KeyFault.UNKNOWN && !plan.current(boundNanos)) {
             return Refusal.notRun(RefusalReason.TEAM_UNCERTAIN, RETRY_MILLIS);
         }
         return Refusal.notRun(RefusalReason.UNAUTHENTICATED, 0);
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -43,7 +43,7 @@
      * @param request the request id set by the caller
      * @param planVersion the version of the route plan whose teams were searched
      * @param fault what is wrong with the API key of the request
-     * @param heartbeatAgeMillis how long ago some node was known to follow the operators' record, in milliseconds
+     * @param heartbeatAgeMillis how long ago the plan was known to be complete, in milliseconds
      */
     record CallerUnidentified(String request, long planVersion, String fault, long heartbeatAgeMillis)
             implements Decision {}
--- a/kernel/src/test/java/org/verbenadyke/kernel/team/RejectionPolicyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/team/RejectionPolicyTest.java
@@ -6,26 +6,37 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.follow.PlanStatus;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests the refusals sent to callers that could not be identified. */
 final class RejectionPolicyTest {
-    private static final long RECENT_MILLIS = 100;
-    private static final long OLD_MILLIS = 10_000;
+    private static final long BOUND_NANOS = 2_000_000_000L;
+    private static final PlanStatus RECENT = new PlanStatus(7, 100, "store", 7, 100, 2_000);
+    private static final PlanStatus OLD = new PlanStatus(7, 100, "store", 7, 100, 2_001);
+    private static final PlanStatus SUPERSEDED = new PlanStatus(7, 100, "store", 8, 100, 0);
 
     @ParameterizedTest
     @EnumSource(KeyFault.class)
     void rejectsPermanentlyWhileAllKeysAreKnown(KeyFault fault) {
         assertEquals(
                 RefusalReason.UNAUTHENTICATED,
-                RejectionPolicy.refusal(fault, RECENT_MILLIS).reason());
+                RejectionPolicy.refusal(fault, RECENT, BOUND_NANOS).reason());
+    }
+
+    @Test
+    void asksTheHolderOfAKeyToRetryWhenAPeerHasANewerVersion() {
+        assertEquals(
+                RefusalReason.TEAM_UNCERTAIN,
+                RejectionPolicy.refusal(KeyFault.UNKNOWN, SUPERSEDED, BOUND_NANOS)
+                        .reason());
     }
 
     @Test
     void asksTheHolderOfAPossiblyNewKeyToRetry() {
-        Refusal refusal = RejectionPolicy.refusal(KeyFault.UNKNOWN, OLD_MILLIS);
+        Refusal refusal = RejectionPolicy.refusal(KeyFault.UNKNOWN, OLD, BOUND_NANOS);
         assertEquals(RefusalReason.TEAM_UNCERTAIN, refusal.reason());
         assertEquals(RunState.NOT_RUN, refusal.state());
         assertTrue(refusal.retryAfterMillis() > 0);
@@ -36,6 +47,6 @@
     void alwaysRejectsCallersWithoutAUsableKeyPermanently(KeyFault fault) {
         assertEquals(
                 RefusalReason.UNAUTHENTICATED,
-                RejectionPolicy.refusal(fault, OLD_MILLIS).reason());
+                RejectionPolicy.refusal(fault, OLD, BOUND_NANOS).reason());
     }
 }
