--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
@@ -37,6 +37,7 @@
     private long nextAttemptNanos;
     private boolean reading;
     private boolean unavailable;
+    private boolean positionFresh;
 
     private PlanFollower(
             PlanSource source,
@@ -93,6 +94,7 @@
                 return;
             }
             apply(page, sentNanos);
+            positionFresh = true;
             continueAfter(page);
         });
     }
@@ -101,9 +103,10 @@
         long sentNanos = timers.nanos();
         source.next(from, pollMillis, result -> {
             switch (result) {
-                case PlanSource.Result.Gone g -> readNewest();
+                case PlanSource.Result.Gone g -> onGone(g);
                 case PlanSource.Result.Failed f -> failed(f);
                 case PlanSource.Result.Documents page -> {
+                    positionFresh = false;
                     apply(page, answeredNanos(page, sentNanos, pollMillis));
                     continueAfter(page);
                 }
@@ -111,6 +114,15 @@
         });
     }
 
+    /** Reads the newest documents, after a pause if the position that they led to was gone at once. */
+    private void onGone(PlanSource.Result.Gone gone) {
+        if (positionFresh) {
+            failed(gone);
+            return;
+        }
+        readNewest();
+    }
+
     /** Returns a time that the answer is not older than; one without documents is given at the end of the poll. */
     private long answeredNanos(PlanSource.Result.Documents page, long sentNanos, long pollMillis) {
         long pollEnd = sentNanos + pollMillis * NANOS_PER_MILLI;
