--- a/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationFleet.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationFleet.java
@@ -12,6 +12,7 @@
 import org.verbenadyke.kernel.core.CoreSettings;
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.follow.PlanFollower;
+import org.verbenadyke.kernel.follow.PlanStatus;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.route.RequestLimits;
 import org.verbenadyke.kernel.route.RoutePlan;
@@ -230,5 +231,15 @@
         public void available() {
             // Nothing is logged in emulated runs.
         }
+
+        @Override
+        public void outdated(PlanStatus status) {
+            // Nothing is logged in emulated runs.
+        }
+
+        @Override
+        public void current(PlanStatus status) {
+            // Nothing is logged in emulated runs.
+        }
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
@@ -38,6 +38,8 @@
     private boolean reading;
     private boolean unavailable;
     private boolean positionFresh;
+    private boolean wasCurrent;
+    private boolean outdatedReported;
 
     private PlanFollower(
             PlanSource source,
@@ -74,10 +76,31 @@
             FollowDuty duty,
             Listener listener) {
         PlanFollower follower = new PlanFollower(source, plans, timers, random, duty, listener);
-        timers.every(POLL_INTERVAL_NANOS, follower::pollIfDue);
+        timers.every(POLL_INTERVAL_NANOS, follower::tick);
         return follower;
     }
 
+    private void tick() {
+        pollIfDue();
+        reportCurrency();
+    }
+
+    /** Reports when the plan is no longer known to be current, and when it is again. */
+    private void reportCurrency() {
+        PlanStatus status = duty.currency().status();
+        boolean current = status.current(duty.settings().boundNanos());
+        if (current == wasCurrent) {
+            return;
+        }
+        wasCurrent = current;
+        if (!current) {
+            outdatedReported = true;
+            listener.outdated(status);
+        } else if (outdatedReported) {
+            listener.current(status);
+        }
+    }
+
     private void pollIfDue() {
         if (!reading && timers.nanos() - nextAttemptNanos >= 0 && duty.shouldStart()) {
             reading = true;
@@ -190,5 +213,19 @@
 
         /** Called when the source answers after a failure. */
         void available();
+
+        /**
+         * Called when the plan in force is no longer known to have every change that is older than the bound.
+         *
+         * @param status what is known of it
+         */
+        void outdated(PlanStatus status);
+
+        /**
+         * Called when the plan in force is known to be current again.
+         *
+         * @param status what is known of it
+         */
+        void current(PlanStatus status);
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/PlanFollowerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/PlanFollowerTest.java
@@ -26,6 +26,7 @@
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final RoutePlanStore plans = VersionedPlans.empty();
     private final List<Call> calls = new ArrayList<>();
+    private final List<String> reports = new ArrayList<>();
     private FollowDuty duty;
 
     @BeforeEach
@@ -36,7 +37,7 @@
         table.merge(self, 0);
         duty = FollowDuty.of(clock, FollowSettings.standard(), () -> self, table, plans);
         SplittableRandom random = new SplittableRandom(1);
-        PlanFollower.start(new RecordingSource(), plans, clock, () -> random, duty, new IgnoringListener());
+        PlanFollower.start(new RecordingSource(), plans, clock, () -> random, duty, new RecordingListener());
         clock.advance(2_000 * MILLI);
         answer(documents(true, 1));
         clock.advance(BATCH_DELAY_NANOS);
@@ -94,6 +95,17 @@
         assertEquals(asked + 1, calls.size());
     }
 
+    @Test
+    void reportsOnceThatThePlanMayBeOutOfDateAndOnceThatItIsNot() {
+        clock.advance(3_000 * MILLI);
+        assertEquals(List.of("outdated"), reports);
+        answer(documents(true));
+        clock.advance((last().waitMillis + 5) * MILLI);
+        answer(documents(true));
+        clock.advance(100 * MILLI);
+        assertEquals(List.of("outdated", "current"), reports);
+    }
+
     private Call last() {
         return calls.getLast();
     }
@@ -126,8 +138,8 @@
         }
     }
 
-    /** Ignores reads and failures. */
-    private static final class IgnoringListener implements PlanFollower.Listener {
+    /** Records when the plan was no longer known to be current. */
+    private final class RecordingListener implements PlanFollower.Listener {
         @Override
         public void reading(boolean designated, int planAgeMillis) {
             // The test looks at the calls.
@@ -142,5 +154,15 @@
         public void available() {
             // The test looks at the calls.
         }
+
+        @Override
+        public void outdated(PlanStatus status) {
+            reports.add("outdated");
+        }
+
+        @Override
+        public void current(PlanStatus status) {
+            reports.add("current");
+        }
     }
 }
