Soak real nodes of the platform while the configuration changes

Checked by requests: a node that was calm for 3 s answers 200 on the route of each version that is older than the bound.

--- a/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.bench.lab.Soak;
 import org.verbenadyke.bench.lab.SoakReport;
 import org.verbenadyke.bench.lab.SoakSettings;
+import org.verbenadyke.bench.real.ConfigurationProcessSoak;
 import org.verbenadyke.bench.real.ProcessSoak;
 
 import picocli.CommandLine;
@@ -62,7 +63,9 @@
     public Integer call() throws Exception {
         if (processes) {
             Path home = Path.of(System.getenv("VERBENADYKE_HOME"));
-            List<String> violations = ProcessSoak.run(home, seed, seconds);
+            List<String> violations = faults.equals("configuration")
+                    ? ConfigurationProcessSoak.run(home, seed, seconds)
+                    : ProcessSoak.run(home, seed, seconds);
             violations.forEach(v -> System.out.println("violation: " + v));
             return violations.isEmpty() ? 0 : 1;
         }
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Documents.java
@@ -113,7 +113,7 @@
     }
 
     /**
-     * Returns a node's settings.
+     * Returns the settings of a node in the data centre {@code z}.
      *
      * @param id the node's name
      * @param ports the node's listening addresses
@@ -122,11 +122,25 @@
      * @return the text of the settings file
      */
     public static String settings(String id, NodePorts ports, String service, Endpoint store) {
+        return settings(id, "z", ports, service, store);
+    }
+
+    /**
+     * Returns a node's settings.
+     *
+     * @param id the node's name
+     * @param dataCentre the node's data centre
+     * @param ports the node's listening addresses
+     * @param service the service of the colocated upstream
+     * @param store the store's address
+     * @return the text of the settings file
+     */
+    public static String settings(String id, String dataCentre, NodePorts ports, String service, Endpoint store) {
         return """
                 [node]
                 id = %s
                 region = r
-                data-centre = z
+                data-centre = %s
                 [listen]
                 entry = %s
                 ready = %s
@@ -140,6 +154,7 @@
                 [limits]
                 stop-within = 5s
                 retry-ratio = 0.2
-                """.formatted(id, ports.entry(), ports.ready(), ports.announcements(), ports.peers(), service, store);
+                """.formatted(
+                id, dataCentre, ports.entry(), ports.ready(), ports.announcements(), ports.peers(), service, store);
     }
 }
--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.verbenadyke.kernel.call.HeaderField;
@@ -48,11 +49,12 @@
     private final Map<String, KeyedTopic> snapshot = new ConcurrentHashMap<>();
     private final TimerService timers;
     private final AtomicInteger calls = new AtomicInteger();
-    private volatile StoreFault fault = StoreFault.NONE;
+    private final EventLoops loops;
+    private final List<StoreDoor> doors = new CopyOnWriteArrayList<>();
     private volatile String era = "5";
-    private HttpServer server;
 
-    private StoreStandIn(TimerService timers) {
+    private StoreStandIn(EventLoops loops, TimerService timers) {
+        this.loops = loops;
         this.timers = timers;
     }
 
@@ -65,11 +67,24 @@
      * @return the store
      */
     public static StoreStandIn listen(Endpoint endpoint, EventLoops loops, TimerService timers) {
-        StoreStandIn store = new StoreStandIn(timers);
-        store.server = HttpServer.listen(endpoint, loops, timers, () -> LIMITS, store::handle);
+        StoreStandIn store = new StoreStandIn(loops, timers);
+        store.openDoor(endpoint);
         return store;
     }
 
+    /**
+     * Listens on a further address.
+     *
+     * @param endpoint the address
+     * @return the address's switch for faults
+     */
+    public StoreDoor openDoor(Endpoint endpoint) {
+        StoreDoor door = new StoreDoor();
+        door.attach(HttpServer.listen(endpoint, loops, timers, () -> LIMITS, e -> handle(e, door)));
+        doors.add(door);
+        return door;
+    }
+
     /**
      * Writes a record, as an operator does.
      *
@@ -82,12 +97,12 @@
     }
 
     /**
-     * Sets the fault that applies to subsequent calls.
+     * Sets the fault that applies to subsequent calls at all addresses.
      *
      * @param newFault the fault
      */
     public void fault(StoreFault newFault) {
-        fault = newFault;
+        doors.forEach(d -> d.fault(newFault));
     }
 
     /** Compacts all topics: only the latest record of each key stays. */
@@ -135,26 +150,27 @@
 
     @Override
     public void close() {
-        server.close();
+        doors.forEach(StoreDoor::close);
     }
 
     private KeyedTopic topic(String name) {
         return topics.computeIfAbsent(name, n -> new KeyedTopic());
     }
 
-    private void handle(HttpExchange exchange) {
+    private void handle(HttpExchange exchange, StoreDoor door) {
         calls.incrementAndGet();
+        StoreFault fault = door.fault();
         switch (fault) {
             case REFUSES -> answer(exchange, UNAVAILABLE, EMPTY_BODY);
             case SILENT -> exchange.onCallerDisconnected(() -> {});
             case GARBLES -> exchange.answer(OK, List.of(), new byte[] {1, 2, 3});
-            case LOSES_ANSWERS -> perform(exchange, false);
-            case NONE -> perform(exchange, true);
+            case LOSES_ANSWERS -> perform(exchange, door, false);
+            case NONE -> perform(exchange, door, true);
             default -> throw new IllegalStateException(fault.name());
         }
     }
 
-    private void perform(HttpExchange exchange, boolean sendAnswer) {
+    private void perform(HttpExchange exchange, StoreDoor door, boolean sendAnswer) {
         String target = exchange.request().target();
         Map<String, String> query = query(target);
         KeyedTopic topic = topic(query.get("topic"));
@@ -164,7 +180,8 @@
             answer(exchange, OK, latestRecords(topic));
         } else if (sendAnswer) {
             long waitNanos = Long.parseLong(query.getOrDefault("wait-ms", "0")) * NANOS_PER_MILLI;
-            read(exchange, query.get("topic"), Long.parseLong(query.get("from")), timers.nanos() + waitNanos);
+            long from = Long.parseLong(query.get("from"));
+            read(exchange, door, query.get("topic"), from, timers.nanos() + waitNanos);
         }
     }
 
@@ -200,7 +217,7 @@
         return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    private void read(HttpExchange exchange, String name, long from, long deadlineNanos) {
+    private void read(HttpExchange exchange, StoreDoor door, String name, long from, long deadlineNanos) {
         KeyedTopic topic = topic(name);
         if (from < topic.firstOffset() || from > topic.endOffset()) {
             String body = "{\"first\":" + topic.firstOffset() + "}";
@@ -208,7 +225,14 @@
         } else if (topic.endOffset() > from || timers.nanos() >= deadlineNanos) {
             answer(exchange, OK, topic.read(from));
         } else {
-            timers.after(POLL_INTERVAL_NANOS, () -> read(exchange, name, from, deadlineNanos));
+            int silences = door.silences();
+            door.adjustPolls(1);
+            timers.after(POLL_INTERVAL_NANOS, () -> {
+                door.adjustPolls(-1);
+                if (door.silences() == silences) {
+                    read(exchange, door, name, from, deadlineNanos);
+                }
+            });
         }
     }
 
