Don't take what waited through a pause of the process for new

A follower had been paused; when it went on it read the datagrams that had waited, took the ages in them as of now, and told them on.

An age that a peer told now counts from the last time at which the process is known to have run, and for half a second after a pause from before it.

--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanCurrency.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanCurrency.java
@@ -20,11 +20,20 @@
      */
     private static final long HEARD_TIMEOUT_NANOS = 10_000 * NANOS_PER_MILLI;
 
+    /** A longer time between two ticks shows that the process was paused. */
+    private static final long MAX_TICK_GAP_NANOS = 300 * NANOS_PER_MILLI;
+
+    /** For how long after a pause messages are read that may have waited through it. */
+    private static final long BACKLOG_NANOS = 500 * NANOS_PER_MILLI;
+
     private final TimerService timers;
     private final RoutePlanStore plans;
     private volatile Applied applied;
     private volatile long answeredNanos;
     private long completeNanos;
+    private long tickNanos;
+    private long pauseNanos;
+    private long backlogUntilNanos;
     private Heard highest;
 
     private PlanCurrency(TimerService timers, RoutePlanStore plans) {
@@ -34,6 +43,8 @@
         this.applied = new Applied("", timers.nanos());
         this.answeredNanos = never;
         this.completeNanos = never;
+        this.tickNanos = timers.nanos();
+        this.backlogUntilNanos = timers.nanos();
         this.highest = new Heard(RoutePlanStore.NO_VERSION, never, timers.nanos());
     }
 
@@ -74,15 +85,26 @@
         }
     }
 
+    /** Called some times a second, by which pauses of the process are noticed. */
+    public synchronized void tick() {
+        long now = timers.nanos();
+        if (now - tickNanos > MAX_TICK_GAP_NANOS) {
+            backlogUntilNanos = now + BACKLOG_NANOS;
+            pauseNanos = tickNanos;
+        }
+        tickNanos = now;
+    }
+
     /**
-     * Called when a peer told which version it has, and how long ago that was known to be complete.
+     * Called when a peer told which version it has, and how long ago that was known to be complete. What it told may
+     * have waited here through a pause of the process.
      *
      * @param version the version, -1 if it has none
      * @param ageMillis the age, in milliseconds
      */
     public synchronized void heard(long version, int ageMillis) {
         long now = timers.nanos();
-        long complete = now - Math.max(0, ageMillis) * NANOS_PER_MILLI;
+        long complete = receivedNanos(now) - Math.max(0, ageMillis) * NANOS_PER_MILLI;
         if (version <= plans.version()) {
             advance(complete);
             return;
@@ -123,6 +145,14 @@
                 ageMillis());
     }
 
+    /** Returns a time before which a message that is handled now can't have arrived. */
+    private long receivedNanos(long now) {
+        if (now - backlogUntilNanos < 0) {
+            return pauseNanos;
+        }
+        return now - tickNanos > MAX_TICK_GAP_NANOS ? tickNanos : now;
+    }
+
     private long highestHeard() {
         boolean expired = timers.nanos() - highest.heardNanos() > HEARD_TIMEOUT_NANOS;
         return expired ? RoutePlanStore.NO_VERSION : highest.version();
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
@@ -81,6 +81,7 @@
     }
 
     private void tick() {
+        duty.currency().tick();
         pollIfDue();
         reportCurrency();
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
@@ -191,6 +191,7 @@
         }
 
         private void check() {
+            duty.currency().tick();
             if (following && clock.nanos() >= pollEnd) {
                 read();
             } else if (!following && clock.nanos() >= notBefore && duty.shouldStart()) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/PlanCurrencyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/PlanCurrencyTest.java
@@ -54,6 +54,34 @@
         assertTrue(currency.status().current(SECOND));
     }
 
+    /** Messages that waited while the process was paused tell of a time long ago. */
+    @Test
+    void countsMessagesThatWaitedThroughAPauseAsOld() {
+        currency.tick();
+        clock.advance(5 * SECOND);
+        currency.heard(5, 0);
+        assertEquals(5_000, currency.ageMillis());
+        currency.tick();
+        currency.heard(5, 0);
+        assertEquals(5_000, currency.ageMillis());
+        clock.advance(100 * MILLI);
+        currency.tick();
+        currency.heard(5, 0);
+        assertEquals(5_100, currency.ageMillis());
+    }
+
+    @Test
+    void countsMessagesAgainSoonAfterAPause() {
+        clock.advance(5 * SECOND);
+        for (int i = 0; i < 6; i++) {
+            currency.tick();
+            clock.advance(100 * MILLI);
+        }
+        currency.tick();
+        currency.heard(5, 50);
+        assertEquals(50, currency.ageMillis());
+    }
+
     @Test
     void ignoresAnAnswerThatLacksWhatAPeerHas() {
         currency.heard(6, 0);
