--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -372,12 +372,12 @@
         }
 
         @Override
-        public int followerAgeMillis() {
+        public int planAgeMillis() {
             return followDuty.currency().ageMillis();
         }
 
         @Override
-        public void followerAgeReceived(long planVersion, int ageMillis) {
+        public void planAgeReceived(long planVersion, int ageMillis) {
             followDuty.currency().heard(planVersion, ageMillis);
         }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -259,12 +259,12 @@
                 table.digest(),
                 listener.config().map(ConfigState::version).orElse(-1L),
                 listener.planVersion(),
-                listener.followerAgeMillis(),
+                listener.planAgeMillis(),
                 crashGossip.fingerprint());
     }
 
     private void compare(Endpoint from, GossipMessage.Summary theirs) {
-        listener.followerAgeReceived(theirs.planVersion(), theirs.followerAgeMillis());
+        listener.planAgeReceived(theirs.planVersion(), theirs.planAgeMillis());
         if (theirs.configVersion() > listener.config().map(ConfigState::version).orElse(-1L)) {
             send(from, new GossipMessage.ConfigRequest(self().nodeId()));
         }
@@ -366,7 +366,7 @@
          *
          * @return the age, in milliseconds
          */
-        int followerAgeMillis();
+        int planAgeMillis();
 
         /**
          * Called when another node told how long ago its routes were known to be complete.
@@ -374,7 +374,7 @@
          * @param planVersion the version of the routes of that node, -1 if it has none
          * @param ageMillis the age, in milliseconds
          */
-        void followerAgeReceived(long planVersion, int ageMillis);
+        void planAgeReceived(long planVersion, int ageMillis);
 
         /**
          * Returns the configuration to send to others.
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
@@ -91,8 +91,8 @@
      * @param digest a hash of the node's member table
      * @param configVersion the version of the node's configuration
      * @param planVersion the version of the node's routes, -1 if it has none
-     * @param followerAgeMillis how long ago these routes were known to be complete, in milliseconds
+     * @param planAgeMillis how long ago these routes were known to be complete, in milliseconds
      * @param crashesFingerprint a hash of the crashes known to the node
      */
-    record Summary(long digest, long configVersion, long planVersion, int followerAgeMillis, long crashesFingerprint) {}
+    record Summary(long digest, long configVersion, long planVersion, int planAgeMillis, long crashesFingerprint) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -43,10 +43,9 @@
      * @param request the request id set by the caller
      * @param planVersion the version of the route plan whose teams were searched
      * @param fault what is wrong with the API key of the request
-     * @param heartbeatAgeMillis how long ago the plan was known to be complete, in milliseconds
+     * @param planAgeMillis how long ago the plan was known to be complete, in milliseconds
      */
-    record CallerUnidentified(String request, long planVersion, String fault, long heartbeatAgeMillis)
-            implements Decision {}
+    record CallerUnidentified(String request, long planVersion, String fault, long planAgeMillis) implements Decision {}
 
     /**
      * A request was refused because no route of the plan matches it.
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/FollowDutyTest.java
@@ -112,7 +112,7 @@
         return new MemberRecord("n" + i, 1, 0, state, at, at, new Location("r", "d" + i % locations), "", 0, 0);
     }
 
-    /** Nodes that know each other, exchange the age of the newest follower heartbeat, and may lose the store. */
+    /** Nodes that know each other, exchange the ages of their plans, and may lose the store. */
     private final class Fleet {
         private final List<Node> nodes = new ArrayList<>();
         private final SplittableRandom random;
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -227,7 +227,7 @@
         line.with(REQUEST, d.request())
                 .with(PLAN, d.planVersion())
                 .with("fault", d.fault())
-                .with("signAgeMs", d.heartbeatAgeMillis());
+                .with("signAgeMs", d.planAgeMillis());
     }
 
     private static void addFields(StringMapMessage line, Decision.Failed d) {
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -135,7 +135,7 @@
 
     private static void packSummary(MessagePacker p, GossipMessage.Summary summary) throws IOException {
         p.packLong(summary.digest()).packLong(summary.configVersion()).packLong(summary.planVersion());
-        p.packInt(summary.followerAgeMillis()).packLong(summary.crashesFingerprint());
+        p.packInt(summary.planAgeMillis()).packLong(summary.crashesFingerprint());
     }
 
     private static GossipMessage.Summary unpackSummary(MessageUnpacker u) throws IOException {
