Name the faults of the configuration soaks

Read as a newcomer would: kinds of fault by name instead of by number, two methods that shared a name, constants in the order in which they refer to each other.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/ConfigurationSoak.java
@@ -1,8 +1,8 @@
 package org.verbenadyke.bench.lab;
 
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -21,12 +21,13 @@
     /** Beyond a third of the nodes, the substitutes of several turns may all have lost the store. */
     private static final int CUT_ONE_IN = 3;
 
+    /** Nodes, data centres, and the bound for changes in milliseconds. */
     private static final int[][] FLEETS = {{9, 3, 2_000}, {13, 3, 2_000}, {24, 4, 2_500}, {62, 4, 2_500}, {96, 5, 3_000}
     };
 
     private final ConfigurationFleet fleet;
     private final RandomGenerator random;
-    private final Map<LabServer, Integer> faultOf = new HashMap<>();
+    private final Set<LabServer> faulty = new HashSet<>();
     private int faults;
     private int changes;
 
@@ -48,7 +49,7 @@
                 new ConfigurationSoak(ConfigurationFleet.start(seed, size[0], size[1], size[2] * Lab.MILLI));
         long until = soak.fleet.lab().clock().nanos() + seconds * Lab.SECOND;
         soak.change(until);
-        soak.disturb(until);
+        soak.injectFaults(until);
         soak.fleet.run(seconds * Lab.SECOND + SETTLE_NANOS);
         return new Report(
                 seed,
@@ -69,7 +70,7 @@
         after(random.nextLong(2 * MEAN_CHANGE_GAP_NANOS), () -> change(until));
     }
 
-    private void disturb(long until) {
+    private void injectFaults(long until) {
         if (fleet.lab().clock().nanos() >= until) {
             return;
         }
@@ -84,7 +85,7 @@
             case 5 -> fleet.lab().net().silence(random.nextDouble());
             default -> fleet.dropHistory(HISTORY_DEAF_NANOS);
         }
-        after(random.nextLong(2 * MEAN_FAULT_GAP_NANOS), () -> disturb(until));
+        after(random.nextLong(2 * MEAN_FAULT_GAP_NANOS), () -> injectFaults(until));
     }
 
     private void loseStore(List<LabServer> servers, long length) {
@@ -116,17 +117,12 @@
 
     /** Lets each node that has no fault have one, and ends it. */
     private void disturb(List<LabServer> servers, long length, NodeAction begin, NodeAction end) {
-        int fault = faults;
-        List<LabServer> free =
-                servers.stream().filter(s -> !faultOf.containsKey(s)).toList();
-        free.forEach(s -> {
-            faultOf.put(s, fault);
-            begin.apply(s);
-        });
+        List<LabServer> free = servers.stream().filter(faulty::add).toList();
+        free.forEach(begin::apply);
         after(
                 length,
                 () -> free.forEach(s -> {
-                    faultOf.remove(s);
+                    faulty.remove(s);
                     end.apply(s);
                 }));
     }
--- a/bench/src/main/java/org/verbenadyke/bench/real/ConfigurationProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/ConfigurationProcessSoak.java
@@ -35,7 +35,18 @@
     private static final int MAX_FAULT_GAP_MILLIS = 7_000;
     private static final int MIN_FAULT_MILLIS = 500;
     private static final int MAX_FAULT_MILLIS = 9_000;
-    /** The shares of the nodes that a fault hits; two kinds of fault hit all followers instead. */
+
+    /** The kinds of fault to draw from; the one that hits all followers is drawn more often. */
+    private static final Fault[] FAULTS = {
+        Fault.FOLLOWERS_SILENCED,
+        Fault.FOLLOWERS_SILENCED,
+        Fault.SILENCED,
+        Fault.REFUSED,
+        Fault.STOPPED,
+        Fault.RESTARTED
+    };
+
+    /** The shares of the nodes that the other kinds hit. */
     private static final double[] SHARES = {0.25, 0.5, 0.8};
 
     private static final long PROBE_PAUSE_MILLIS = 100;
@@ -142,11 +153,12 @@
     /** Begins a fault on some nodes without one, and returns the thread that ends it. */
     private Thread injectFault() {
         faults++;
-        int kind = random.nextInt(6);
+        Fault kind = FAULTS[random.nextInt(FAULTS.length)];
         double share = SHARES[random.nextInt(SHARES.length)];
         long millis = MIN_FAULT_MILLIS + random.nextInt(MAX_FAULT_MILLIS - MIN_FAULT_MILLIS);
         List<PlatformProcess> hit = nodes.stream()
-                .filter(n -> !n.disturbed() && (kind <= 1 ? n.follows() : random.nextDouble() < share))
+                .filter(n -> !n.disturbed()
+                        && (kind == Fault.FOLLOWERS_SILENCED ? n.follows() : random.nextDouble() < share))
                 .toList();
         hit.forEach(n -> n.disturb(true));
         return Thread.startVirtualThread(() -> {
@@ -166,20 +178,22 @@
         });
     }
 
-    private static void begin(PlatformProcess node, int kind) throws IOException, InterruptedException {
+    private static void begin(PlatformProcess node, Fault kind) throws IOException, InterruptedException {
         switch (kind) {
-            case 0, 1, 2 -> node.storeFault(StoreFault.SILENT);
-            case 3 -> node.storeFault(StoreFault.REFUSES);
-            case 4 -> node.signal("-STOP");
-            default -> node.restart();
+            case FOLLOWERS_SILENCED, SILENCED -> node.storeFault(StoreFault.SILENT);
+            case REFUSED -> node.storeFault(StoreFault.REFUSES);
+            case STOPPED -> node.signal("-STOP");
+            case RESTARTED -> node.restart();
+            default -> throw new IllegalStateException(kind.name());
         }
     }
 
-    private static void end(PlatformProcess node, int kind) throws IOException, InterruptedException {
+    private static void end(PlatformProcess node, Fault kind) throws IOException, InterruptedException {
         switch (kind) {
-            case 0, 1, 2, 3 -> node.storeFault(StoreFault.NONE);
-            case 4 -> node.signal("-CONT");
-            default -> node.awaitReady();
+            case FOLLOWERS_SILENCED, SILENCED, REFUSED -> node.storeFault(StoreFault.NONE);
+            case STOPPED -> node.signal("-CONT");
+            case RESTARTED -> node.awaitReady();
+            default -> throw new IllegalStateException(kind.name());
         }
         node.disturb(false);
     }
@@ -213,4 +227,20 @@
                     + asked + ", acknowledged " + ageMillis + " ms before");
         }
     }
+
+    /**
+     * What happens to a node.
+     */
+    private enum Fault {
+        /** The store no longer answers any of the nodes that follow it. */
+        FOLLOWERS_SILENCED,
+        /** The store no longer answers. */
+        SILENCED,
+        /** The store refuses calls. */
+        REFUSED,
+        /** The process is stopped, and continues later. */
+        STOPPED,
+        /** The process is killed and starts again. */
+        RESTARTED
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
@@ -25,15 +25,15 @@
  * connection may be silent.
  */
 public final class FollowDuty {
-    /** The substitutes of each turn after that: the store is down for nearly all, and calls in vain are paid for. */
-    private static final int OUTAGE_SUBSTITUTES = 2;
-
     /** How many answers of the store the followers of the fleet together have within the timeout. */
     private static final int ANSWERS_PER_TIMEOUT = 3;
 
     /** The turns after the first in which the number of substitutes doubles, for when most nodes lost the store. */
     private static final int DOUBLED_TURNS = 2;
 
+    /** The substitutes of each later turn: the store is down for nearly all, and calls in vain are paid for. */
+    private static final int OUTAGE_SUBSTITUTES = 2;
+
     /** The shortest poll, of a fleet with few followers. */
     private static final long MIN_POLL_MILLIS = 250;
 
