Let the status of a plan know the bound that it is measured by

Found in reading the change again: the bound for changes was handed to each question whether a plan is current, by the entry, by two policies and by the follower, always the same one, through an accessor of FollowDuty that served nothing else.

No change of behaviour. The tests keep their ages, bounds and expectations; one more holds the bound of PlanCurrency itself.

--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/FollowDuty.java
@@ -64,7 +64,7 @@
         this.self = self;
         this.table = table;
         this.plans = plans;
-        this.currency = PlanCurrency.of(timers, plans);
+        this.currency = PlanCurrency.of(timers, plans, settings.boundNanos());
         this.startNanos = timers.nanos();
     }
 
@@ -173,15 +173,6 @@
         registered = true;
     }
 
-    /**
-     * Returns the settings.
-     *
-     * @return how many nodes follow, and when substitutes follow
-     */
-    public FollowSettings settings() {
-        return settings;
-    }
-
     private int substitutes(long turnsOverdue) {
         return turnsOverdue > DOUBLED_TURNS ? OUTAGE_SUBSTITUTES : settings.substitutesPerTurn() << turnsOverdue;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanCurrency.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanCurrency.java
@@ -28,6 +28,7 @@
 
     private final TimerService timers;
     private final RoutePlanStore plans;
+    private final long boundNanos;
     private volatile Applied applied;
     private volatile long answeredNanos;
     private long completeNanos;
@@ -36,10 +37,11 @@
     private long backlogUntilNanos;
     private Heard highest;
 
-    private PlanCurrency(TimerService timers, RoutePlanStore plans) {
+    private PlanCurrency(TimerService timers, RoutePlanStore plans, long boundNanos) {
         long never = timers.nanos() - NEVER_MILLIS * NANOS_PER_MILLI;
         this.timers = timers;
         this.plans = plans;
+        this.boundNanos = boundNanos;
         this.applied = new Applied("", timers.nanos());
         this.answeredNanos = never;
         this.completeNanos = never;
@@ -53,10 +55,11 @@
      *
      * @param timers the clock
      * @param plans the plan in force
+     * @param boundNanos how long a change may take until it is in force everywhere, in nanoseconds
      * @return the record
      */
-    public static PlanCurrency of(TimerService timers, RoutePlanStore plans) {
-        return new PlanCurrency(timers, plans);
+    public static PlanCurrency of(TimerService timers, RoutePlanStore plans, long boundNanos) {
+        return new PlanCurrency(timers, plans, boundNanos);
     }
 
     /**
@@ -142,7 +145,8 @@
                 last.source(),
                 Math.max(version, highestHeard()),
                 millisSince(answeredNanos),
-                ageMillis());
+                ageMillis(),
+                boundNanos / NANOS_PER_MILLI);
     }
 
     /** Returns a time before which a message that is handled now can't have arrived. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
@@ -16,7 +16,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** How often the node checks whether to start reading: a small part of the time that a change may take. */
-    private static final long POLL_INTERVAL_NANOS = 100 * NANOS_PER_MILLI;
+    private static final long TICK_NANOS = 100 * NANOS_PER_MILLI;
 
     /** How long further changes are gathered after one: a tenth of the shortest time that a change may take. */
     private static final long BATCH_DELAY_NANOS = 150 * NANOS_PER_MILLI;
@@ -76,7 +76,7 @@
             FollowDuty duty,
             Listener listener) {
         PlanFollower follower = new PlanFollower(source, plans, timers, random, duty, listener);
-        timers.every(POLL_INTERVAL_NANOS, follower::tick);
+        timers.every(TICK_NANOS, follower::tick);
         return follower;
     }
 
@@ -89,12 +89,11 @@
     /** Reports when the plan is no longer known to be current, and when it is again. */
     private void reportCurrency() {
         PlanStatus status = duty.currency().status();
-        boolean current = status.current(duty.settings().boundNanos());
-        if (current == wasCurrent) {
+        if (status.current() == wasCurrent) {
             return;
         }
-        wasCurrent = current;
-        if (!current) {
+        wasCurrent = status.current();
+        if (!wasCurrent) {
             outdatedReported = true;
             listener.outdated(status);
         } else if (outdatedReported) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanStatus.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanStatus.java
@@ -9,16 +9,22 @@
  * @param highestHeard the highest version that a peer was heard to have, or the version in force
  * @param answerAgeMillis how long ago this node last had an answer of the store, in milliseconds
  * @param ageMillis how long ago the plan in force was known to have every change, in milliseconds
+ * @param boundMillis how long a change may take until it is in force everywhere, in milliseconds
  */
 public record PlanStatus(
-        long version, long inForceMillis, String source, long highestHeard, int answerAgeMillis, int ageMillis) {
+        long version,
+        long inForceMillis,
+        String source,
+        long highestHeard,
+        int answerAgeMillis,
+        int ageMillis,
+        long boundMillis) {
     /**
-     * Returns whether the plan is known to have every change that was made longer ago than a bound.
+     * Returns whether the plan is known to have every change that was made longer ago than the bound.
      *
-     * @param boundNanos the bound, in nanoseconds
-     * @return whether no peer has a newer version, and the store was heard within the bound
+     * @return whether no peer has a newer version, and the plan was known to have every change within the bound
      */
-    public boolean current(long boundNanos) {
-        return highestHeard <= version && ageMillis * 1_000_000L <= boundNanos;
+    public boolean current() {
+        return highestHeard <= version && ageMillis <= boundMillis;
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/UnmatchedRequestPolicy.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/UnmatchedRequestPolicy.java
@@ -20,11 +20,10 @@
      * Chooses the refusal.
      *
      * @param plan what the node knows of its plan
-     * @param boundNanos how long a change may take until it is in force everywhere, in nanoseconds
      * @return the refusal
      */
-    public static Refusal refusal(PlanStatus plan, long boundNanos) {
-        return plan.current(boundNanos)
+    public static Refusal refusal(PlanStatus plan) {
+        return plan.current()
                 ? Refusal.notRun(RefusalReason.NO_SERVICE, 0)
                 : Refusal.notRun(RefusalReason.PLAN_UNCERTAIN, RETRY_MILLIS);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/team/RejectionPolicy.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/team/RejectionPolicy.java
@@ -22,11 +22,10 @@
      *
      * @param fault why the caller could not be identified
      * @param plan what the node knows of its plan
-     * @param boundNanos how long a change may take until it is in force everywhere, in nanoseconds
      * @return the refusal
      */
-    public static Refusal refusal(KeyFault fault, PlanStatus plan, long boundNanos) {
-        if (fault == KeyFault.UNKNOWN && !plan.current(boundNanos)) {
+    public static Refusal refusal(KeyFault fault, PlanStatus plan) {
+        if (fault == KeyFault.UNKNOWN && !plan.current()) {
             return Refusal.notRun(RefusalReason.TEAM_UNCERTAIN, RETRY_MILLIS);
         }
         return Refusal.notRun(RefusalReason.UNAUTHENTICATED, 0);
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/PlanCurrencyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/PlanCurrencyTest.java
@@ -15,12 +15,12 @@
 
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final RoutePlanStore plans = VersionedPlans.at(5);
-    private final PlanCurrency currency = PlanCurrency.of(clock, plans);
+    private final PlanCurrency currency = PlanCurrency.of(clock, plans, SECOND);
 
     @Test
     void isNeverCurrentBeforeTheFirstAnswer() {
         assertEquals(PlanCurrency.NEVER_MILLIS, currency.ageMillis());
-        assertFalse(currency.status().current(SECOND));
+        assertFalse(currency.status().current());
     }
 
     @Test
@@ -29,7 +29,16 @@
         currency.confirmed(clock.nanos() - 200 * MILLI);
         clock.advance(100 * MILLI);
         assertEquals(300, currency.ageMillis());
-        assertTrue(currency.status().current(SECOND));
+        assertTrue(currency.status().current());
+    }
+
+    @Test
+    void isCurrentUpToTheBound() {
+        currency.confirmed(clock.nanos());
+        clock.advance(SECOND);
+        assertTrue(currency.status().current());
+        clock.advance(MILLI);
+        assertFalse(currency.status().current());
     }
 
     @Test
@@ -48,10 +57,10 @@
         currency.heard(6, 0);
         clock.advance(100 * MILLI);
         assertEquals(500, currency.ageMillis());
-        assertFalse(currency.status().current(SECOND));
+        assertFalse(currency.status().current());
         plans.offer(VersionedPlans.document(6), "peer");
         assertEquals(100, currency.ageMillis());
-        assertTrue(currency.status().current(SECOND));
+        assertTrue(currency.status().current());
     }
 
     /** Messages that waited while the process was paused tell of a time long ago. */
@@ -96,6 +105,6 @@
         currency.heard(6, 0);
         clock.advance(11 * SECOND);
         currency.confirmed(clock.nanos());
-        assertTrue(currency.status().current(SECOND));
+        assertTrue(currency.status().current());
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/follow/UnmatchedRequestPolicyTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/follow/UnmatchedRequestPolicyTest.java
@@ -10,7 +10,7 @@
 
 /** Guards against refusing a route for good that a newer version may have added. */
 final class UnmatchedRequestPolicyTest {
-    private static final long BOUND_NANOS = 2_500_000_000L;
+    private static final long BOUND_MILLIS = 2_500;
 
     @Test
     void refusesForGoodWhileThePlanIsCurrent() {
@@ -33,6 +33,6 @@
 
     private static Refusal refusal(long highestHeard, int ageMillis) {
         return UnmatchedRequestPolicy.refusal(
-                new PlanStatus(7, 100, "peer", highestHeard, ageMillis, ageMillis), BOUND_NANOS);
+                new PlanStatus(7, 100, "peer", highestHeard, ageMillis, ageMillis, BOUND_MILLIS));
     }
 }
