Take out of the configuration's soaks and tests what stood twice or idle

Found in reading the change again; no check, bound or expectation changes.

- PlanExchange had its pause after rejections in two conditions.

--- a/bench/src/main/java/org/verbenadyke/bench/real/PlatformProcess.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/PlatformProcess.java
@@ -125,7 +125,7 @@
     }
 
     void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+        Processes.signal(process, signal);
     }
 
     /** Kills the process and starts it again. */
--- a/bench/src/main/java/org/verbenadyke/bench/real/Processes.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/Processes.java
@@ -9,13 +9,18 @@
 import java.util.Optional;
 
 /**
- * Reads the processor time and memory use of a process from the operating system.
+ * Reads the processor time and memory use of a process from the operating system, and sends signals to it.
  */
 final class Processes {
     private static final int BYTES_PER_KB = 1024;
 
     private Processes() {}
 
+    /** Sends a signal, such as {@code -STOP}, to a process. */
+    static void signal(Process process, String signal) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
+    }
+
     /** Returns the processor time that a process has used so far. */
     static Duration cpuTime(Process process) {
         return process.info().totalCpuDuration().orElse(Duration.ZERO);
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/PlanExchange.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/PlanExchange.java
@@ -135,16 +135,18 @@
     }
 
     private void countRejection(long version) {
-        boolean again = version == rejectedVersion && timers.nanos() - rejectedNanos < REJECTED_PAUSE_NANOS;
-        rejections = again ? rejections + 1 : 1;
+        rejections = recentRejections(version) + 1;
         rejectedVersion = version;
         rejectedNanos = timers.nanos();
     }
 
     private boolean rejectedLately(long version) {
-        return version == rejectedVersion
-                && rejections >= MAX_REJECTIONS
-                && timers.nanos() - rejectedNanos < REJECTED_PAUSE_NANOS;
+        return recentRejections(version) >= MAX_REJECTIONS;
+    }
+
+    private int recentRejections(long version) {
+        boolean recent = version == rejectedVersion && timers.nanos() - rejectedNanos < REJECTED_PAUSE_NANOS;
+        return recent ? rejections : 0;
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/follow/PlanFollower.java
@@ -192,7 +192,7 @@
     }
 
     /**
-     * Is notified of reads and failures.
+     * Is notified of reads and failures. Ignores what it doesn't override.
      */
     public interface Listener {
         /**
@@ -201,7 +201,7 @@
          * @param designated whether the node is a designated follower of its data centre
          * @param planAgeMillis how long ago the plan in force was known to be complete, in milliseconds
          */
-        void reading(boolean designated, int planAgeMillis);
+        default void reading(boolean designated, int planAgeMillis) {}
 
         /**
          * Called when the source fails, unless it had already failed before.
@@ -209,23 +209,23 @@
          * @param reason why there is no result
          * @param version the version that stays in force
          */
-        void unavailable(String reason, long version);
+        default void unavailable(String reason, long version) {}
 
         /** Called when the source answers after a failure. */
-        void available();
+        default void available() {}
 
         /**
          * Called when the plan in force is no longer known to have every change that is older than the bound.
          *
          * @param status what is known of it
          */
-        void outdated(PlanStatus status);
+        default void outdated(PlanStatus status) {}
 
         /**
          * Called when the plan in force is known to be current again.
          *
          * @param status what is known of it
          */
-        void current(PlanStatus status);
+        default void current(PlanStatus status) {}
     }
 }
