Review case 3: large filings hang the node that they enter at

Shows that a node whose deployment has no upload route takes request bodies without a limit, runs out of heap while some answers are lost, and hangs for good (rule CONFIG). The script files 2 MB requests at 40 a second, well inside max-body-bytes, and loses three in ten answers of two of three servers for 6 s; lookups at a sound service count requests without a final answer.

The case of slow readers is now case 2.

--- a/review/1/SlowReaders.java
+++ b/review/2/SlowReaders.java
@@ -34,7 +34,7 @@
     public static void main(String[] args) throws Exception {
         Path root = Path.of("").toAbsolutePath();
         int result;
-        try (Bed bed = new Bed(root, root.resolve("review/1/record.txt"))) {
+        try (Bed bed = new Bed(root, root.resolve("review/2/record.txt"))) {
             bed.limitTime(110);
             result = new SlowReaders(bed).run();
         }
--- a/review/standins/Bed.java
+++ b/review/standins/Bed.java
@@ -382,6 +382,18 @@
             return n == null ? 0 : n.get();
         }
 
+        /** Loses an answer: nothing more comes on this connection, and the slot is free again. */
+        void park() throws InterruptedException {
+            free.release();
+            waiting.decrementAndGet();
+            try {
+                Thread.sleep(60_000);
+            } finally {
+                waiting.incrementAndGet();
+                free.acquireUninterruptibly();
+            }
+        }
+
         private void beat() {
             while (!stopped) {
                 if (beating) {
