--- a/review/standins/Bed.java
+++ b/review/standins/Bed.java
@@ -144,6 +144,9 @@
             }
         }
         store.close();
+        for (Machine m : machines) {
+            recordErrors(m);
+        }
         record.close();
         try (var files = Files.list(folder)) {
             for (Path f : files.toList()) {
@@ -153,6 +156,17 @@
         Files.delete(folder);
     }
 
+    /** Copies what a node logged of running out of memory. */
+    private void recordErrors(Machine m) throws IOException {
+        if (Files.exists(m.logFile())) {
+            try (var lines = Files.lines(m.logFile(), StandardCharsets.UTF_8)) {
+                lines.filter(l -> l.contains("OutOfMemoryError"))
+                        .limit(3)
+                        .forEach(l -> log("%s logged: %s", m.name, l));
+            }
+        }
+    }
+
     /** Ends the process with status 2, and all nodes with it, when a case takes too long. */
     void limitTime(long seconds) {
         Thread watchdog = new Thread(() -> {
