--- a/review/3/BigFilings.java
+++ b/review/3/BigFilings.java
@@ -47,12 +47,14 @@
         this.bed = bed;
     }
 
-    public static void main(String[] args) throws Exception {
+    public static void main(String[] args) {
         Path root = Path.of("").toAbsolutePath();
-        int result;
+        int result = 2;
         try (Bed bed = new Bed(root, root.resolve("review/3/record.txt"))) {
             bed.limitTime(110);
             result = new BigFilings(bed).run();
+        } catch (Exception e) {
+            System.out.println("ended by " + e);
         }
         System.exit(result);
     }
--- a/review/standins/Bed.java
+++ b/review/standins/Bed.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
@@ -61,7 +62,8 @@
 
     /** Finds ten ports in a row that are free on the first addresses. */
     private static int freePorts() throws IOException {
-        for (int base = 21_000; base < 31_000; base += 20) {
+        for (int i = 0; i < 50; i++) {
+            int base = 21_000 + 20 * ThreadLocalRandom.current().nextInt(500);
             if (free(base)) {
                 return base;
             }
@@ -272,9 +274,11 @@
             }
         }
 
-        void signal(String signal) throws IOException, InterruptedException {
-            log("%s gets SIG%s", name, signal);
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        /** Removes the machine for good: its node's process gets SIGKILL, and its server ends. */
+        void remove() {
+            log("%s is removed", name);
+            process.destroyForcibly();
+            server.stop();
         }
     }
 
