--- a/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
@@ -9,6 +9,7 @@
 import org.verbenadyke.bench.lab.SoakReport;
 import org.verbenadyke.bench.lab.SoakSettings;
 import org.verbenadyke.bench.real.ConfigurationProcessSoak;
+import org.verbenadyke.bench.real.DepartureProcessSoak;
 import org.verbenadyke.bench.real.ProcessSoak;
 
 import picocli.CommandLine;
@@ -42,7 +43,7 @@
     @CommandLine.Option(
             names = "--faults",
             defaultValue = "all",
-            description = "all, mixed, keyed, crashes, notices or configuration.")
+            description = "all, mixed, keyed, crashes, notices, configuration or departures.")
     private String faults;
 
     @CommandLine.Option(names = "--trace", description = "Print each fault.")
@@ -63,11 +64,13 @@
     public Integer call() throws Exception {
         if (processes) {
             Path home = Path.of(System.getenv("VERBENADYKE_HOME"));
-            List<String> violations = faults.equals("configuration")
-                    ? ConfigurationProcessSoak.run(home, seed, seconds)
-                    : ProcessSoak.run(home, seed, seconds);
-            violations.forEach(v -> System.out.println("violation: " + v));
-            return violations.isEmpty() ? 0 : 1;
+            int failed = 0;
+            for (int i = 0; i < runs; i++) {
+                List<String> violations = runProcesses(home, seed + i);
+                violations.stream().limit(MAX_SHOWN_VIOLATIONS).forEach(v -> System.out.println("violation: " + v));
+                failed += violations.isEmpty() ? 0 : 1;
+            }
+            return failed == 0 ? 0 : 1;
         }
         if (faults.equals("configuration")) {
             return runConfiguration();
@@ -90,6 +93,14 @@
         return failed == 0 ? 0 : 1;
     }
 
+    private List<String> runProcesses(Path home, long oneSeed) throws Exception {
+        return switch (faults) {
+            case "configuration" -> ConfigurationProcessSoak.run(home, oneSeed, seconds);
+            case "departures" -> DepartureProcessSoak.run(home, oneSeed, seconds);
+            default -> ProcessSoak.run(home, oneSeed, seconds);
+        };
+    }
+
     private int runConfiguration() {
         int failed = 0;
         for (int i = 0; i < runs; i++) {
--- a/bench/src/main/java/org/verbenadyke/bench/real/ConfigurationProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/ConfigurationProcessSoak.java
@@ -92,13 +92,13 @@
             for (int i = 0; i < NODES; i++) {
                 PlatformProcess node = new PlatformProcess(i, "dc-" + i % DATA_CENTRES, home, folder, store, loops);
                 soak.nodes.add(node);
-                node.start();
+                node.node().start();
             }
             for (PlatformProcess n : soak.nodes) {
                 if (!n.awaitReady()) {
-                    throw new IllegalStateException(n.id() + " did not become ready; see " + folder);
+                    throw new IllegalStateException(n.node().id() + " did not become ready; see " + folder);
                 }
-                n.disturb(false);
+                n.node().disturb(false);
             }
             soak.load(seconds);
         } finally {
@@ -157,10 +157,10 @@
         double share = SHARES[random.nextInt(SHARES.length)];
         long millis = MIN_FAULT_MILLIS + random.nextInt(MAX_FAULT_MILLIS - MIN_FAULT_MILLIS);
         List<PlatformProcess> hit = nodes.stream()
-                .filter(n -> !n.disturbed()
-                        && (kind == Fault.FOLLOWERS_SILENCED ? n.follows() : random.nextDouble() < share))
+                .filter(n -> !n.node().disturbed()
+                        && (kind == Fault.FOLLOWERS_SILENCED ? n.node().follows() : random.nextDouble() < share))
                 .toList();
-        hit.forEach(n -> n.disturb(true));
+        hit.forEach(n -> n.node().disturb(true));
         return Thread.startVirtualThread(() -> {
             try {
                 for (PlatformProcess n : hit) {
@@ -180,22 +180,22 @@
 
     private static void begin(PlatformProcess node, Fault kind) throws IOException, InterruptedException {
         switch (kind) {
-            case FOLLOWERS_SILENCED, SILENCED -> node.storeFault(StoreFault.SILENT);
-            case REFUSED -> node.storeFault(StoreFault.REFUSES);
-            case STOPPED -> node.signal("-STOP");
-            case RESTARTED -> node.restart();
+            case FOLLOWERS_SILENCED, SILENCED -> node.node().storeFault(StoreFault.SILENT);
+            case REFUSED -> node.node().storeFault(StoreFault.REFUSES);
+            case STOPPED -> node.node().signal("-STOP");
+            case RESTARTED -> node.node().restart();
             default -> throw new IllegalStateException(kind.name());
         }
     }
 
     private static void end(PlatformProcess node, Fault kind) throws IOException, InterruptedException {
         switch (kind) {
-            case FOLLOWERS_SILENCED, SILENCED, REFUSED -> node.storeFault(StoreFault.NONE);
-            case STOPPED -> node.signal("-CONT");
+            case FOLLOWERS_SILENCED, SILENCED, REFUSED -> node.node().storeFault(StoreFault.NONE);
+            case STOPPED -> node.node().signal("-CONT");
             case RESTARTED -> node.awaitReady();
             default -> throw new IllegalStateException(kind.name());
         }
-        node.disturb(false);
+        node.node().disturb(false);
     }
 
     private void checkAgainAndAgain(PlatformProcess node) {
@@ -212,19 +212,19 @@
     /** Sends a request on the newest route; counts only if the node was calm from before it until after it. */
     private void check(PlatformProcess node) {
         int asked = version;
-        if (!node.calmFor(STABILITY_NANOS)) {
+        if (!node.node().calmFor(STABILITY_NANOS)) {
             return;
         }
         long ageMillis = (System.nanoTime() - acknowledged.get(asked)) / 1_000_000L;
         int status = node.probe(asked);
         probes.incrementAndGet();
-        if (status == OK || version != asked || !node.calmFor(STABILITY_NANOS)) {
+        if (status == OK || version != asked || !node.node().calmFor(STABILITY_NANOS)) {
             return;
         }
         longestMillis.accumulateAndGet(ageMillis, Math::max);
         if (ageMillis > BOUND_MILLIS) {
-            violations.add(node.id() + " answered " + status + (status == NOT_FOUND ? " for good" : "") + " on version "
-                    + asked + ", acknowledged " + ageMillis + " ms before");
+            violations.add(node.node().id() + " answered " + status + (status == NOT_FOUND ? " for good" : "")
+                    + " on version " + asked + ", acknowledged " + ageMillis + " ms before");
         }
     }
 
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
@@ -119,6 +119,20 @@
                 .statusCode();
     }
 
+    /**
+     * Deregisters one start of a server on its behalf.
+     *
+     * @param id the server's id
+     * @param startedMillis when the server started, in milliseconds since the epoch
+     * @return the status of the answer
+     * @throws IOException if the node aborts the connection
+     */
+    public int deregister(String id, long startedMillis) throws IOException {
+        return call(HttpRequest.newBuilder(uri(ports.announcements(), "/-/instances/" + id))
+                        .method("DELETE", HttpRequest.BodyPublishers.ofString("{\"born\":" + startedMillis + "}")))
+                .statusCode();
+    }
+
     /**
      * Waits until the node is ready.
      *
--- a/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import org.verbenadyke.kernel.call.HeaderField;
@@ -62,6 +63,7 @@
     private final Queue<Runnable> heldAnswers = new ConcurrentLinkedQueue<>();
     private volatile Optional<HttpRequestMessage> lastRequest = Optional.empty();
     private volatile List<HeaderField> notices = List.of();
+    private volatile Consumer<String> arrivalListener = requestId -> {};
     private HttpServer server;
 
     private ServerStandIn(String id, TimerService timers) {
@@ -132,6 +134,15 @@
         notices = List.of();
     }
 
+    /**
+     * Subscribes to the requests that the server begins to run.
+     *
+     * @param listener called with the id of each request
+     */
+    public void onArrival(Consumer<String> listener) {
+        arrivalListener = listener;
+    }
+
     /** Sends all answers that are held. */
     public void answerHeld() {
         for (Runnable answer = heldAnswers.poll(); answer != null; answer = heldAnswers.poll()) {
@@ -162,6 +173,7 @@
             return;
         }
         runs.computeIfAbsent(requestId, r -> new AtomicInteger()).incrementAndGet();
+        arrivalListener.accept(requestId);
         if (lastSegment.equals(HELD)) {
             heldAnswers.add(() -> answer(exchange, requestId, lastSegment));
             return;
@@ -184,7 +196,9 @@
                 exchange.abort();
             }
             case UNSIGNED -> exchange.answer(OK, List.of(requestIdField), body);
-            default -> exchange.answer(OK, withNotices(requestIdField, signatureField), body);
+            default ->
+                exchange.answer(
+                        OK, withNotices(requestIdField, signatureField, new HeaderField("x-instance-id", id)), body);
         }
     }
 
