--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
@@ -20,6 +20,7 @@
     private UpstreamHeartbeat current;
     private boolean present;
     private long lastHeartbeatNanos;
+    private long heartbeats;
 
     private UpstreamMonitor(TimerService timers, long silentNanos, Listener listener) {
         this.timers = timers;
@@ -55,9 +56,10 @@
      * start only; a later start under the same id is accepted.
      *
      * @param gone the start that is over; without a start time, the newest known under the id
+     * @param announcement how the upstream announced it
      */
-    public void shutdownAnnounced(UpstreamStart gone) {
-        serial.run(() -> finish(gone));
+    public void shutdownAnnounced(UpstreamStart gone, LeavingAnnouncement announcement) {
+        serial.run(() -> finish(gone, announcement));
     }
 
     /**
@@ -96,12 +98,13 @@
             finished.finish(current.start());
         }
         lastHeartbeatNanos = timers.nanos();
+        heartbeats = known ? heartbeats + 1 : 1;
         current = heartbeat;
         present = !heartbeat.leaving();
         if (present && !(known && working)) {
-            listener.arrived(heartbeat);
+            listener.arrived(heartbeat, heartbeats);
         } else if (working && !present) {
-            listener.leaving(heartbeat);
+            listener.leaving(heartbeat, LeavingAnnouncement.HEARTBEAT);
         } else if (present && resized) {
             listener.resized(heartbeat);
         }
@@ -128,7 +131,7 @@
                 && current.start().startedMillis().isPresent();
     }
 
-    private void finish(UpstreamStart gone) {
+    private void finish(UpstreamStart gone, LeavingAnnouncement announcement) {
         if (current == null || !current.id().equals(gone.id())) {
             finishOther(gone);
             return;
@@ -140,7 +143,7 @@
         finished.finish(gone);
         if (present) {
             present = false;
-            listener.leaving(current);
+            listener.leaving(current, announcement);
         }
     }
 
@@ -171,8 +174,9 @@
          * Called when an upstream may get work.
          *
          * @param heartbeat the heartbeat of the upstream
+         * @param heartbeats how many heartbeats of this start of the upstream have been accepted, with this one
          */
-        void arrived(UpstreamHeartbeat heartbeat);
+        void arrived(UpstreamHeartbeat heartbeat, long heartbeats);
 
         /**
          * Called when an upstream that gets work announces another number of slots than before.
@@ -185,8 +189,9 @@
          * Called when the upstream must get no more work; it finishes its work in progress.
          *
          * @param heartbeat the newest heartbeat of the upstream
+         * @param announcement how the upstream announced it
          */
-        void leaving(UpstreamHeartbeat heartbeat);
+        void leaving(UpstreamHeartbeat heartbeat, LeavingAnnouncement announcement);
 
         /**
          * Called when no heartbeat of the upstream was received for too long.
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -66,6 +66,8 @@
     RATE_LIMIT_UNREADABLE,
     /** The colocated upstream stated in an answer that it is leaving. */
     UPSTREAM_LEAVING,
+    /** A heartbeat of the colocated upstream was ignored: it arrived too late, or its start is over. */
+    HEARTBEAT_LATE,
     /** A request was raised to the importance of more important repeatable ones. */
     IMPORTANCE_RAISED,
     /** A request was ranked below others of its importance, as surplus of its team. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
@@ -39,7 +39,7 @@
         monitor.heartbeat(heartbeat("a", 1, false));
         monitor.heartbeat(heartbeat("a", 2, true));
         monitor.heartbeat(heartbeat("a", 3, true));
-        monitor.shutdownAnnounced(start("a"));
+        monitor.shutdownAnnounced(start("a"), LeavingAnnouncement.DEREGISTRATION);
         monitor.heartbeat(heartbeat("a", 4, false));
         assertEquals(List.of("arrived a", "leaving a", "late a"), events);
     }
@@ -47,8 +47,8 @@
     @Test
     void acceptsAShutdownNoticeWithoutALeavingHeartbeat() {
         monitor.heartbeat(heartbeat("a", 1, false));
-        monitor.shutdownAnnounced(start("a"));
-        monitor.shutdownAnnounced(start("other"));
+        monitor.shutdownAnnounced(start("a"), LeavingAnnouncement.DEREGISTRATION);
+        monitor.shutdownAnnounced(start("other"), LeavingAnnouncement.DEREGISTRATION);
         assertEquals(List.of("arrived a", "leaving a"), events);
     }
 
@@ -117,7 +117,7 @@
     @Test
     void acceptsALaterStartAfterAShutdownNoticeUnderTheSameId() {
         monitor.heartbeat(heartbeat("a", 100, 7, false));
-        monitor.shutdownAnnounced(start("a"));
+        monitor.shutdownAnnounced(start("a"), LeavingAnnouncement.DEREGISTRATION);
         monitor.heartbeat(heartbeat("a", 100, 8, false));
         monitor.heartbeat(heartbeat("a", 200, 1, false));
         assertEquals(List.of("arrived a@100", "leaving a@100", "late a@100", "arrived a@200"), events);
@@ -126,7 +126,7 @@
     @Test
     void ignoresAShutdownNoticeOfAnEarlierStart() {
         monitor.heartbeat(heartbeat("a", 200, 1, false));
-        monitor.shutdownAnnounced(start("a", 100));
+        monitor.shutdownAnnounced(start("a", 100), LeavingAnnouncement.DEREGISTRATION);
         monitor.heartbeat(heartbeat("a", 200, 2, false));
         assertEquals(List.of("arrived a@200"), events);
     }
@@ -163,7 +163,7 @@
 
     @Test
     void ignoresHeartbeatsOfAnUnknownUpstreamForAWhileAfterItsShutdownNotice() {
-        monitor.shutdownAnnounced(start("a"));
+        monitor.shutdownAnnounced(start("a"), LeavingAnnouncement.DEREGISTRATION);
         monitor.heartbeat(heartbeat("a", 100, 7, false));
         clock.advance(2 * SILENT_NANOS);
         monitor.heartbeat(heartbeat("a", 100, 8, false));
@@ -173,7 +173,7 @@
 
     @Test
     void acceptsALaterStartLongAfterAnUnknownUpstreamsShutdownNotice() {
-        monitor.shutdownAnnounced(start("a"));
+        monitor.shutdownAnnounced(start("a"), LeavingAnnouncement.DEREGISTRATION);
         clock.advance(2 * SILENT_NANOS);
         monitor.heartbeat(heartbeat("a", 100, 1, false));
         assertEquals(List.of("arrived a@100"), events);
@@ -202,7 +202,7 @@
     /** Records the events as text. */
     private final class EventRecorder implements UpstreamMonitor.Listener {
         @Override
-        public void arrived(UpstreamHeartbeat heartbeat) {
+        public void arrived(UpstreamHeartbeat heartbeat, long heartbeats) {
             record("arrived ", heartbeat);
         }
 
@@ -212,7 +212,7 @@
         }
 
         @Override
-        public void leaving(UpstreamHeartbeat heartbeat) {
+        public void leaving(UpstreamHeartbeat heartbeat, LeavingAnnouncement announcement) {
             record("leaving ", heartbeat);
         }
 
