Keep departures of servers beyond the process that acknowledged them

Cause: the node beside the server answers "acknowledged" to a draining report or a deregistration, and keeps the departure in its memory alone. After a kill the next process takes the first report it hears for one of a fresh server, also if it was sent before the leaving and was delayed. The class of fault: a process acknowledges what it alone holds.

Now a departure is written to the stream of members on the log, and pushed to other nodes, which confirm it. It is acknowledged once the log has it, or, if the log doesn't answer, two other nodes.

--- a/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
+++ b/bench/src/main/java/org/verbenadyke/bench/lab/LabNode.java
@@ -20,6 +20,7 @@
 import org.verbenadyke.kernel.trace.DecisionLog;
 import org.verbenadyke.wire.ConfigCodec;
 import org.verbenadyke.wire.MemberCodec;
+import org.verbenadyke.wire.NodeDeparturesCodec;
 import org.verbenadyke.wire.QuarantinedRequestCodec;
 
 /**
@@ -58,6 +59,7 @@
                         log,
                         MemberCodec.create(),
                         QuarantinedRequestCodec.create(),
+                        NodeDeparturesCodec.create(),
                         ConfigCodec.create(),
                         () -> random,
                         plans,
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/CoreParts.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 
 import org.verbenadyke.kernel.config.ConfigEntry;
+import org.verbenadyke.kernel.departure.NodeDepartures;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.link.Transport;
 import org.verbenadyke.kernel.log.LogService;
@@ -29,6 +30,7 @@
  * @param log the log
  * @param memberCodec encodes member records
  * @param quarantineCodec encodes quarantined requests
+ * @param departureCodec encodes departures of upstreams
  * @param configurationCodec encodes configuration entries
  * @param random the source of each thread's randomness
  * @param plans the routes in force
@@ -45,6 +47,7 @@
         LogService log,
         RecordCodec<MemberRecord> memberCodec,
         RecordCodec<QuarantinedRequest> quarantineCodec,
+        RecordCodec<NodeDepartures> departureCodec,
         RecordCodec<ConfigEntry> configurationCodec,
         Supplier<RandomGenerator> random,
         RoutePlanStore plans,
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/FinishedStarts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/FinishedStarts.java
@@ -4,6 +4,9 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
+import org.verbenadyke.kernel.departure.DepartedStart;
+import org.verbenadyke.kernel.departure.UpstreamStart;
+
 /**
  * The starts of the colocated upstream that are over, kept so that a delayed heartbeat revives none of them. A later
  * start under the same id isn't over.
@@ -22,37 +25,62 @@
 
     /** Records that a start and all earlier ones under the same id are over. */
     void finish(UpstreamStart start) {
-        put(
-                start.id(),
-                new Finished(latest(find(start.id()).newestStartedMillis(), start.startedMillis()), Long.MIN_VALUE));
+        Finished before = find(start.id());
+        OptionalLong newest = latest(before.newestStartedMillis(), start.startedMillis());
+        put(start.id(), new Finished(newest, DepartedStart.FINAL, Long.MIN_VALUE, true));
     }
 
     /**
      * Records that a start is over of which no heartbeat was received, so that its start time isn't known. Until
      * {@code untilNanos} any start under the id counts as that one; the time must be longer than the usual delay of a
-     * heartbeat.
+     * heartbeat. Returns false, and changes nothing, if this process has seen a start under the id end: the
+     * announcement is a repeated one.
      */
-    void finishWithoutHeartbeat(String id, long untilNanos) {
-        if (!byId.containsKey(id)) {
-            put(id, new Finished(OptionalLong.empty(), untilNanos));
+    boolean finishWithoutHeartbeat(String id, long untilNanos) {
+        Finished before = find(id);
+        if (!before.observed()) {
+            put(id, new Finished(before.newestStartedMillis(), DepartedStart.FINAL, untilNanos, false));
+        }
+        return !before.observed();
+    }
+
+    /** Restores a departure that an earlier process of this node recorded. */
+    void restore(DepartedStart departed, long untilNanos) {
+        UpstreamStart start = departed.start();
+        Finished before = find(start.id());
+        if (start.startedMillis().isEmpty()) {
+            put(start.id(), new Finished(before.newestStartedMillis(), departed.sequence(), untilNanos, false));
+            return;
         }
+        OptionalLong newest = latest(before.newestStartedMillis(), start.startedMillis());
+        boolean latest = !before.newestStartedMillis().equals(newest);
+        long sequence = latest ? departed.sequence() : Math.max(before.lastSequence(), departed.sequence());
+        put(start.id(), new Finished(newest, sequence, before.coversAnyStartUntilNanos(), before.observed()));
     }
 
-    /** Returns whether a start is over; a start without a start time is over once any start under its id is. */
-    boolean covers(UpstreamStart start, long nowNanos) {
+    /**
+     * Returns whether a heartbeat is one of a start that is over; a start without a start time is over once any start
+     * under its id is.
+     */
+    boolean covers(UpstreamHeartbeat heartbeat, long nowNanos) {
+        UpstreamStart start = heartbeat.start();
         Finished finished = byId.get(start.id());
         if (finished == null) {
             return false;
         }
         if (start.startedMillis().isEmpty()) {
-            return true;
+            return heartbeat.sequence() <= finished.lastSequence();
         }
         if (nowNanos < finished.coversAnyStartUntilNanos()) {
             finish(start);
             return true;
         }
         OptionalLong newest = finished.newestStartedMillis();
-        return newest.isPresent() && start.startedMillis().getAsLong() <= newest.getAsLong();
+        if (newest.isEmpty() || start.startedMillis().getAsLong() > newest.getAsLong()) {
+            return false;
+        }
+        return start.startedMillis().getAsLong() < newest.getAsLong()
+                || heartbeat.sequence() <= finished.lastSequence();
     }
 
     private Finished find(String id) {
@@ -77,9 +105,13 @@
      * The starts under one id that are over.
      *
      * @param newestStartedMillis the start time of the newest of them, in milliseconds since the epoch, if known
+     * @param lastSequence the number of the last heartbeat of the newest of them that is covered
      * @param coversAnyStartUntilNanos until when any start counts as the one of which no heartbeat was received
+     * @param observed whether this process has seen a start under the id end
      */
-    private record Finished(OptionalLong newestStartedMillis, long coversAnyStartUntilNanos) {
-        private static final Finished NOTHING = new Finished(OptionalLong.empty(), Long.MIN_VALUE);
+    private record Finished(
+            OptionalLong newestStartedMillis, long lastSequence, long coversAnyStartUntilNanos, boolean observed) {
+        private static final Finished NOTHING =
+                new Finished(OptionalLong.empty(), DepartedStart.FINAL, Long.MIN_VALUE, false);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/LeavingAnnouncement.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/LeavingAnnouncement.java
@@ -11,7 +11,9 @@
     /** The upstream deregisters. */
     DEREGISTRATION,
     /** An answer of the upstream states it. */
-    ANSWER;
+    ANSWER,
+    /** It was announced to an earlier process of the node. */
+    EARLIER;
 
     /**
      * Returns the name used in logs.
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 
+import org.verbenadyke.kernel.departure.NodeDepartures;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.log.LogService;
 import org.verbenadyke.kernel.membership.MemberRecord;
@@ -173,6 +174,7 @@
             return;
         }
         read = true;
+        host.readComplete();
         if (foundSelf) {
             // Others find this start by the record of an earlier start at the same address.
             written = true;
@@ -217,7 +219,7 @@
         try {
             quarantined = parts.quarantineCodec().decode(record.bytes());
         } catch (VerbenadykeException e) {
-            skip(record, memberFault.getMessage());
+            handleDepartures(record, memberFault);
             return;
         }
         if (!record.key().orElse(quarantined.key()).equals(quarantined.key())) {
@@ -227,6 +229,22 @@
         host.restore(quarantined);
     }
 
+    /** Handles a record that is neither a member record nor a quarantined request. */
+    private void handleDepartures(LogService.LogRecord record, VerbenadykeException memberFault) {
+        NodeDepartures departures;
+        try {
+            departures = parts.departureCodec().decode(record.bytes());
+        } catch (VerbenadykeException e) {
+            skip(record, memberFault.getMessage());
+            return;
+        }
+        if (!record.key().orElse(departures.key()).equals(departures.key())) {
+            skip(record, "it names " + departures.key());
+            return;
+        }
+        host.restore(departures);
+    }
+
     private void updateOthers(MemberRecord member) {
         MemberRecord self = host.self();
         boolean alive = member.state() == MemberState.ALIVE;
@@ -264,6 +282,12 @@
         /** Restores a request that was quarantined. */
         void restore(QuarantinedRequest quarantined);
 
+        /** Restores departures of upstreams. */
+        void restore(NodeDepartures departures);
+
+        /** Called when the stream was read to its end for the first time. */
+        void readComplete();
+
         /** Returns whether a message of another node was received since the start. */
         boolean receivedAny();
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -4,9 +4,10 @@
 import java.util.Optional;
 
 import org.verbenadyke.kernel.body.BodyMemory;
-import org.verbenadyke.kernel.config.ConfigState;
 import org.verbenadyke.kernel.config.ConfigStore;
 import org.verbenadyke.kernel.config.Configuration;
+import org.verbenadyke.kernel.departure.DepartureKeeper;
+import org.verbenadyke.kernel.departure.DepartureTable;
 import org.verbenadyke.kernel.engine.Engine;
 import org.verbenadyke.kernel.engine.EngineParts;
 import org.verbenadyke.kernel.follow.FollowDuty;
@@ -28,7 +29,6 @@
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.kernel.time.Debounce;
-import org.verbenadyke.kernel.trace.Decision;
 
 /**
  * All decision logic of one node: the request path, the membership, the configuration and the owners of keys. Performs
@@ -48,6 +48,7 @@
     private final UpstreamLifecycle lifecycle;
     private final ConfigStore config;
     private final MemberLog memberLog;
+    private final ReplicatedDepartures departures;
     private final FollowDuty followDuty;
     private final PlanExchange planExchange;
     private final TeamLimiter limiter;
@@ -58,6 +59,7 @@
         this.settings = settings;
         this.refresh = Debounce.of(parts.timers(), REFRESH_DEBOUNCE_NANOS, this::refreshNow);
         OwnerView view = OwnerView.of(table, parts.timers(), settings.owner(), this::leaving);
+        DepartureTable departed = DepartureTable.create(parts.timers());
         this.quarantine = Quarantine.create(
                 parts.timers(), QuarantineSettings.standard(), parts.counters(), parts.decisions(), duties);
         this.owners = KeyOwners.create(view, settings.owner(), parts.timers(), this::isolated);
@@ -68,11 +70,17 @@
         this.followDuty = FollowDuty.of(parts.timers(), settings.follow(), this::self, table, parts.plans());
         this.gossip = Gossip.start(
                 new Gossip.Parts(
-                        parts.timers(), parts.datagrams(), parts.random().get(), parts.counters(), table, quarantine),
+                        parts.timers(),
+                        parts.datagrams(),
+                        parts.random().get(),
+                        parts.counters(),
+                        table,
+                        quarantine,
+                        departed),
                 settings.gossip(),
                 parts.self(),
                 parts.seeds(),
-                new GossipListener());
+                new CoreGossipListener(this, parts));
         this.lifecycle = new UpstreamLifecycle(engine, gossip, refresh::request);
         this.config = ConfigStore.start(
                 new ConfigStore.Parts(
@@ -85,7 +93,8 @@
                         this::applyConfiguration),
                 settings.config());
         QuarantineLog.start(parts, quarantine);
-        this.memberLog = new MemberLog(parts, new RegisteredNode(gossip, followDuty, quarantine));
+        this.departures = ReplicatedDepartures.start(parts, departed, gossip.departures());
+        this.memberLog = new MemberLog(parts, new RegisteredNode(gossip, followDuty, quarantine, departed, departures));
     }
 
     /**
@@ -213,6 +222,15 @@
         return quarantine;
     }
 
+    /**
+     * Returns what keeps the departures of the upstream beyond this process.
+     *
+     * @return the keeper
+     */
+    public DepartureKeeper departures() {
+        return departures;
+    }
+
     /**
      * Returns this node's record.
      *
@@ -336,59 +354,23 @@
         upstream().ifPresent(u -> u.drain(lifecycle.draining() || leavingByOperators));
     }
 
-    private void paused() {
-        parts.counters().count(Event.PAUSE_DETECTED);
-        lifecycle.rename(gossip.renew());
+    /** Called when the members have changed. */
+    void membersChanged() {
+        refresh.request();
     }
 
-    /**
-     * Handles the updates that gossip receives.
-     */
-    private final class GossipListener implements Gossip.Listener {
-        @Override
-        public void membersChanged() {
-            refresh.request();
-        }
-
-        @Override
-        public void declaredDead(MemberRecord renewed) {
-            lifecycle.rename(renewed);
-        }
-
-        @Override
-        public void learned(MemberRecord r) {
-            parts.decisions()
-                    .note(new Decision.Member(r.nodeId(), r.state().name(), r.incarnation(), r.version(), r.service()));
-        }
-
-        @Override
-        public long planVersion() {
-            return parts.plans().version();
-        }
-
-        @Override
-        public void newerPlanFound(Endpoint node, long version) {
-            planExchange.fetch(engine.links(), node, version);
-        }
-
-        @Override
-        public int planAgeMillis() {
-            return followDuty.currency().ageMillis();
-        }
-
-        @Override
-        public void planAgeReceived(long planVersion, int ageMillis) {
-            followDuty.currency().heard(planVersion, ageMillis);
-        }
+    /** Called when others had declared this node dead. */
+    void declaredDead(MemberRecord renewed) {
+        lifecycle.rename(renewed);
+    }
 
-        @Override
-        public Optional<ConfigState> config() {
-            return config == null ? Optional.empty() : config.state();
-        }
+    /** Fetches newer routes from another node. */
+    void fetchPlan(Endpoint node, long version) {
+        planExchange.fetch(engine.links(), node, version);
+    }
 
-        @Override
-        public void configReceived(ConfigState state) {
-            config.receive(state);
-        }
+    private void paused() {
+        parts.counters().count(Event.PAUSE_DETECTED);
+        lifecycle.rename(gossip.renew());
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/RegisteredNode.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/RegisteredNode.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.kernel.core;
 
+import org.verbenadyke.kernel.departure.DepartureTable;
+import org.verbenadyke.kernel.departure.NodeDepartures;
 import org.verbenadyke.kernel.follow.FollowDuty;
 import org.verbenadyke.kernel.membership.Gossip;
 import org.verbenadyke.kernel.membership.MemberRecord;
@@ -12,8 +14,16 @@
  * @param gossip the node's gossip
  * @param followDuty decides whether the node reads the operators' record
  * @param quarantine restores requests that were quarantined before
+ * @param table restores departures of upstreams
+ * @param departures keeps the departures of this node's upstream
  */
-record RegisteredNode(Gossip gossip, FollowDuty followDuty, Quarantine quarantine) implements MemberLog.Host {
+record RegisteredNode(
+        Gossip gossip,
+        FollowDuty followDuty,
+        Quarantine quarantine,
+        DepartureTable table,
+        ReplicatedDepartures departures)
+        implements MemberLog.Host {
     @Override
     public MemberRecord self() {
         return gossip.self();
@@ -29,6 +39,16 @@
         quarantine.restore(quarantined);
     }
 
+    @Override
+    public void restore(NodeDepartures departed) {
+        table.merge(departed);
+    }
+
+    @Override
+    public void readComplete() {
+        departures.logRead();
+    }
+
     @Override
     public boolean receivedAny() {
         return gossip.receivedAny();
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamHeartbeat.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamHeartbeat.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.core;
 
+import org.verbenadyke.kernel.departure.UpstreamStart;
 import org.verbenadyke.kernel.routing.Endpoint;
 
 /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
@@ -1,35 +1,56 @@
 package org.verbenadyke.kernel.core;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.concurrent.SerialExecutor;
+import org.verbenadyke.kernel.departure.DepartedStart;
+import org.verbenadyke.kernel.departure.DepartureKeeper;
+import org.verbenadyke.kernel.departure.UpstreamStart;
 import org.verbenadyke.kernel.time.TimerService;
 
 /**
  * Monitors the colocated upstream by its heartbeats: which start is the current one, whether the upstream is leaving,
  * and when it has fallen silent. A start is identified by the upstream's id and the start time; of two starts under one
  * id the one with the later time is newer. A delayed heartbeat changes nothing: neither one older than the newest of
- * the same start, nor one of a start that was replaced by another or that has announced its shutdown.
+ * the same start, nor one of a start that was replaced by another or that has announced its shutdown, be it to an
+ * earlier process of this node.
  */
 public final class UpstreamMonitor {
+    /**
+     * The number of heartbeats kept until the departures of earlier processes are known; an upstream sends one every
+     * second or so.
+     */
+    private static final int MAX_HELD = 16;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final TimerService timers;
     private final long silentNanos;
+    private final DepartureKeeper departures;
     private final Listener listener;
     private final SerialExecutor serial = SerialExecutor.create();
     private final FinishedStarts finished = FinishedStarts.none();
+    private final Deque<UpstreamHeartbeat> held = new ArrayDeque<>();
+    private boolean recovered;
     private UpstreamHeartbeat current;
     private boolean present;
+    private boolean departureRecorded;
     private long lastHeartbeatNanos;
     private long heartbeats;
 
-    private UpstreamMonitor(TimerService timers, long silentNanos, Listener listener) {
+    private UpstreamMonitor(TimerService timers, long silentNanos, DepartureKeeper departures, Listener listener) {
         this.timers = timers;
         this.silentNanos = silentNanos;
+        this.departures = departures;
         this.listener = listener;
     }
 
     /**
-     * Starts a monitor.
+     * Starts a monitor whose knowledge ends with the process.
      *
      * @param timers the clock and timers
      * @param silentNanos after how long without a heartbeat the upstream counts as gone, in nanoseconds
@@ -37,7 +58,22 @@
      * @return the monitor
      */
     public static UpstreamMonitor start(TimerService timers, long silentNanos, Listener listener) {
-        UpstreamMonitor monitor = new UpstreamMonitor(timers, silentNanos, listener);
+        return start(timers, silentNanos, DepartureKeeper.none(), listener);
+    }
+
+    /**
+     * Starts a monitor.
+     *
+     * @param timers the clock and timers
+     * @param silentNanos after how long without a heartbeat the upstream counts as gone, in nanoseconds
+     * @param departures keeps the departures of the upstream beyond the process
+     * @param listener handles the changes
+     * @return the monitor
+     */
+    public static UpstreamMonitor start(
+            TimerService timers, long silentNanos, DepartureKeeper departures, Listener listener) {
+        UpstreamMonitor monitor = new UpstreamMonitor(timers, silentNanos, departures, listener);
+        departures.onRecovered(known -> monitor.serial.run(() -> monitor.recover(known)));
         timers.every(silentNanos / 2, () -> monitor.serial.run(monitor::checkSilence));
         return monitor;
     }
@@ -48,7 +84,30 @@
      * @param heartbeat the heartbeat
      */
     public void heartbeat(UpstreamHeartbeat heartbeat) {
-        serial.run(() -> handle(heartbeat));
+        heartbeat(heartbeat, accepted -> {});
+    }
+
+    /**
+     * Handles a heartbeat. One that reports that the upstream is leaving is acknowledged once that outlives this
+     * process.
+     *
+     * @param heartbeat the heartbeat
+     * @param acknowledgement called once: with true if the upstream can rely on the heartbeat, with false if it should
+     *     send it again
+     */
+    public void heartbeat(UpstreamHeartbeat heartbeat, Consumer<Boolean> acknowledgement) {
+        serial.run(() -> {
+            if (recovered || heartbeat.leaving()) {
+                handle(heartbeat);
+            } else {
+                hold(heartbeat);
+            }
+            if (heartbeat.leaving()) {
+                departures.whenSafe(acknowledgement);
+            } else {
+                acknowledgement.accept(true);
+            }
+        });
     }
 
     /**
@@ -59,7 +118,23 @@
      * @param announcement how the upstream announced it
      */
     public void shutdownAnnounced(UpstreamStart gone, LeavingAnnouncement announcement) {
-        serial.run(() -> finish(gone, announcement));
+        shutdownAnnounced(gone, announcement, accepted -> {});
+    }
+
+    /**
+     * Handles the shutdown notice of an upstream, and acknowledges it once it outlives this process.
+     *
+     * @param gone the start that is over; without a start time, the newest known under the id
+     * @param announcement how the upstream announced it
+     * @param acknowledgement called once: with true if the upstream can rely on the notice, with false if it should
+     *     send it again
+     */
+    public void shutdownAnnounced(
+            UpstreamStart gone, LeavingAnnouncement announcement, Consumer<Boolean> acknowledgement) {
+        serial.run(() -> {
+            finish(gone, announcement);
+            departures.whenSafe(acknowledgement);
+        });
     }
 
     /**
@@ -86,6 +161,31 @@
         return Optional.ofNullable(current);
     }
 
+    /** Keeps a heartbeat until the departures of earlier processes are known; it may be one of them. */
+    private void hold(UpstreamHeartbeat heartbeat) {
+        if (held.size() == MAX_HELD) {
+            held.removeFirst();
+        }
+        held.addLast(heartbeat);
+    }
+
+    private void recover(List<DepartedStart> known) {
+        long now = timers.nanos();
+        for (DepartedStart departed : known) {
+            long leftNanos = silentNanos - (timers.wallMillis() - departed.announcedMillis()) * NANOS_PER_MILLI;
+            // Bounded, as the wall clock may have been set since.
+            finished.restore(departed, now + Math.clamp(leftNanos, 0, silentNanos));
+        }
+        recovered = true;
+        held.forEach(this::handle);
+        held.clear();
+        if (present && finished.covers(current, now)) {
+            present = false;
+            departureRecorded = true;
+            listener.leaving(current, LeavingAnnouncement.EARLIER);
+        }
+    }
+
     private void handle(UpstreamHeartbeat heartbeat) {
         if (late(heartbeat)) {
             listener.late(heartbeat);
@@ -101,6 +201,13 @@
         heartbeats = known ? heartbeats + 1 : 1;
         current = heartbeat;
         present = !heartbeat.leaving();
+        if (present || !known) {
+            departureRecorded = false;
+        }
+        if (!present && !departureRecorded) {
+            departureRecorded = true;
+            departures.record(new DepartedStart(heartbeat.start(), heartbeat.sequence(), timers.wallMillis()));
+        }
         if (present && !(known && working)) {
             listener.arrived(heartbeat, heartbeats);
         } else if (working && !present) {
@@ -111,7 +218,7 @@
     }
 
     private boolean late(UpstreamHeartbeat heartbeat) {
-        if (finished.covers(heartbeat.start(), timers.nanos())) {
+        if (finished.covers(heartbeat, timers.nanos())) {
             return true;
         }
         if (current == null) {
@@ -141,6 +248,11 @@
         }
         finished.finish(current.start());
         finished.finish(gone);
+        boolean laterStart = current.start().startedBefore(gone);
+        if (!departureRecorded || laterStart) {
+            departureRecorded = true;
+            record(laterStart ? gone : current.start());
+        }
         if (present) {
             present = false;
             listener.leaving(current, announcement);
@@ -150,11 +262,16 @@
     private void finishOther(UpstreamStart gone) {
         if (gone.startedMillis().isPresent()) {
             finished.finish(gone);
-        } else {
-            finished.finishWithoutHeartbeat(gone.id(), timers.nanos() + silentNanos);
+            record(gone);
+        } else if (finished.finishWithoutHeartbeat(gone.id(), timers.nanos() + silentNanos)) {
+            record(gone);
         }
     }
 
+    private void record(UpstreamStart gone) {
+        departures.record(new DepartedStart(gone, DepartedStart.FINAL, timers.wallMillis()));
+    }
+
     private boolean silent() {
         return timers.nanos() - lastHeartbeatNanos > silentNanos;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamStart.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/departure/UpstreamStart.java
@@ -1,4 +1,4 @@
-package org.verbenadyke.kernel.core;
+package org.verbenadyke.kernel.departure;
 
 import java.util.OptionalLong;
 
@@ -27,7 +27,7 @@
      * @param other the other start
      * @return whether this one is known to be older
      */
-    boolean startedBefore(UpstreamStart other) {
+    public boolean startedBefore(UpstreamStart other) {
         return startedMillis.isPresent()
                 && other.startedMillis.isPresent()
                 && startedMillis.getAsLong() < other.startedMillis.getAsLong();
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/Gossip.java
@@ -8,6 +8,7 @@
 
 import org.verbenadyke.kernel.concurrent.SerialExecutor;
 import org.verbenadyke.kernel.config.ConfigState;
+import org.verbenadyke.kernel.departure.DepartureTable;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.quarantine.Quarantine;
@@ -27,7 +28,7 @@
     private final TimerService timers;
     private final DatagramPort port;
     private final Counters counters;
-    private final Listener listener;
+    private final GossipListener listener;
     private final PeerSelector peers;
     private final MemberTable table;
     private final FailureDetector detector;
@@ -35,13 +36,14 @@
     private final SerialExecutor serial = SerialExecutor.create();
     private final RumorQueue rumors;
     private final CrashGossip crashGossip;
+    private final DepartureGossip departureGossip;
     private final Set<Endpoint> seeds = new HashSet<>();
     private boolean pushScheduled;
     private volatile long lastReceivedNanos;
     private volatile boolean receivedAny;
     private volatile boolean stopped;
 
-    private Gossip(Parts parts, GossipSettings settings, MemberRecord start, Listener listener) {
+    private Gossip(Parts parts, GossipSettings settings, MemberRecord start, GossipListener listener) {
         this.settings = settings;
         this.timers = parts.timers();
         this.port = parts.port();
@@ -54,6 +56,7 @@
         this.antiEntropy = new AntiEntropy(start.nodeId(), timers, table, this::send);
         this.rumors = new RumorQueue(table);
         this.crashGossip = new CrashGossip(start.nodeId(), parts, settings, serial, peers, this::send);
+        this.departureGossip = new DepartureGossip(start.nodeId(), parts, settings, serial, peers, this::send);
         this.lastReceivedNanos = timers.nanos();
     }
 
@@ -68,10 +71,11 @@
      * @return the gossip
      */
     public static Gossip start(
-            Parts parts, GossipSettings settings, MemberRecord start, List<Endpoint> seeds, Listener listener) {
+            Parts parts, GossipSettings settings, MemberRecord start, List<Endpoint> seeds, GossipListener listener) {
         Gossip gossip = new Gossip(parts, settings, start, listener);
         gossip.seeds.addAll(seeds);
         gossip.crashGossip.start();
+        gossip.departureGossip.start();
         gossip.serial.run(() -> gossip.learn(start));
         long jitter = parts.random().nextLong(settings.roundNanos());
         parts.timers().after(jitter, () -> parts.timers().every(settings.roundNanos(), gossip::round));
@@ -138,6 +142,15 @@
         serial.run(() -> learn(record));
     }
 
+    /**
+     * Returns what spreads the departures of upstreams.
+     *
+     * @return the gossip of departures
+     */
+    public DepartureGossip departures() {
+        return departureGossip;
+    }
+
     /** Informs some other nodes at once that this one has new routes. */
     public void pushPlan() {
         serial.run(this::push);
@@ -171,6 +184,7 @@
     }
 
     private void handle(Endpoint from, GossipMessage message) {
+        departureGossip.heardFrom(from);
         switch (message) {
             case GossipMessage.Rumor m -> {
                 m.updates().forEach(this::learn);
@@ -191,6 +205,8 @@
             case GossipMessage.ProbeAck m -> detector.answered(m.ticket());
             case GossipMessage.Buckets m -> antiEntropy.sendDifferences(from, m);
             case GossipMessage.CrashReports m -> crashGossip.receive(m);
+            case GossipMessage.Departures m -> departureGossip.receive(from, m);
+            case GossipMessage.DeparturesAck m -> departureGossip.receive(m);
             case GossipMessage.Records m -> m.records().forEach(this::learn);
             case GossipMessage.ConfigRequest m ->
                 listener.config().ifPresent(s -> send(from, new GossipMessage.ConfigUpdate(s)));
@@ -202,6 +218,7 @@
         serial.run(() -> {
             table.expire(timers.nanos(), timers.wallMillis(), settings.retentionNanos());
             crashGossip.sweep();
+            departureGossip.sweep();
             List<MemberRecord> present = table.present();
             List<MemberRecord> drawn = peers.draw(present, 1);
             drawn.forEach(detector::check);
@@ -260,7 +277,8 @@
                 listener.config().map(ConfigState::version).orElse(-1L),
                 listener.planVersion(),
                 listener.planAgeMillis(),
-                crashGossip.fingerprint());
+                crashGossip.fingerprint(),
+                departureGossip.fingerprint());
     }
 
     private void compare(Endpoint from, GossipMessage.Summary theirs) {
@@ -273,6 +291,7 @@
         }
         antiEntropy.compareDigest(from, theirs.digest());
         crashGossip.compareFingerprint(from, theirs.crashesFingerprint());
+        departureGossip.compareFingerprint(from, theirs.departuresFingerprint());
     }
 
     private void send(Endpoint to, GossipMessage message) {
@@ -316,6 +335,7 @@
      * @param counters counts messages
      * @param table the members
      * @param quarantine the requests that were in flight at crashes of upstreams
+     * @param departures the departed starts of upstreams
      */
     public record Parts(
             TimerService timers,
@@ -323,71 +343,6 @@
             RandomGenerator random,
             Counters counters,
             MemberTable table,
-            Quarantine quarantine) {}
-
-    /**
-     * Handles updates that gossip received.
-     */
-    public interface Listener {
-        /** Called when some member changed. */
-        void membersChanged();
-
-        /**
-         * Called when others had declared this node dead.
-         *
-         * @param renewed the record by which the node refuted that
-         */
-        void declaredDead(MemberRecord renewed);
-
-        /**
-         * Called when a record was new.
-         *
-         * @param record the record
-         */
-        void learned(MemberRecord record);
-
-        /**
-         * Returns the version of the routes in force.
-         *
-         * @return the version, -1 if none is known
-         */
-        long planVersion();
-
-        /**
-         * Called when another node has newer routes.
-         *
-         * @param node where the other node listens
-         * @param version the version of its routes
-         */
-        void newerPlanFound(Endpoint node, long version);
-
-        /**
-         * Returns how long ago the routes in force were known to be complete.
-         *
-         * @return the age, in milliseconds
-         */
-        int planAgeMillis();
-
-        /**
-         * Called when another node told how long ago its routes were known to be complete.
-         *
-         * @param planVersion the version of the routes of that node, -1 if it has none
-         * @param ageMillis the age, in milliseconds
-         */
-        void planAgeReceived(long planVersion, int ageMillis);
-
-        /**
-         * Returns the configuration to send to others.
-         *
-         * @return the configuration, if one is known
-         */
-        Optional<ConfigState> config();
-
-        /**
-         * Called when a configuration of another node was received.
-         *
-         * @param state the configuration and its position on the log
-         */
-        void configReceived(ConfigState state);
-    }
+            Quarantine quarantine,
+            DepartureTable departures) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/membership/GossipMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.verbenadyke.kernel.config.ConfigState;
+import org.verbenadyke.kernel.departure.NodeDepartures;
 import org.verbenadyke.kernel.quarantine.CrashReport;
 import org.verbenadyke.kernel.routing.Endpoint;
 
@@ -85,6 +86,26 @@
      */
     record CrashReports(String from, List<CrashReport> reports) implements GossipMessage {}
 
+    /**
+     * Carries departed starts of upstreams.
+     *
+     * @param from the sender's name
+     * @param ticket identifies the message; 0 if no answer is requested
+     * @param departures the departures of each node, or of some
+     */
+    record Departures(String from, long ticket, List<NodeDepartures> departures) implements GossipMessage {}
+
+    /**
+     * Confirms {@link Departures}, and tells what the sender knows of the receiver's departures.
+     *
+     * @param from the sender's name
+     * @param ticket the ticket of the confirmed message
+     * @param recovered whether the sender knows what the nodes knew before its own start
+     * @param departures the receiver's departures
+     */
+    record DeparturesAck(String from, long ticket, boolean recovered, List<NodeDepartures> departures)
+            implements GossipMessage {}
+
     /**
      * A summary of what a node knows, used to detect differences.
      *
@@ -93,6 +114,13 @@
      * @param planVersion the version of the node's routes, -1 if it has none
      * @param planAgeMillis how long ago these routes were known to be complete, in milliseconds
      * @param crashesFingerprint a hash of the crashes known to the node
+     * @param departuresFingerprint a hash of the departures known to the node, 0 if it knows none
      */
-    record Summary(long digest, long configVersion, long planVersion, int planAgeMillis, long crashesFingerprint) {}
+    record Summary(
+            long digest,
+            long configVersion,
+            long planVersion,
+            int planAgeMillis,
+            long crashesFingerprint,
+            long departuresFingerprint) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -68,6 +68,10 @@
     UPSTREAM_LEAVING,
     /** A heartbeat of the colocated upstream was ignored: it arrived too late, or its start is over. */
     HEARTBEAT_LATE,
+    /** The colocated upstream announced its shutdown, and this is being recorded outside this process. */
+    DEPARTURE_RECORDED,
+    /** An announced shutdown was not acknowledged, as neither the log nor enough other nodes have it yet. */
+    DEPARTURE_UNCONFIRMED,
     /** A request was raised to the importance of more important repeatable ones. */
     IMPORTANCE_RAISED,
     /** A request was ranked below others of its importance, as surplus of its team. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
@@ -9,6 +9,7 @@
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.departure.NodeDepartures;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.ledger.Ledger;
@@ -33,6 +34,7 @@
 final class MemberLogTest {
     private static final String UNREADABLE = "unreadable";
     private static final QuarantinedRequest QUARANTINED = new QuarantinedRequest(new RequestDigest(1, 2, 3), List.of());
+    private static final NodeDepartures DEPARTED = NodeDepartures.none("gone");
     private static final long HOUR_NANOS = 3_600_000_000_000L;
     private static final long SECOND_NANOS = 1_000_000_000L;
 
@@ -63,6 +65,19 @@
         assertEquals(2, counters.events(Event.RECORD_SKIPPED));
     }
 
+    @Test
+    void restoresDeparturesStoredAmongTheMembers() {
+        log.page(
+                record("a", "a"),
+                record(DEPARTED.key(), DEPARTED.key()),
+                record("departed-other", DEPARTED.key()),
+                record("b", "b"));
+        start();
+        assertEquals(List.of("a", DEPARTED.key(), "b"), learned);
+        assertEquals(1, counters.events(Event.RECORD_SKIPPED));
+        assertEquals(1, node.completeReads);
+    }
+
     @Test
     void restoresQuarantinedRequestsStoredAmongTheMembers() {
         log.page(
@@ -213,6 +228,7 @@
                 log,
                 new NameCodec(),
                 new QuarantineKeyCodec(),
+                new DepartureKeyCodec(),
                 null,
                 () -> new SplittableRandom(1),
                 RoutePlanStore.disabled(),
@@ -274,6 +290,7 @@
         private boolean receivedAny;
         private boolean follower;
         private int registrations;
+        private int completeReads;
 
         @Override
         public MemberRecord self() {
@@ -290,6 +307,16 @@
             learned.add(quarantined.key());
         }
 
+        @Override
+        public void restore(NodeDepartures departures) {
+            learned.add(departures.key());
+        }
+
+        @Override
+        public void readComplete() {
+            completeReads++;
+        }
+
         @Override
         public boolean receivedAny() {
             return receivedAny;
@@ -323,6 +350,23 @@
         }
     }
 
+    /** Encodes departures as their key. */
+    private static final class DepartureKeyCodec implements RecordCodec<NodeDepartures> {
+        @Override
+        public byte[] encode(NodeDepartures record) {
+            return bytes(record.key());
+        }
+
+        @Override
+        public NodeDepartures decode(byte[] bytes) {
+            String name = new String(bytes, StandardCharsets.UTF_8);
+            if (!name.equals(DEPARTED.key())) {
+                throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, name);
+            }
+            return DEPARTED;
+        }
+    }
+
     /** Encodes a member as its name. */
     private static final class NameCodec implements RecordCodec<MemberRecord> {
         @Override
@@ -333,7 +377,7 @@
         @Override
         public MemberRecord decode(byte[] bytes) {
             String name = new String(bytes, StandardCharsets.UTF_8);
-            if (name.equals(UNREADABLE) || name.equals(QUARANTINED.key())) {
+            if (name.equals(UNREADABLE) || name.equals(QUARANTINED.key()) || name.equals(DEPARTED.key())) {
                 throw VerbenadykeException.of(ErrorCode.FRAME_MALFORMED, name);
             }
             return member(name);
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/NodeCoreStartTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/NodeCoreStartTest.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.config.ConfigEntry;
+import org.verbenadyke.kernel.departure.NodeDepartures;
 import org.verbenadyke.kernel.engine.Policy;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.log.LogService;
@@ -46,6 +47,7 @@
                         new NoLog(),
                         new NoCodec<MemberRecord>(),
                         new NoCodec<QuarantinedRequest>(),
+                        new NoCodec<NodeDepartures>(),
                         new NoCodec<ConfigEntry>(),
                         () -> new SplittableRandom(1),
                         RoutePlanStore.disabled(),
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
@@ -3,8 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.departure.DepartedStart;
+import org.verbenadyke.kernel.departure.DepartureKeeper;
+import org.verbenadyke.kernel.departure.UpstreamStart;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.time.VirtualTimerService;
 
@@ -16,6 +20,8 @@
 
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final List<String> events = new ArrayList<>();
+    private final List<Boolean> acknowledged = new ArrayList<>();
+    private final HeldKeeper keeper = new HeldKeeper();
     private final UpstreamMonitor monitor = UpstreamMonitor.start(clock, SILENT_NANOS, new EventRecorder());
 
     @Test
@@ -179,6 +185,64 @@
         assertEquals(List.of("arrived a@100"), events);
     }
 
+    @Test
+    void givesNoWorkBeforeEarlierDeparturesAreKnown() {
+        UpstreamMonitor restarted = restart();
+        restarted.heartbeat(heartbeat("a", 100, 4, false));
+        restarted.heartbeat(heartbeat("b", 200, 1, false));
+        assertEquals(List.of(), events);
+        keeper.recover(new DepartedStart(start("a", 100), DepartedStart.FINAL, 0));
+        assertEquals(List.of("late a@100", "arrived b@200"), events);
+    }
+
+    @Test
+    void ignoresAReportOlderThanTheLeavingThatAnEarlierProcessAcknowledged() {
+        UpstreamMonitor restarted = restart();
+        keeper.recover(new DepartedStart(start("a", 100), 7, 0));
+        restarted.heartbeat(heartbeat("a", 100, 6, false));
+        restarted.heartbeat(heartbeat("a", 100, 8, true));
+        restarted.heartbeat(heartbeat("a", 200, 1, false));
+        assertEquals(List.of("late a@100", "arrived a@200"), events);
+    }
+
+    @Test
+    void takesWorkFromAnUpstreamOfWhichOthersLearnedMoreLater() {
+        UpstreamMonitor restarted = restart();
+        keeper.recover();
+        restarted.heartbeat(heartbeat("a", 100, 4, false));
+        keeper.recover(new DepartedStart(start("a", 100), 5, 0));
+        restarted.heartbeat(heartbeat("a", 100, 5, false));
+        assertEquals(List.of("arrived a@100", "leaving a@100", "late a@100"), events);
+    }
+
+    /** The id was known to have departed before; the start that deregisters now was not. */
+    @Test
+    void ignoresALateReportOfAStartThatDeregisteredUnheard() {
+        UpstreamMonitor restarted = restart();
+        keeper.recover(new DepartedStart(start("a", 100), DepartedStart.FINAL, 0));
+        restarted.shutdownAnnounced(start("a"), LeavingAnnouncement.DEREGISTRATION);
+        restarted.heartbeat(heartbeat("a", 200, 1, false));
+        assertEquals(List.of("late a@200"), events);
+    }
+
+    @Test
+    void recordsEachDepartureOnceAndAcknowledgesItWhenItIsSafe() {
+        UpstreamMonitor recorded = restart();
+        keeper.recover();
+        recorded.heartbeat(heartbeat("a", 100, 1, false), acknowledged::add);
+        recorded.heartbeat(heartbeat("a", 100, 2, true), acknowledged::add);
+        assertEquals(List.of(true), acknowledged);
+        recorded.heartbeat(heartbeat("a", 100, 3, true), acknowledged::add);
+        recorded.shutdownAnnounced(start("a", 100), LeavingAnnouncement.DEREGISTRATION, acknowledged::add);
+        assertEquals(List.of(new DepartedStart(start("a", 100), 2, 0)), keeper.recorded);
+        keeper.waiting.forEach(w -> w.accept(false));
+        assertEquals(List.of(true, false, false, false), acknowledged);
+    }
+
+    private UpstreamMonitor restart() {
+        return UpstreamMonitor.start(clock, SILENT_NANOS, keeper, new EventRecorder());
+    }
+
     private static UpstreamStart start(String id) {
         return new UpstreamStart(id, OptionalLong.empty());
     }
@@ -199,6 +263,32 @@
         return new UpstreamHeartbeat(start, "s", new Endpoint("127.0.0.1", 80), 4, leaving, 0, sequence);
     }
 
+    /** Keeps departures until the test decides whether they are safe. */
+    private static final class HeldKeeper implements DepartureKeeper {
+        private final List<DepartedStart> recorded = new ArrayList<>();
+        private final List<Consumer<Boolean>> waiting = new ArrayList<>();
+        private Consumer<List<DepartedStart>> listener;
+
+        private void recover(DepartedStart... known) {
+            listener.accept(List.of(known));
+        }
+
+        @Override
+        public void record(DepartedStart departed) {
+            recorded.add(departed);
+        }
+
+        @Override
+        public void whenSafe(Consumer<Boolean> callback) {
+            waiting.add(callback);
+        }
+
+        @Override
+        public void onRecovered(Consumer<List<DepartedStart>> newListener) {
+            listener = newListener;
+        }
+    }
+
     /** Records the events as text. */
     private final class EventRecorder implements UpstreamMonitor.Listener {
         @Override
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -36,6 +36,7 @@
 import org.verbenadyke.node.transport.UdpPort;
 import org.verbenadyke.wire.ConfigCodec;
 import org.verbenadyke.wire.MemberCodec;
+import org.verbenadyke.wire.NodeDeparturesCodec;
 import org.verbenadyke.wire.QuarantinedRequestCodec;
 
 import io.servicetalk.http.api.HttpExecutionStrategies;
@@ -101,6 +102,7 @@
                 log,
                 MemberCodec.create(),
                 QuarantinedRequestCodec.create(),
+                NodeDeparturesCodec.create(),
                 ConfigCodec.create(),
                 ThreadLocalRandom::current,
                 RoutePlanStore.disabled(),
--- a/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/GossipCodec.java
@@ -29,6 +29,8 @@
     private static final byte CONFIG_REQUEST = 6;
     private static final byte CONFIG_UPDATE = 7;
     private static final byte CRASH_REPORTS = 8;
+    private static final byte DEPARTURES = 9;
+    private static final byte DEPARTURES_ACK = 10;
 
     private GossipCodec() {}
 
@@ -112,6 +114,15 @@
                 p.packByte(CRASH_REPORTS).packString(m.from());
                 CrashReportCodec.pack(p, m.reports());
             }
+            case GossipMessage.Departures m -> {
+                p.packByte(DEPARTURES).packString(m.from()).packLong(m.ticket());
+                NodeDeparturesCodec.packAll(p, m.departures());
+            }
+            case GossipMessage.DeparturesAck m -> {
+                p.packByte(DEPARTURES_ACK).packString(m.from()).packLong(m.ticket());
+                p.packBoolean(m.recovered());
+                NodeDeparturesCodec.packAll(p, m.departures());
+            }
         }
     }
 
@@ -128,6 +139,11 @@
             case RECORDS -> new GossipMessage.Records(records.unpack(u));
             case CONFIG_REQUEST -> new GossipMessage.ConfigRequest(u.unpackString());
             case CRASH_REPORTS -> new GossipMessage.CrashReports(u.unpackString(), CrashReportCodec.unpack(u));
+            case DEPARTURES ->
+                new GossipMessage.Departures(u.unpackString(), u.unpackLong(), NodeDeparturesCodec.unpackAll(u));
+            case DEPARTURES_ACK ->
+                new GossipMessage.DeparturesAck(
+                        u.unpackString(), u.unpackLong(), u.unpackBoolean(), NodeDeparturesCodec.unpackAll(u));
             case CONFIG_UPDATE -> new GossipMessage.ConfigUpdate(ConfigCodec.unpackState(u));
             default -> throw VerbenadykeException.of(ErrorCode.RECORD_UNREADABLE, "datagram of type " + kind);
         };
@@ -136,10 +152,12 @@
     private static void packSummary(MessagePacker p, GossipMessage.Summary summary) throws IOException {
         p.packLong(summary.digest()).packLong(summary.configVersion()).packLong(summary.planVersion());
         p.packInt(summary.planAgeMillis()).packLong(summary.crashesFingerprint());
+        p.packLong(summary.departuresFingerprint());
     }
 
     private static GossipMessage.Summary unpackSummary(MessageUnpacker u) throws IOException {
-        return new GossipMessage.Summary(u.unpackLong(), u.unpackLong(), u.unpackLong(), u.unpackInt(), u.unpackLong());
+        return new GossipMessage.Summary(
+                u.unpackLong(), u.unpackLong(), u.unpackLong(), u.unpackInt(), u.unpackLong(), u.unpackLong());
     }
 
     private static void packEndpoint(MessagePacker p, Endpoint endpoint) throws IOException {
--- a/wire/src/test/java/org/verbenadyke/wire/GossipCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/GossipCodecTest.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 
 import org.junit.jupiter.api.Test;
@@ -11,6 +12,9 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.verbenadyke.kernel.departure.DepartedStart;
+import org.verbenadyke.kernel.departure.NodeDepartures;
+import org.verbenadyke.kernel.departure.UpstreamStart;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.membership.GossipMessage;
 import org.verbenadyke.kernel.membership.MemberRecord;
@@ -28,6 +32,11 @@
 /** Tests {@link GossipCodec} and {@link MemberCodec}, mainly with invalid records. */
 final class GossipCodecTest {
     private static final byte RECORDS = 5;
+    private static final NodeDepartures DEPARTED = new NodeDepartures(
+            "n",
+            List.of(
+                    new DepartedStart(new UpstreamStart("a", OptionalLong.of(100)), DepartedStart.FINAL, 5),
+                    new DepartedStart(new UpstreamStart("b", OptionalLong.empty()), 7, 4)));
     private static final int SEED = 42;
     private static final int TRIES = 5_000;
 
@@ -53,7 +62,7 @@
     @Test
     void decodesAllValidRecords() {
         GossipMessage.Rumor rumor = new GossipMessage.Rumor(
-                "n", 7, new GossipMessage.Summary(1, 2, 3, 4, 5), List.of(member("a"), member("b"), member("c")));
+                "n", 7, new GossipMessage.Summary(1, 2, 3, 4, 5, 6), List.of(member("a"), member("b"), member("c")));
         assertEquals(rumor, GossipCodec.decode(GossipCodec.encode(rumor)));
         assertEquals(
                 member("a"), MemberCodec.create().decode(MemberCodec.create().encode(member("a"))));
@@ -74,6 +83,28 @@
         assertThrows(VerbenadykeException.class, () -> GossipCodec.decode(bytes));
     }
 
+    @Test
+    void decodesDepartures() {
+        List<NodeDepartures> departures = List.of(DEPARTED, NodeDepartures.none("m"));
+        GossipMessage.Departures told = new GossipMessage.Departures("n", 7, departures);
+        assertEquals(told, GossipCodec.decode(GossipCodec.encode(told)));
+        GossipMessage.DeparturesAck ack = new GossipMessage.DeparturesAck("n", 7, true, departures);
+        assertEquals(ack, GossipCodec.decode(GossipCodec.encode(ack)));
+    }
+
+    @Test
+    void distinguishesDeparturesFromOtherRecordsOnTheLog() {
+        byte[] bytes = NodeDeparturesCodec.create().encode(DEPARTED);
+        assertEquals(DEPARTED, NodeDeparturesCodec.create().decode(bytes));
+        assertThrows(VerbenadykeException.class, () -> MemberCodec.create().decode(bytes));
+        assertThrows(
+                VerbenadykeException.class,
+                () -> QuarantinedRequestCodec.create().decode(bytes));
+        byte[] member = MemberCodec.create().encode(member("a"));
+        assertThrows(
+                VerbenadykeException.class, () -> NodeDeparturesCodec.create().decode(member));
+    }
+
     @Test
     void distinguishesQuarantinedRequestsFromMembersOnTheLog() {
         QuarantinedRequest quarantined = new QuarantinedRequest(
