Decide at the hand-over whether a leaving upstream gets a call

A call that waited for its idempotency key while its upstream began to leave was handed over: the drain empties the gate's queue, and the call wasn't in it yet. Found by reading, for the question which single point decides; only calls that had waited behind a suspect were checked again. The check right before the hand-over, which each call passes, now refuses it as not run. It also takes the checks of deadline and time to live from IncomingCall, and its name is wider.

HandOverCheckTest failed before (the call was handed over) and passes.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/QuarantineCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.serve;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.call.Refusal;
@@ -8,18 +9,19 @@
 import org.verbenadyke.kernel.quarantine.QuarantineStatus;
 
 /**
- * Decides for one received call whether it may be handed to the upstream, based on the known crashes of upstreams with
- * the same request in flight. Runs right before the hand-over, so that no call bypasses the check: a first attempt, a
- * retry, a non-idempotent call, or a call that waited while upstreams crashed elsewhere.
+ * Decides for one received call whether it may be handed to the upstream: not past its deadline or its time to live,
+ * not once the upstream is leaving, and only as the known crashes of upstreams with the same request in flight allow.
+ * Runs right before the hand-over, so that no call bypasses the check: a first attempt, a retry, a non-idempotent call,
+ * or a call that waited at the gate, for its key, or behind a suspect.
  */
-final class QuarantineCheck {
+final class HandOverCheck {
     private final CallServer server;
     private final LocalUpstream local;
     private final SuspectQueue.SuspectedCall suspect;
     private Message.Call call;
     private boolean suspected;
 
-    QuarantineCheck(CallServer server, LocalUpstream local, Message.Call call, SuspectQueue.SuspectedCall suspect) {
+    HandOverCheck(CallServer server, LocalUpstream local, Message.Call call, SuspectQueue.SuspectedCall suspect) {
         this.server = server;
         this.local = local;
         this.call = call;
@@ -27,10 +29,10 @@
     }
 
     /** Returns whether the call must not be handed over now. Such a call is refused, or resumed later. */
-    boolean blocks(Consumer<Refusal> refuse) {
-        if (suspected && local.draining()) {
-            // Draining flushed the gate's queue, but the call waited in the suspect queue.
-            refuse.accept(server.notRun(RefusalReason.DRAINING));
+    boolean blocks(CallTimes times, Consumer<Refusal> refuse) {
+        Optional<RefusalReason> reason = refusalReason(times);
+        if (reason.isPresent()) {
+            refuse.accept(server.notRun(reason.get()));
             return true;
         }
         return switch (server.parts().quarantine().statusAtUpstream(call.content())) {
@@ -46,6 +48,16 @@
         };
     }
 
+    private Optional<RefusalReason> refusalReason(CallTimes times) {
+        if (times.handedOver() >= times.deadline()) {
+            return Optional.of(RefusalReason.DEADLINE);
+        }
+        if (times.isStale()) {
+            return Optional.of(RefusalReason.FENCED);
+        }
+        return local.draining() ? Optional.of(RefusalReason.DRAINING) : Optional.empty();
+    }
+
     /** Called when the call has ended, whatever the outcome. */
     void finished() {
         call = call.withoutBody();
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -32,7 +32,7 @@
     private final SerialExecutor serial = SerialExecutor.create();
     private final CallTimes times;
     private final AnswerWriter answer;
-    private final QuarantineCheck quarantineCheck;
+    private final HandOverCheck handOverCheck;
     private volatile Message.Call call;
     private volatile Link link;
     private volatile Phase phase = Phase.WAITING;
@@ -53,7 +53,7 @@
         this.link = link;
         this.memory = memory;
         this.times = CallTimes.receivedNow(call.withoutBody(), server.parts().timers(), server.settings());
-        this.quarantineCheck = new QuarantineCheck(server, local, call, this);
+        this.handOverCheck = new HandOverCheck(server, local, call, this);
         this.answer = new AnswerWriter(call.id(), server.settings(), !call.idempotent());
     }
 
@@ -277,7 +277,7 @@
 
     private void handOver() {
         times.recordHandOver();
-        if (phase != Phase.WAITING || refusedOrDelayed()) {
+        if (phase != Phase.WAITING || handOverCheck.blocks(times, this::refuseNow)) {
             local.gate().releaseUnused(times.handedOver(), call.depth());
             return;
         }
@@ -287,18 +287,6 @@
         exchange = local.port().start(server.handOver(call, context, times.deadline() - times.handedOver()), this);
     }
 
-    /**
-     * Refuses the call if it is too late, or leaves it waiting if it must not run concurrently with another suspect.
-     */
-    private boolean refusedOrDelayed() {
-        boolean late = times.handedOver() >= times.deadline();
-        if (late || times.isStale()) {
-            refuseNotRun(late ? RefusalReason.DEADLINE : RefusalReason.FENCED);
-            return true;
-        }
-        return quarantineCheck.blocks(this::refuseNow);
-    }
-
     @Override
     public void resume() {
         serial.run(() -> {
@@ -384,7 +372,7 @@
     private void complete() {
         finishedNanos = times.recordEnd();
         timer.cancel();
-        quarantineCheck.finished();
+        handOverCheck.finished();
         call = call.withoutBody();
         exchange = null;
         memory.release();
--- /dev/null
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/HandOverCheckTest.java
@@ -0,0 +1,93 @@
+package org.verbenadyke.kernel.serve;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.admission.FixedLimit;
+import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.admission.GateSettings;
+import org.verbenadyke.kernel.body.BodyMemory;
+import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.Importance;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.ledger.Ledger;
+import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.RecordingLink;
+import org.verbenadyke.kernel.metrics.Counters;
+import org.verbenadyke.kernel.once.KeyTable;
+import org.verbenadyke.kernel.quarantine.Quarantine;
+import org.verbenadyke.kernel.routing.ServiceLevels;
+import org.verbenadyke.kernel.time.VirtualTimerService;
+import org.verbenadyke.kernel.trace.DecisionLog;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Tests {@link HandOverCheck}. */
+final class HandOverCheckTest {
+    private static final long TTL_MICROS = 1_000_000L;
+    private static final long ONE_MILLI_NANOS = 1_000_000L;
+    private static final long BODY_BYTES = 1024;
+
+    private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
+    private final List<UpstreamPort.Listener> handed = new ArrayList<>();
+    private final List<Runnable> claims = new ArrayList<>();
+    private final RecordingLink link = new RecordingLink();
+    private final CallServer server = CallServer.create(
+            new CallServer.Parts(
+                    1,
+                    clock,
+                    () -> new SplittableRandom(1),
+                    Counters.create(),
+                    Ledger.disabled(),
+                    ServiceLevels.empty(),
+                    (local, key, fingerprint, callback) ->
+                            claims.add(() -> KeyClaims.unshared().claim(local, key, fingerprint, callback)),
+                    DecisionLog.none(),
+                    Quarantine.standalone(clock),
+                    BodyMemory.of(BODY_BYTES, clock, Optional::empty, () -> new SplittableRandom(1))),
+            ServeSettings.standard());
+    private final LocalUpstream local = LocalUpstream.of(
+            "u1",
+            "s",
+            (handOver, listener) -> {
+                handed.add(listener);
+                return null;
+            },
+            Gate.of(GateSettings.standard(), FixedLimit.of(1)),
+            KeyTable.withRetention(Long.MAX_VALUE / 2),
+            clock);
+
+    /** The gate's queue is emptied when the upstream begins to leave, and the call isn't in it yet. */
+    @Test
+    void refusesACallThatWaitedForItsKeyWhileTheUpstreamBeganToLeave() {
+        clock.advance(ONE_MILLI_NANOS);
+        server.attach(local);
+        server.received(link, keyedCall());
+        local.drain(true);
+        claims.forEach(Runnable::run);
+        assertEquals(List.of(), handed);
+        Message.Refused refused = (Message.Refused) link.sent().getLast();
+        assertEquals(RefusalReason.DRAINING, refused.refusal().reason());
+    }
+
+    private Message.Call keyedCall() {
+        return new Message.Call(
+                new CallId(5, 1),
+                new RequestId(5, 1),
+                new Message.Target("s", "u1"),
+                Importance.NORMAL,
+                0,
+                TTL_MICROS,
+                TTL_MICROS / 2,
+                clock.nanos(),
+                false,
+                "k",
+                Message.Stated.NOTHING,
+                false,
+                new Message.Content("POST", "/p", List.of(), new byte[0]));
+    }
+}
