Keep a stopping node draining when its server reports another start

A node that stops drains, and a server that then reported a new start ended the drain: the node announced itself as accepting and handed over requests until its process was gone. The node's own shutdown and the leaving of its upstream were one flag. Now the shutdown is one of its own and outlives each upstream.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -163,6 +163,11 @@
         lifecycle.drain();
     }
 
+    /** Called when the node begins to stop as planned; no upstream gets work from now on. */
+    public void beginShutdown() {
+        lifecycle.shutDown();
+    }
+
     /** Transfers the keys and announces that the node stops as planned; called when nothing is in flight any more. */
     public void leave() {
         engine.server().upstream().ifPresent(u -> owners.transferKeys(u, duties.takeoverCandidates(u)));
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
@@ -19,6 +19,7 @@
     private final Runnable changed;
     private volatile Optional<SlotLimit> slots = Optional.empty();
     private volatile boolean draining;
+    private volatile boolean shuttingDown;
 
     /** Creates a lifecycle without an upstream; the task runs when an upstream was attached or detached. */
     UpstreamLifecycle(Engine engine, Gossip gossip, Runnable changed) {
@@ -28,13 +29,13 @@
     }
 
     void attach(UpstreamRegistration registration) {
-        draining = false;
+        draining = shuttingDown;
         if (registration.slots().isPresent()) {
             gossip.renew();
         }
-        MemberRecord record = gossip.change(MemberState.ALIVE, registration.service());
+        MemberRecord record = gossip.change(state(), registration.service());
         LocalUpstream local = attach(registration, record.upstreamId());
-        if (local.draining()) {
+        if (draining || local.draining()) {
             drain();
         }
         changed.run();
@@ -42,7 +43,7 @@
 
     void detach() {
         engine.server().detach();
-        gossip.change(draining ? MemberState.DRAINING : MemberState.ALIVE, "");
+        gossip.change(state(), "");
         changed.run();
     }
 
@@ -52,6 +53,12 @@
         gossip.change(MemberState.DRAINING, gossip.self().service());
     }
 
+    /** Drains the node, which stops: an upstream that registers from now on gets no work either. */
+    void shutDown() {
+        shuttingDown = true;
+        drain();
+    }
+
     /** Returns whether the upstream or the node is draining. */
     boolean draining() {
         return draining;
@@ -69,6 +76,10 @@
         engine.server().upstream().ifPresent(LocalUpstream::limitsChanged);
     }
 
+    private MemberState state() {
+        return draining ? MemberState.DRAINING : MemberState.ALIVE;
+    }
+
     private LocalUpstream attach(UpstreamRegistration registration, String id) {
         Runnable onLeaving = registration.onLeaving().orElse(() -> drainIfCurrent(registration));
         Attachment attachment =
