Pass long answers on at the pace of their readers

Cause: one read of the socket yields several parts, and those that nobody had requested were passed on all the same. The count of requested parts fell below zero and stayed there, so that reading went off after each part. Now a part that was not requested waits in its call, the socket is not read while one waits, and an answer ends for its listener once all parts are passed on. The credit is thus exact, and a call holds 64 KB at most beyond it. The first credit is 128 KB in place of 256: what an entry holds for a slow reader halves, and 128 KB every few milliseconds is more than a link carries.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/ServeSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/ServeSettings.java
@@ -22,7 +22,7 @@
     private static final long DEFAULT_TTL_SECONDS = 30;
     private static final long DEFAULT_GRACE_SECONDS = 8;
     private static final long DEFAULT_STALL_SECONDS = 10;
-    private static final int DEFAULT_INITIAL_CREDIT_BYTES = 256 * 1024;
+    private static final int DEFAULT_INITIAL_CREDIT_BYTES = 128 * 1024;
     private static final int DEFAULT_MAX_STORED_BYTES = 64 * 1024;
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
@@ -1,5 +1,7 @@
 package org.verbenadyke.node.http1;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 
 import org.verbenadyke.kernel.call.HeaderField;
@@ -7,6 +9,9 @@
 /**
  * One request sent through a pool and the state of its answer. Confined to its connection's event loop once the request
  * has a connection.
+ *
+ * <p>Once the answer is throttled, its listener gets just the parts that it requests. One read of the socket yields up
+ * to 64 KB, and what was not requested waits here; the socket is not read while anything waits.
  */
 final class ClientCall implements HttpCall {
     private final HttpRequestMessage request;
@@ -14,7 +19,10 @@
     private final AnswerListener listener;
     private volatile ClientConnection connection;
     private volatile boolean finished;
+    private final Deque<byte[]> unrequested = new ArrayDeque<>();
     private boolean throttled;
+    private boolean delivering;
+    private boolean received;
     private int requestedParts;
 
     ClientCall(HttpRequestMessage request, String correlationId, AnswerListener listener) {
@@ -29,9 +37,7 @@
         if (c != null) {
             c.onEventLoop(() -> {
                 requestedParts++;
-                if (!finished && throttled) {
-                    c.setAutoRead(true);
-                }
+                deliver();
             });
         }
     }
@@ -87,16 +93,42 @@
         if (finished) {
             return;
         }
+        if (throttled) {
+            unrequested.add(bytes);
+            deliver();
+            return;
+        }
         listener.data(bytes);
-        if (throttled && --requestedParts <= 0) {
-            connection.setAutoRead(false);
+        if (throttled) {
+            requestedParts--;
+            deliver();
         }
     }
 
+    /** Called when the whole answer was received, of which parts may still wait. */
     void end() {
-        if (!finished) {
+        received = true;
+        deliver();
+    }
+
+    /** Passes on the parts that are requested. A part that is passed on may request the next one. */
+    private void deliver() {
+        if (delivering) {
+            return;
+        }
+        delivering = true;
+        while (!finished && requestedParts > 0 && !unrequested.isEmpty()) {
+            requestedParts--;
+            listener.data(unrequested.remove());
+        }
+        delivering = false;
+        if (finished) {
+            unrequested.clear();
+        } else if (received && unrequested.isEmpty()) {
             finished = true;
             listener.end();
+        } else if (throttled && !received) {
+            connection.setAutoRead(requestedParts > 0);
         }
     }
 
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
@@ -1,11 +1,15 @@
 package org.verbenadyke.standins.platform;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -17,6 +21,8 @@
 public final class Client {
     private static final Duration TIMEOUT = Duration.ofSeconds(10);
     private static final int OK = 200;
+    private static final int DOWNLOAD_PART_BYTES = 64 * 1024;
+    private static final String END_OF_HEAD = "\r\n\r\n";
     private static final int MAX_READY_POLLS = 200;
     private static final long POLL_INTERVAL_MILLIS = 50;
 
@@ -92,6 +98,39 @@
                 .POST(HttpRequest.BodyPublishers.ofByteArray(body)));
     }
 
+    /**
+     * Downloads an answer, and reads it at a pace.
+     *
+     * @param path the path at {@code read.example}
+     * @param id the request id
+     * @param deadlineMillis the deadline that the request declares, in milliseconds
+     * @param pauseMillis the pause after each part of 64 KB at most, in milliseconds
+     * @return the body
+     * @throws IOException if the node aborts the connection, or nothing arrives for ten seconds
+     */
+    public byte[] download(String path, String id, long deadlineMillis, long pauseMillis) throws IOException {
+        try (Socket socket = new Socket(ports.entry().host(), ports.entry().port())) {
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            socket.getOutputStream()
+                    .write(("GET " + path + " HTTP/1.1\r\nHost: read.example\r\nX-Request-Id: " + id
+                                    + "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\nConnection: close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            byte[] part = new byte[DOWNLOAD_PART_BYTES];
+            for (int n = socket.getInputStream().read(part);
+                    n >= 0;
+                    n = socket.getInputStream().read(part)) {
+                all.write(part, 0, n);
+                Thread.sleep(pauseMillis);
+            }
+            String text = all.toString(StandardCharsets.ISO_8859_1);
+            return Arrays.copyOfRange(all.toByteArray(), text.indexOf(END_OF_HEAD) + END_OF_HEAD.length(), all.size());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     /**
      * Sends a report on behalf of a server.
      *
--- a/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/ServerStandIn.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,6 +47,12 @@
     /** Path segment for a request that is refused on the first attempt and answered on later ones. */
     public static final String SHED_ONCE = "once-shed";
 
+    /** Path segment for an answer of {@link #LONG_BYTES}, handed over at once. */
+    public static final String LONG = "long";
+
+    /** Size of a long answer, many times what a node holds of one, in bytes. */
+    public static final int LONG_BYTES = 4 * 1024 * 1024;
+
     /** Delay of a slow answer, in nanoseconds. */
     public static final long SLOW_NANOS = 400_000_000L;
 
@@ -195,6 +202,7 @@
                 exchange.data(body);
                 exchange.abort();
             }
+            case LONG -> exchange.answer(OK, withNotices(requestIdField, signatureField), longBody());
             case UNSIGNED -> exchange.answer(OK, List.of(requestIdField), body);
             default ->
                 exchange.answer(
@@ -202,6 +210,17 @@
         }
     }
 
+    /**
+     * Returns the body of a long answer.
+     *
+     * @return bytes that differ from place to place
+     */
+    public static byte[] longBody() {
+        byte[] body = new byte[LONG_BYTES];
+        new Random(LONG_BYTES).nextBytes(body);
+        return body;
+    }
+
     private List<HeaderField> withNotices(HeaderField... fields) {
         return Stream.concat(Stream.of(fields), notices.stream()).toList();
     }
