Take an unheard start that deregistered for one that began before

A server deregistered by its id alone at a process that had just started and had heard no report of it; the process was killed, and a report of before, number 30, arrived at the next one 6 s later.

Cause: which start deregistered wasn't known, so that any start under the id was covered, but for four heartbeats only. The time of the announcement says more: the start began before it. That is kept, and the span remains for a clock that was set since. A later start under the same id is accepted as before.

UpstreamMonitorTest, ignoresAVeryLateReportOfAStartThatDeregisteredUnheard: accepted a@500 before, at the same process and at a later one; passes now.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/FinishedStarts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/FinishedStarts.java
@@ -31,15 +31,15 @@
     }
 
     /**
-     * Records that a start is over of which no heartbeat was received, so that its start time isn't known. Until
-     * {@code untilNanos} any start under the id counts as that one; the time must be longer than the usual delay of a
-     * heartbeat. Returns false, and changes nothing, if this process has seen a start under the id end: the
-     * announcement is a repeated one.
+     * Records that a start is over of which no heartbeat was received, so that its start time isn't known. It began
+     * before it was announced to be over; clocks may have been set since, so that until {@code untilNanos} any start
+     * under the id counts as that one. Returns false, and changes nothing, if this process has seen a start under the
+     * id end: the announcement is a repeated one.
      */
-    boolean finishWithoutHeartbeat(String id, long untilNanos) {
+    boolean finishWithoutHeartbeat(String id, long announcedMillis, long untilNanos) {
         Finished before = find(id);
         if (!before.observed()) {
-            put(id, new Finished(before.newestStartedMillis(), DepartedStart.FINAL, untilNanos, false));
+            put(id, before.withUnheardStart(announcedMillis, untilNanos));
         }
         return !before.observed();
     }
@@ -49,7 +49,7 @@
         UpstreamStart start = departed.start();
         Finished before = find(start.id());
         if (start.startedMillis().isEmpty()) {
-            put(start.id(), new Finished(before.newestStartedMillis(), departed.sequence(), untilNanos, false));
+            put(start.id(), before.withUnheardStart(departed.announcedMillis(), untilNanos));
             return;
         }
         OptionalLong newest = latest(before.newestStartedMillis(), start.startedMillis());
@@ -113,5 +113,10 @@
             OptionalLong newestStartedMillis, long lastSequence, long coversAnyStartUntilNanos, boolean observed) {
         private static final Finished NOTHING =
                 new Finished(OptionalLong.empty(), DepartedStart.FINAL, Long.MIN_VALUE, false);
+
+        private Finished withUnheardStart(long announcedMillis, long untilNanos) {
+            OptionalLong newest = latest(newestStartedMillis, OptionalLong.of(announcedMillis));
+            return new Finished(newest, DepartedStart.FINAL, untilNanos, false);
+        }
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
@@ -263,7 +263,7 @@
         if (gone.startedMillis().isPresent()) {
             finished.finish(gone);
             record(gone);
-        } else if (finished.finishWithoutHeartbeat(gone.id(), timers.nanos() + silentNanos)) {
+        } else if (finished.finishWithoutHeartbeat(gone.id(), timers.wallMillis(), timers.nanos() + silentNanos)) {
             record(gone);
         }
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/UpstreamMonitorTest.java
@@ -17,6 +17,7 @@
 /** Tests {@link UpstreamMonitor}. */
 final class UpstreamMonitorTest {
     private static final long SILENT_NANOS = 6_000;
+    private static final long SECOND_NANOS = 1_000_000_000L;
 
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final List<String> events = new ArrayList<>();
@@ -225,6 +226,21 @@
         assertEquals(List.of("late a@200"), events);
     }
 
+    /** A report may arrive later than a few heartbeats after the start that sent it has deregistered. */
+    @Test
+    void ignoresAVeryLateReportOfAStartThatDeregisteredUnheard() {
+        clock.advance(SECOND_NANOS);
+        monitor.shutdownAnnounced(start("a"), LeavingAnnouncement.DEREGISTRATION);
+        UpstreamMonitor restarted = restart();
+        keeper.recover(new DepartedStart(start("a"), DepartedStart.FINAL, clock.wallMillis()));
+        clock.advance(2 * SILENT_NANOS);
+        for (UpstreamMonitor m : List.of(monitor, restarted)) {
+            m.heartbeat(heartbeat("a", 500, 9, false));
+            m.heartbeat(heartbeat("a", 1_500, 1, false));
+        }
+        assertEquals(List.of("late a@500", "arrived a@1500", "late a@500", "arrived a@1500"), events);
+    }
+
     @Test
     void recordsEachDepartureOnceAndAcknowledgesItWhenItIsSafe() {
         UpstreamMonitor recorded = restart();
