Bound the sum of the answers that are stored to be sent again

Cause: the answer of each filing, up to 64 KB, is kept for 38 to 76 s, and nothing bounded their sum; the answers that settled keys retain had no bound either.

Now 8 MB hold the stored answers of a node, those that are being received included. The oldest complete ones give way; an inquiry about such a call hears that it ran, as before for answers over 64 KB. An answer for which there is no room at all is streamed. Keys retain 8 MB of answers in the same way and stay settled without. Calls that end without a whole answer release what they had stored at once. The key's hold on a call is a class of its own now, for room.

--- a/kernel/src/main/java/org/verbenadyke/kernel/once/KeyTable.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/once/KeyTable.java
@@ -7,12 +7,20 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
+import org.verbenadyke.kernel.call.Refusal;
+import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.call.RunState;
+
 /**
  * The idempotency keys of this node. Each key is claimed by one attempt; later attempts get its outcome. A key is
  * retained for the retention time after its last change. Thread-safe.
  */
 public final class KeyTable {
+    /** The limit of the answers that all keys retain together, in bytes. */
+    static final long MAX_ANSWER_BYTES = 8L * 1024 * 1024;
+
     private final Map<String, Entry> entries = new ConcurrentHashMap<>();
+    private final SettledAnswers<Entry> answers = SettledAnswers.of(MAX_ANSWER_BYTES);
     private final long retentionNanos;
 
     private KeyTable(long retentionNanos) {
@@ -80,7 +88,10 @@
      * @param nowNanos the time
      */
     public void settle(String key, StoredOutcome outcome, long nowNanos) {
-        Optional.ofNullable(entries.get(key)).ifPresent(e -> e.finish(outcome, nowNanos));
+        Optional.ofNullable(entries.get(key)).ifPresent(e -> {
+            e.finish(outcome, nowNanos);
+            retain(e);
+        });
     }
 
     /**
@@ -94,7 +105,16 @@
     public void adopt(String key, long fingerprint, StoredOutcome outcome, long nowNanos) {
         Entry entry = new Entry(fingerprint, nowNanos);
         entry.finish(outcome, nowNanos);
-        entries.merge(key, entry, (known, adopted) -> known.sealed ? adopted : known);
+        if (entries.merge(key, entry, (known, adopted) -> known.sealed ? adopted : known) == entry) {
+            retain(entry);
+        }
+    }
+
+    private void retain(Entry entry) {
+        int bytes = entry.answerBytes();
+        if (bytes > 0) {
+            answers.add(entry, bytes);
+        }
     }
 
     /**
@@ -134,7 +154,13 @@
      * @param nowNanos the time
      */
     public void expire(long nowNanos) {
-        entries.values().removeIf(e -> e.expired(nowNanos, retentionNanos));
+        entries.values().removeIf(e -> {
+            boolean expired = e.expired(nowNanos, retentionNanos);
+            if (expired) {
+                answers.remove(e);
+            }
+            return expired;
+        });
     }
 
     /**
@@ -179,7 +205,7 @@
     /**
      * The state of one key.
      */
-    private static final class Entry {
+    private static final class Entry implements SettledAnswers.Holder {
         private final long fingerprint;
         private final boolean sealed;
         private final List<Consumer<StoredOutcome>> waiting = new ArrayList<>();
@@ -207,7 +233,11 @@
                     return;
                 }
             }
-            listener.accept(outcome);
+            listener.accept(known());
+        }
+
+        private synchronized StoredOutcome known() {
+            return outcome;
         }
 
         void finish(StoredOutcome answer, long now) {
@@ -224,6 +254,16 @@
             callbacks.forEach(c -> c.accept(answer));
         }
 
+        /** Returns the size of the retained answer, 0 if there is none. */
+        synchronized int answerBytes() {
+            return outcome instanceof StoredOutcome.CompleteAnswer a ? a.body().length : 0;
+        }
+
+        @Override
+        public synchronized void dropAnswer() {
+            outcome = new StoredOutcome.NoAnswer(new Refusal(RunState.RAN, RefusalReason.KEY_OUTCOME_UNKNOWN, 0));
+        }
+
         synchronized boolean expired(long now, long retention) {
             return (outcome != null || sealed) && now - changedNanos > retention;
         }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.serve;
 
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import org.verbenadyke.kernel.call.CallId;
@@ -14,20 +15,23 @@
 /**
  * Writes one answer to the calling node. The answer of an idempotent call is streamed as flow-control credit allows.
  * The answer of a non-idempotent call is stored and sent as a whole, so that it can be sent again; once it exceeds the
- * maximum size, it is streamed like any other.
+ * maximum size, or the memory for stored answers is used up, it is streamed like any other.
  */
 final class AnswerWriter {
     private final CallId id;
     private final int maxStoredBytes;
+    private final AnswerMemory memory;
     private boolean storing;
     private boolean complete;
     private long credit;
     private long sent;
     private Message.Head head;
     private ByteArrayOutputStream stored = new ByteArrayOutputStream(0);
+    private StoredAnswer whole;
 
-    AnswerWriter(CallId id, ServeSettings settings, boolean storing) {
+    AnswerWriter(CallId id, ServeSettings settings, AnswerMemory memory, boolean storing) {
         this.id = id;
+        this.memory = memory;
         this.maxStoredBytes = settings.maxStoredBytes();
         this.credit = settings.initialCreditBytes();
         this.storing = storing;
@@ -56,19 +60,27 @@
             sendData(bytes, link);
             return;
         }
-        stored.writeBytes(bytes);
-        if (stored.size() > maxStoredBytes) {
-            storing = false;
-            link.send(head);
+        if (stored.size() + bytes.length <= maxStoredBytes && memory.reserve(bytes.length)) {
+            stored.writeBytes(bytes);
+            return;
+        }
+        storing = false;
+        link.send(head);
+        if (stored.size() > 0) {
             sendData(stored.toByteArray(), link);
-            stored = new ByteArrayOutputStream(0);
         }
+        sendData(bytes, link);
+        discard();
     }
 
     void end(Link link) {
         complete = true;
         if (storing) {
-            sendStored(link);
+            byte[] body = stored.toByteArray();
+            whole = StoredAnswer.of(body);
+            stored = new ByteArrayOutputStream(0);
+            memory.add(whole);
+            sendStored(body, link);
         } else {
             link.send(new Message.End(id, sent));
         }
@@ -77,33 +89,55 @@
     /** Sends the stored answer of an earlier attempt as the answer. */
     void writeWhole(StoredOutcome.CompleteAnswer earlier, Link link, Message.Report report) {
         head = new Message.Head(id, earlier.status(), earlier.headers(), true, report);
-        stored.writeBytes(earlier.body());
         complete = true;
-        sendStored(link);
+        sendStored(earlier.body(), link);
+    }
+
+    /** Drops what is stored of an answer that will not be complete. */
+    void discardIncomplete() {
+        if (!complete) {
+            discard();
+        }
+    }
+
+    /** Drops what is stored of the answer. */
+    void discard() {
+        if (whole != null) {
+            memory.remove(whole);
+        } else {
+            memory.release(stored.size());
+            stored = new ByteArrayOutputStream(0);
+        }
+    }
+
+    /** Returns the stored answer, if it is complete and there was memory for it until now. */
+    private Optional<byte[]> storedBody() {
+        return whole == null ? Optional.empty() : whole.body();
     }
 
     /** Sends the stored answer again over another link; returns false when no complete answer is stored. */
     boolean replay(Link link, Supplier<Message.Report> report) {
-        if (!complete || !storing) {
+        Optional<byte[]> body = storedBody();
+        if (body.isEmpty()) {
             return false;
         }
         head = new Message.Head(id, head.status(), head.headers(), head.retriesExhausted(), report.get());
-        sendStored(link);
+        sendStored(body.get(), link);
         return true;
     }
 
     StoredOutcome stored() {
-        if (!complete || !storing) {
-            return new StoredOutcome.NoAnswer(new Refusal(RunState.RAN, RefusalReason.KEY_OUTCOME_UNKNOWN, 0));
-        }
-        return new StoredOutcome.CompleteAnswer(head.status(), head.headers(), stored.toByteArray());
+        return storedBody()
+                .<StoredOutcome>map(b -> new StoredOutcome.CompleteAnswer(head.status(), head.headers(), b))
+                .orElseGet(() ->
+                        new StoredOutcome.NoAnswer(new Refusal(RunState.RAN, RefusalReason.KEY_OUTCOME_UNKNOWN, 0)));
     }
 
-    private void sendStored(Link link) {
+    private void sendStored(byte[] body, Link link) {
         sent = 0;
         link.send(head);
-        if (stored.size() > 0) {
-            sendData(stored.toByteArray(), link);
+        if (body.length > 0) {
+            sendData(body, link);
         }
         link.send(new Message.End(id, sent));
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -42,6 +42,7 @@
     private final ServeSettings settings;
     private final SeenCalls seenCalls;
     private final NoticeHandler notices;
+    private final AnswerMemory answerMemory;
     private final SuspectQueue suspectQueue = SuspectQueue.empty();
     private final Map<CallId, IncomingCall> calls = new ConcurrentHashMap<>();
     private final Map<String, CallContext> contexts = new ConcurrentHashMap<>();
@@ -52,6 +53,7 @@
         this.parts = parts;
         this.settings = settings;
         this.notices = new NoticeHandler(parts.counters, parts.decisions);
+        this.answerMemory = AnswerMemory.of(settings.storedAnswersBytes());
         this.seenCalls = SeenCalls.startingAt(parts.timers.nanos());
     }
 
@@ -144,7 +146,7 @@
     public void sweep() {
         seenCalls.rotate(parts.timers::nanos);
         long now = parts.timers.nanos();
-        calls.values().removeIf(c -> c.evictable(now));
+        calls.values().stream().filter(c -> c.evictable(now)).forEach(this::forget);
         upstream().ifPresent(u -> u.keys().expire(now));
     }
 
@@ -162,6 +164,11 @@
         return parts;
     }
 
+    /** Returns the memory for the answers that are stored to be sent again. */
+    AnswerMemory answerMemory() {
+        return answerMemory;
+    }
+
     ServeSettings settings() {
         return settings;
     }
@@ -184,6 +191,7 @@
 
     void forget(IncomingCall call) {
         calls.remove(call.id(), call);
+        call.discardAnswer();
     }
 
     void refuse(Link link, Message.Call call, Refusal refusal, Optional<CallContext> context) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -32,6 +32,7 @@
     private final SerialExecutor serial = SerialExecutor.create();
     private final CallTimes times;
     private final AnswerWriter answer;
+    private final KeyHold key;
     private final HandOverCheck handOverCheck;
     private volatile Message.Call call;
     private volatile Link link;
@@ -40,7 +41,6 @@
     private CallContext context;
     private UpstreamPort.Exchange exchange;
     private int status;
-    private boolean keyClaimed;
     private boolean deadlinePassed;
     private Refusal lastRefusal;
     private Subscription timer;
@@ -53,8 +53,9 @@
         this.link = link;
         this.memory = memory;
         this.times = CallTimes.receivedNow(call.withoutBody(), server.parts().timers(), server.settings());
+        this.key = new KeyHold(local.keys(), server.parts().ledger(), call.key());
         this.handOverCheck = new HandOverCheck(server, local, call, this);
-        this.answer = new AnswerWriter(call.id(), server.settings(), !call.idempotent());
+        this.answer = new AnswerWriter(call.id(), server.settings(), server.answerMemory(), !call.idempotent());
     }
 
     CallId id() {
@@ -73,6 +74,10 @@
         return finished() && now - finishedNanos > server.sweepNanos();
     }
 
+    void discardAnswer() {
+        answer.discard();
+    }
+
     void start() {
         serial.run(() -> {
             timer = times.atDeadline(() -> serial.run(this::onDeadline));
@@ -226,7 +231,9 @@
 
     @Override
     public void upstreamCrashed() {
-        ifHandedOver(() -> fail(Refusal.mayHaveRun(server.recordCrash(call, local)), ConcurrencyLimit.Outcome.IGNORED));
+        ifHandedOver(() -> fail(
+                Refusal.mayHaveRun(server.recordCrash(call, local)),
+                ConcurrencyLimit.Outcome.IGNORED));
     }
 
     private void ifHandedOver(Runnable step) {
@@ -246,7 +253,8 @@
 
     private void fail(Refusal refusal, ConcurrencyLimit.Outcome outcome) {
         if (phase == Phase.HANDED) {
-            refuse(refusal);
+            lastRefusal = refusal;
+            sendRefusal(refusal);
             finish(outcome);
         }
     }
@@ -258,7 +266,7 @@
 
     @Override
     public void keyGranted() {
-        keyClaimed = true;
+        key.claim();
         local.gate().offer(this, times.now());
     }
 
@@ -340,16 +348,10 @@
     private void refuseNow(Refusal refusal) {
         phase = Phase.FINISHED;
         local.gate().withdraw(this);
-        refuse(refusal);
-        if (keyClaimed) {
-            local.keys().withdraw(call.key(), new StoredOutcome.NoAnswer(refusal));
-        }
-        complete();
-    }
-
-    private void refuse(Refusal refusal) {
         lastRefusal = refusal;
         sendRefusal(refusal);
+        key.withdraw(refusal);
+        complete();
     }
 
     private void sendRefusal(Refusal refusal) {
@@ -359,10 +361,7 @@
     private void finish(ConcurrencyLimit.Outcome outcome) {
         phase = Phase.FINISHED;
         long now = times.now();
-        if (keyClaimed) {
-            Optional<Refusal> refusal = Optional.ofNullable(lastRefusal);
-            KeySettlement.settle(local.keys(), server.parts().ledger(), call.key(), refusal, answer.stored(), now);
-        }
+        key.settle(Optional.ofNullable(lastRefusal), answer.stored(), now);
         server.closeContext(context);
         complete();
         local.gate().release(now, times.latency(now), outcome, call.depth());
@@ -375,6 +374,7 @@
         handOverCheck.finished();
         call = call.withoutBody();
         exchange = null;
+        answer.discardIncomplete();
         memory.release();
         if (call.idempotent()) {
             server.forget(this);
--- a/kernel/src/test/java/org/verbenadyke/kernel/once/KeyTableTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/once/KeyTableTest.java
@@ -15,6 +15,8 @@
     private static final long RETENTION = 100;
     private static final StoredOutcome ANSWER = new StoredOutcome.CompleteAnswer(200, List.of(), new byte[] {1});
 
+    private static final int LARGE_BYTES = 64 * 1024;
+
     private final KeyTable table = KeyTable.withRetention(RETENTION);
 
     @Test
@@ -33,6 +35,24 @@
         assertEquals(List.of(ANSWER, ANSWER), outcomes);
     }
 
+    /** A key is retained for minutes, and its answer may have tens of kilobytes. */
+    @Test
+    void keepsABoundedSumOfAnswersAndEachKeySettled() {
+        StoredOutcome large = new StoredOutcome.CompleteAnswer(200, List.of(), new byte[LARGE_BYTES]);
+        int keys = (int) (2 * KeyTable.MAX_ANSWER_BYTES / LARGE_BYTES);
+        for (int i = 0; i < keys; i++) {
+            table.claim("k" + i, 1, i);
+            table.settle("k" + i, large, i);
+        }
+        List<StoredOutcome> outcomes = new ArrayList<>();
+        for (int i = 0; i < keys; i++) {
+            ((KeyTable.Claim.Taken) table.claim("k" + i, 1, keys)).outcome().accept(outcomes::add);
+        }
+        assertEquals(keys / 2, outcomes.stream().filter(large::equals).count());
+        assertEquals(large, outcomes.getLast());
+        assertInstanceOf(StoredOutcome.NoAnswer.class, outcomes.getFirst());
+    }
+
     @Test
     void refusesAKeyReusedForAnotherRequest() {
         table.claim("k", 1, 0);
