Limit the memory of request bodies under every plan

Cause: bodies were counted only while the plan has a route of kind upload; on any other deployment they had no limit, and a call whose answer is lost held its body for 60 s past its deadline.

Now bodies over 16 KB count under each plan, and without one. The called node drops a body and its reservation as soon as its upstream has the whole request; of a large one it keeps the digest, for the case that the request crashes the upstream. The request that a connection has written, and the exchange, hold it no longer either. Lost answers thus don't shut a node to bodies for a minute.

limitsNothingWithoutUploadRoutes asserted the fault, that nothing is counted under other plans. limitsBodiesWithoutUploadRoutes asserts the limit in its place, with other routes and without a plan, for both kinds of bodies. HandOverCheckTest, dropsTheBodyOfACallOnceTheUpstreamHasIt: the body stays until the end of the call without the change.

--- a/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/body/BodyMemory.java
@@ -10,7 +10,7 @@
 
 /**
  * The memory of one node for request bodies: of the requests that enter at it, and of the calls that it holds for
- * the colocated upstream. Limited while the route plan has upload routes. Thread-safe.
+ * the colocated upstream. Thread-safe.
  *
  * <p>The two kinds of bodies have separate budgets of the same size. With a common one, nodes whose memory is filled by
  * entering requests would refuse each other's calls, and none of those requests would end.
@@ -63,17 +63,20 @@
     private final TimerService timers;
     private final Supplier<Optional<RoutePlan>> plan;
     private final Supplier<RandomGenerator> random;
+    private final boolean limited;
 
     private BodyMemory(
             long limitBytes,
             TimerService timers,
             Supplier<Optional<RoutePlan>> plan,
-            Supplier<RandomGenerator> random) {
+            Supplier<RandomGenerator> random,
+            boolean limited) {
         this.entering = BodyBudget.of(limitBytes);
         this.calls = BodyBudget.of(limitBytes);
         this.timers = timers;
         this.plan = plan;
         this.random = random;
+        this.limited = limited;
     }
 
     /**
@@ -90,30 +93,30 @@
             TimerService timers,
             Supplier<Optional<RoutePlan>> plan,
             Supplier<RandomGenerator> random) {
-        return new BodyMemory(limitBytes, timers, plan, random);
+        return new BodyMemory(limitBytes, timers, plan, random, true);
     }
 
     /**
-     * Creates the memory of a node without route plans, which counts no bodies.
+     * Creates the memory of a server whose callers send no large bodies, which counts none.
      *
      * @param timers the clock and timers
      * @return the memory
      */
     public static BodyMemory unlimited(TimerService timers) {
-        return of(DEFAULT_BYTES, timers, Optional::empty, () -> {
-            throw new IllegalStateException("no body is refused without a route plan");
-        });
+        Supplier<RandomGenerator> none = () -> {
+            throw new IllegalStateException("no body is refused without a limit");
+        };
+        return new BodyMemory(DEFAULT_BYTES, timers, Optional::empty, none, false);
     }
 
     /**
      * Returns whether a body needs a reservation.
      *
      * @param bytes its size, in bytes
-     * @return whether it does, under the route plan in force
+     * @return whether it does
      */
     public boolean counts(long bytes) {
-        return bytes > MAX_UNCOUNTED_BYTES
-                && plan.get().filter(RoutePlan::hasUploads).isPresent();
+        return limited && bytes > MAX_UNCOUNTED_BYTES;
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -154,9 +154,8 @@
      */
     public void restore(QuarantinedRequest quarantinedRequest) {
         long now = timers.nanos();
-        long wall = timers.wallMillis();
         for (QuarantinedRequest.Crash c : quarantinedRequest.crashes()) {
-            long age = Math.max(0, wall - c.atMillis()) * NANOS_PER_MILLI;
+            long age = Math.max(0, timers.wallMillis() - c.atMillis()) * NANOS_PER_MILLI;
             learn(new UpstreamCrash(
                     quarantinedRequest.request(), c.upstream(), c.cleared(), now - age, REPORTED_BY_LOG));
         }
@@ -188,15 +187,24 @@
      * @param content the request
      */
     public void recordAnswer(Message.Content content) {
-        Optional<Suspect> suspect = find(content);
-        if (suspect.isEmpty()) {
-            return;
-        }
-        boolean wasQuarantined = isQuarantined(suspect.get());
-        suspect.get().crashes().stream().filter(e -> !e.cleared()).forEach(e -> learn(e.asCleared()));
+        find(content).ifPresent(this::recordAnswer);
+    }
+
+    /**
+     * Records that an upstream answered a request.
+     *
+     * @param request the digest of the request
+     */
+    public void recordAnswer(RequestDigest request) {
+        Optional.ofNullable(suspects.get(request)).ifPresent(this::recordAnswer);
+    }
+
+    private void recordAnswer(Suspect suspect) {
+        boolean wasQuarantined = isQuarantined(suspect);
+        suspect.crashes().stream().filter(e -> !e.cleared()).forEach(e -> learn(e.asCleared()));
         if (wasQuarantined) {
             counters.count(Event.QUARANTINE_LIFTED);
-            quarantineListener.accept(suspect.get().request());
+            quarantineListener.accept(suspect.request());
         }
     }
 
@@ -358,8 +366,7 @@
     private QuarantineStatus statusOfQuarantined(Suspect suspect, boolean atUpstream) {
         long now = timers.nanos();
         long left = quarantinedUntilNanos(suspect) - now;
-        boolean allowed = left <= 0 && (!atUpstream || trials.isLocal(suspect.request(), trialTurn(suspect)));
-        if (allowed) {
+        if (left <= 0 && (!atUpstream || trials.isLocal(suspect.request(), trialTurn(suspect)))) {
             return QuarantineStatus.SOLE_SUSPECT;
         }
         return new QuarantineStatus.Quarantined(
--- a/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/route/RoutePlan.java
@@ -19,7 +19,6 @@
     private final Optional<TeamDirectory> teams;
     private final RouteIndex index;
     private final PriorityBands bands;
-    private final boolean hasUploads;
     private final OptionalLong tightestUploadTargetNanos;
 
     private RoutePlan(
@@ -35,7 +34,6 @@
         this.teams = teams;
         this.index = RouteIndex.of(this.routes);
         this.bands = PriorityBands.of(this.routes, teams);
-        this.hasUploads = this.routes.stream().anyMatch(r -> r.kind() == RequestKind.UPLOAD);
         this.tightestUploadTargetNanos = this.routes.stream()
                 .filter(r -> r.kind() == RequestKind.UPLOAD)
                 .mapToLong(Route::targetNanos)
@@ -111,15 +109,6 @@
         return teams;
     }
 
-    /**
-     * Returns whether the plan has a route of kind {@link RequestKind#UPLOAD}.
-     *
-     * @return whether it has
-     */
-    public boolean hasUploads() {
-        return hasUploads;
-    }
-
     /**
      * Returns the tightest target latency of the routes of kind {@link RequestKind#UPLOAD}.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -271,12 +271,11 @@
      * Records that an upstream crashed with a call in flight, and returns the reason for the refusal. A draining
      * upstream stops as planned, with calls possibly still in flight; its shutdown says nothing about those calls.
      */
-    RefusalReason recordCrash(Message.Call call, LocalUpstream local) {
+    RefusalReason recordCrash(Message.Call call, RequestDigest digest, LocalUpstream local) {
         if (local.draining()) {
             return RefusalReason.UPSTREAM_BROKEN;
         }
         String id = call.target().upstream();
-        RequestDigest digest = RequestDigest.of(call.content());
         parts.decisions.note(new Decision.UpstreamCrashed(call.request(), id, digest));
         parts.quarantine.recordCrash(digest, id);
         return RefusalReason.UPSTREAM_ENDED;
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
@@ -3,10 +3,12 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import org.verbenadyke.kernel.body.BodyMemory;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.quarantine.QuarantineStatus;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
 
 /**
  * Decides for one received call whether it may be handed to the upstream: not past its deadline or its time to live,
@@ -19,6 +21,7 @@
     private final LocalUpstream local;
     private final SuspectQueue.SuspectedCall suspect;
     private Message.Call call;
+    private Optional<RequestDigest> digest = Optional.empty();
     private boolean suspected;
 
     HandOverCheck(CallServer server, LocalUpstream local, Message.Call call, SuspectQueue.SuspectedCall suspect) {
@@ -58,6 +61,33 @@
         return local.draining() ? Optional.of(RefusalReason.DRAINING) : Optional.empty();
     }
 
+    /**
+     * Drops a large body, of which only the digest is needed from now on, and returns whether it did. A small one is
+     * kept: digesting the body of each call would take more than the memory is worth.
+     */
+    boolean dropBody() {
+        if (call.content().body().length <= BodyMemory.MAX_UNCOUNTED_BYTES) {
+            return false;
+        }
+        digest = Optional.of(digest());
+        call = call.withoutBody();
+        return true;
+    }
+
+    /** Returns what identifies the request, should it crash the upstream. */
+    RequestDigest digest() {
+        return digest.orElseGet(() -> RequestDigest.of(call.content()));
+    }
+
+    /** Called when the upstream has answered the call. */
+    void answered() {
+        if (digest.isPresent()) {
+            server.parts().quarantine().recordAnswer(digest.get());
+        } else {
+            server.parts().quarantine().recordAnswer(call.content());
+        }
+    }
+
     /** Called when the call has ended, whatever the outcome. */
     void finished() {
         call = call.withoutBody();
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -186,6 +186,16 @@
         failNotRun(RefusalReason.UPSTREAM_REFUSED, ConcurrencyLimit.Outcome.SHED);
     }
 
+    @Override
+    public void written() {
+        ifHandedOver(() -> {
+            if (handOverCheck.dropBody()) {
+                call = call.withoutBody();
+                memory.release();
+            }
+        });
+    }
+
     @Override
     public void notice(UpstreamNotice notice) {
         serial.run(() -> server.received(local, notice, times.handedOver()));
@@ -219,7 +229,7 @@
     public void end() {
         ifHandedOver(() -> {
             answer.end(link);
-            server.parts().quarantine().recordAnswer(call.content());
+            handOverCheck.answered();
             finish(status == UNAVAILABLE ? ConcurrencyLimit.Outcome.SHED : ConcurrencyLimit.Outcome.ANSWERED);
         });
     }
@@ -232,7 +242,7 @@
     @Override
     public void upstreamCrashed() {
         ifHandedOver(() -> fail(
-                Refusal.mayHaveRun(server.recordCrash(call, local)),
+                Refusal.mayHaveRun(server.recordCrash(call, handOverCheck.digest(), local)),
                 ConcurrencyLimit.Outcome.IGNORED));
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/UpstreamPort.java
@@ -36,7 +36,16 @@
             String contextToken,
             RequestId request,
             Importance importance,
-            long remainingNanos) {}
+            long remainingNanos) {
+        /**
+         * Returns the same call without the body of its request.
+         *
+         * @return the call
+         */
+        public HandOver withoutBody() {
+            return new HandOver(content.withoutBody(), contextToken, request, importance, remainingNanos);
+        }
+    }
 
     /**
      * An exchange with the upstream for a call that was handed over.
@@ -59,6 +68,11 @@
         /** Called when no connection could be opened, so that the upstream never received the call. */
         void unreachable();
 
+        /** Called when the whole request was written, after which its body isn't needed here any more. */
+        default void written() {
+            // A listener that holds no body ignores it.
+        }
+
         /**
          * Receives what an answer states about the upstream, before the answer itself. Called for each answer, also for
          * one that states nothing.
--- a/kernel/src/test/java/org/verbenadyke/kernel/body/BodyMemoryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/body/BodyMemoryTest.java
@@ -70,15 +70,34 @@
         assertEquals(0, memory.callBytes());
     }
 
+    /** Filings of other routes have bodies as large, and fill the same heap. */
     @Test
-    void limitsNothingWithoutUploadRoutes() {
-        plan = Optional.of(plan(RequestKind.NON_IDEMPOTENT));
-        for (int i = 0; i < 10; i++) {
-            assertTrue(reserve("a").granted());
-            assertTrue(memory.reserveCall(LIMIT).isPresent());
+    void limitsBodiesWithoutUploadRoutes() {
+        for (Optional<RoutePlan> without :
+                List.of(Optional.of(plan(RequestKind.NON_IDEMPOTENT)), Optional.<RoutePlan>empty())) {
+            plan = without;
+            BodyReservation entering = reserve("a");
+            assertTrue(entering.granted());
+            assertFalse(reserve("b").granted());
+            Optional<BodyReservation> call = memory.reserveCall(LIMIT);
+            assertTrue(call.isPresent());
+            for (int i = 0; i < 10; i++) {
+                assertTrue(memory.reserveCall(LIMIT).isEmpty());
+            }
+            assertEquals(2 * LIMIT, memory.enteringBytes() + memory.callBytes());
+            clock.advance(1_000 * MILLI);
+            assertEquals(List.of("b refused"), notified);
+            assertTrue(memory.retryAfterMillis() >= BodyMemory.MIN_RETRY_AFTER_MILLIS);
+            notified.clear();
+            entering.release();
+            call.get().release();
+            assertEquals(0, memory.enteringBytes() + memory.callBytes());
         }
-        assertFalse(memory.counts(LIMIT));
-        assertEquals(0, memory.enteringBytes() + memory.callBytes());
+    }
+
+    @Test
+    void countsNothingWithoutALimit() {
+        assertFalse(BodyMemory.unlimited(clock).counts(LIMIT));
     }
 
     /** A route without a usable target must neither end every wait at once nor drop the Retry-After delay. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/HandOverCheckTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/HandOverCheckTest.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.serve;
 
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -25,17 +26,20 @@
 import org.verbenadyke.kernel.trace.DecisionLog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
 /** Tests {@link HandOverCheck}. */
 final class HandOverCheckTest {
     private static final long TTL_MICROS = 1_000_000L;
+    private static final int GC_RUNS = 50;
     private static final long ONE_MILLI_NANOS = 1_000_000L;
-    private static final long BODY_BYTES = 1024;
+    private static final int BODY_BYTES = 64 * 1024;
 
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final List<UpstreamPort.Listener> handed = new ArrayList<>();
     private final List<Runnable> claims = new ArrayList<>();
     private final RecordingLink link = new RecordingLink();
+    private final BodyMemory memory = BodyMemory.of(BODY_BYTES, clock, Optional::empty, () -> new SplittableRandom(1));
     private final CallServer server = CallServer.create(
             new CallServer.Parts(
                     1,
@@ -48,7 +52,7 @@
                             claims.add(() -> KeyClaims.unshared().claim(local, key, fingerprint, callback)),
                     DecisionLog.none(),
                     Quarantine.standalone(clock),
-                    BodyMemory.of(BODY_BYTES, clock, Optional::empty, () -> new SplittableRandom(1))),
+                    memory),
             ServeSettings.standard());
     private final LocalUpstream local = LocalUpstream.of(
             "u1",
@@ -66,7 +70,7 @@
     void refusesACallThatWaitedForItsKeyWhileTheUpstreamBeganToLeave() {
         clock.advance(ONE_MILLI_NANOS);
         server.attach(local);
-        server.received(link, keyedCall());
+        server.received(link, call("k", new byte[0]));
         local.drain(true);
         claims.forEach(Runnable::run);
         assertEquals(List.of(), handed);
@@ -74,7 +78,27 @@
         assertEquals(RefusalReason.DRAINING, refused.refusal().reason());
     }
 
-    private Message.Call keyedCall() {
+    /** A call whose answer is lost stays for a minute, and would shut the node to bodies for that time. */
+    @Test
+    void dropsTheBodyOfACallOnceTheUpstreamHasIt() throws InterruptedException {
+        clock.advance(ONE_MILLI_NANOS);
+        server.attach(local);
+        byte[] body = new byte[BODY_BYTES];
+        WeakReference<byte[]> held = new WeakReference<>(body);
+        server.received(link, call("", body));
+        body = null;
+        assertEquals(BODY_BYTES, memory.callBytes());
+        handed.getFirst().written();
+        assertEquals(0, memory.callBytes());
+        for (int i = 0; i < GC_RUNS && held.get() != null; i++) {
+            System.gc();
+            Thread.sleep(1);
+        }
+        assertNull(held.get());
+        assertEquals(1, server.unfinished());
+    }
+
+    private Message.Call call(String key, byte[] body) {
         return new Message.Call(
                 new CallId(5, 1),
                 new RequestId(5, 1),
@@ -85,9 +109,9 @@
                 TTL_MICROS / 2,
                 clock.nanos(),
                 false,
-                "k",
+                key,
                 Message.Stated.NOTHING,
                 false,
-                new Message.Content("POST", "/p", List.of(), new byte[0]));
+                new Message.Content("POST", "/p", List.of(), body));
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/AnswerListener.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/AnswerListener.java
@@ -11,6 +11,11 @@
     /** Called when no connection was available: the request was never sent. */
     void unreachable();
 
+    /** Called when the whole request was written. */
+    default void written() {
+        // A listener that holds nothing of the request ignores it.
+    }
+
     /**
      * Returns whether an answer belongs to the request. An answer that doesn't is skipped, and the next one is awaited.
      *
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientCall.java
@@ -14,7 +14,7 @@
  * to 64 KB, and what was not requested waits here; the socket is not read while anything waits.
  */
 final class ClientCall implements HttpCall {
-    private final HttpRequestMessage request;
+    private HttpRequestMessage request;
     private final String correlationId;
     private final AnswerListener listener;
     private volatile ClientConnection connection;
@@ -56,8 +56,17 @@
         }
     }
 
-    HttpRequestMessage message() {
-        return request;
+    /** Returns the request, which is dropped once it is taken for writing. */
+    HttpRequestMessage takeMessage() {
+        HttpRequestMessage taken = request;
+        request = null;
+        return taken;
+    }
+
+    void written() {
+        if (!finished) {
+            listener.written();
+        }
     }
 
     String correlationId() {
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -170,7 +170,7 @@
         written = false;
         next.bind(this);
         recordId(next.correlationId());
-        HttpRequestMessage m = next.message();
+        HttpRequestMessage m = next.takeMessage();
         HttpHeaders headers = HttpFields.headers(m.fields());
         if (m.body().length > 0 || !m.method().equals("GET")) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, m.body().length);
@@ -187,6 +187,9 @@
 
     private void requestWritten(ClientCall sent, Optional<Throwable> failure) {
         written = failure.isEmpty();
+        if (written) {
+            sent.written();
+        }
         failure.ifPresent(cause -> writeFailed(sent, cause));
         if (writeTimeout != null) {
             writeTimeout.cancel();
--- a/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
@@ -60,7 +60,7 @@
         private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
 
         private PooledExchange(HandOver handOver, Listener listener) {
-            this.handOver = handOver;
+            this.handOver = handOver.withoutBody();
             this.listener = listener;
         }
 
@@ -85,6 +85,11 @@
             listener.unreachable();
         }
 
+        @Override
+        public void written() {
+            listener.written();
+        }
+
         @Override
         public boolean matches(int newStatus, List<HeaderField> newFields) {
             return dialect.matches(handOver, newFields);
