Carry heads with thousands of fields between nodes

Nodes sent any number of fields and accepted 256. Now 8,192 are accepted, more than the usual head of 16 KB can hold, which the entry bounds.

FrameCodecTest, 4,000 fields: refused as malformed before, by reading; passes.

--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -30,7 +30,8 @@
     /** The largest frame, in bytes. */
     public static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
-    private static final int MAX_HEADERS = 256;
+    /** More fields than a request head of the usual size can hold, at some four bytes each. */
+    private static final int MAX_HEADERS = 8_192;
 
     private FrameCodec() {}
 
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.CallId;
@@ -23,6 +24,7 @@
 
 /** Tests {@link FrameCodec}, also with randomly changed bytes. */
 final class FrameCodecTest {
+    private static final int MANY_FIELDS = 4_000;
     private static final CallId ID = new CallId(-3, 9);
     private static final Message.Report REPORT = new Message.Report(
             1,
@@ -86,6 +88,21 @@
         }
     }
 
+    /** A head that the limits allow would otherwise close the link, and abort all answers in progress there. */
+    @Test
+    void decodesAHeadWithThousandsOfFields() {
+        List<HeaderField> fields = IntStream.range(0, MANY_FIELDS)
+                .mapToObj(i -> new HeaderField("f" + i, ""))
+                .toList();
+        byte[] frame = FrameCodec.encode(new Message.Head(
+                new CallId(1, 2),
+                200,
+                fields,
+                false,
+                new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, Message.DeeperLevel.NONE, Usage.NONE)));
+        assertEquals(fields, ((Message.Head) FrameCodec.decode(frame)).headers());
+    }
+
     @Test
     void rejectsAFrameWithBytesAfterTheMessage() {
         byte[] frame = FrameCodec.encode(new Message.Cancel(ID));
