Wake a node up for departures only while something is pending

The check for pending acknowledgements and for the recovery ran each 50 ms for good; a quiet node is charged for each wake-up. It runs now until the departures are known, and while an acknowledgement waits.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/ReplicatedDepartures.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/ReplicatedDepartures.java
@@ -52,6 +52,7 @@
     private long recordedNanos;
     private long loggedRevision;
     private boolean writing;
+    private boolean checkScheduled;
     private long logReadNanos = NEVER;
     private boolean peerAnswered;
     private boolean recovered;
@@ -70,7 +71,7 @@
         gossip.onLearnedOwn(() -> departures.serial.run(departures::learnedOwn));
         // A log that was replaced by an older copy may lack the newest departures.
         parts.log().onReplaced((before, now) -> departures.serial.run(departures::rewrite));
-        parts.timers().every(CHECK_NANOS, () -> departures.serial.run(departures::check));
+        departures.serial.run(departures::scheduleCheck);
         return departures;
     }
 
@@ -94,6 +95,7 @@
                 callback.accept(true);
             } else {
                 waiting.add(new Waiting(callback, parts.timers().nanos()));
+                scheduleCheck();
             }
         });
     }
@@ -162,6 +164,22 @@
         }
     }
 
+    /** Checks again soon; only while something is pending, so that a quiet node isn't woken up for it. */
+    private void scheduleCheck() {
+        if (!checkScheduled) {
+            checkScheduled = true;
+            parts.timers().after(CHECK_NANOS, () -> serial.run(this::checkAsScheduled));
+        }
+    }
+
+    private void checkAsScheduled() {
+        checkScheduled = false;
+        check();
+        if (!recovered || !waiting.isEmpty()) {
+            scheduleCheck();
+        }
+    }
+
     private void check() {
         checkRecovered();
         if (waiting.isEmpty()) {
