review: a filing runs twice after the beginning of a stale answer

The case starts four nodes with the deploy file's command, servers beside them and clients. Two servers add the first two lines of a second answer, a 503 with X-Not-Executed, to one in 40 of their whole answers; nothing else is disturbed. The node joins these lines with the next answer on the connection, takes a filing that ran for one that did not, and sends it to another server.

--- /dev/null
+++ b/review/standins-2/run-case.sh
@@ -0,0 +1,16 @@
+#!/bin/sh
+# Runs the case of a folder: run-case.sh FOLDER CLASS. Exits with 1 if the rule was broken, 0 if it held, 2 otherwise.
+folder=$1
+class=$2
+cd -- "$(dirname -- "$(readlink -f -- "$0")")/../.." || exit 2
+. bin/find-java.sh
+vd_find_java || exit 2
+if [ ! -d target/review-2/classes ] || [ ! -f target/platform/lib/node.jar ]; then
+  echo "Build first: bin/build-platform, then review/build-2.sh." >&2
+  exit 2
+fi
+timeout 118 "$JAVA_HOME/bin/java" -Xmx1g -cp target/review-2/classes:target/platform/lib/node.jar:target/review-2/standins.jar \
+  "$class" "$folder/record.txt"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
