--- a/review/standins-2/Server.java
+++ b/review/standins-2/Server.java
@@ -30,6 +30,8 @@
     private volatile boolean closed;
     private volatile int announcedPort;
     volatile String state = "ready";
+    /** Whether the regular heartbeats are held up. */
+    volatile boolean holdBeats;
 
     /** How the server runs and answers a request that it accepts. */
     interface Behaviour {
@@ -179,7 +181,9 @@
 
     private void beat() {
         while (!closed) {
-            report();
+            if (!holdBeats) {
+                report();
+            }
             try {
                 Thread.sleep(1500);
             } catch (InterruptedException e) {
