--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -5,6 +5,7 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,21 +18,15 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import org.verbenadyke.kernel.routing.Endpoint;
-import org.verbenadyke.node.time.EventLoopTimerService;
-import org.verbenadyke.node.transport.EventLoops;
-import org.verbenadyke.standins.platform.StoreStandIn;
-
 /**
- * A small deployment on loopback addresses: the project's store stand-in, and nodes that are started as processes with
+ * A small deployment on loopback addresses: a stand-in of the store, and nodes that are started as processes with
  * the command and the settings template of the deploy file. Run in the root of the repository.
  */
 final class Deployment implements AutoCloseable {
     static final Path ROOT = Path.of("").toAbsolutePath();
 
     private final Path folder;
-    private final EventLoops loops = EventLoops.nio(1);
-    private final StoreStandIn store;
+    private final Store store;
     private final int storePort;
     private final PrintWriter record;
     private final long startNanos = System.nanoTime();
@@ -41,8 +36,7 @@
         this.record = record;
         folder = Files.createTempDirectory("verbenadyke-review-");
         storePort = freePort();
-        store = StoreStandIn.listen(
-                new Endpoint("127.0.0.1", storePort), loops, EventLoopTimerService.on(loops.group().next()));
+        store = new Store(storePort);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> nodes.forEach(n -> n.process.destroyForcibly())));
     }
 
@@ -63,7 +57,7 @@
 
     /** Writes the configuration, as the operator does. */
     void configure(String document) {
-        store.write(StoreStandIn.OPERATORS, StoreStandIn.CONFIGURATION, document);
+        store.append("keyed.op", "config", document.getBytes(StandardCharsets.UTF_8));
         note("operator wrote " + document);
     }
 
@@ -145,7 +139,6 @@
             }
         }
         store.close();
-        loops.group().shutdownGracefully(0, 1, TimeUnit.SECONDS);
         try (var files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).forEach(f -> f.toFile().delete());
         } catch (IOException e) {
--- a/review/standins-2/run-case.sh
+++ b/review/standins-2/run-case.sh
@@ -9,8 +9,10 @@
   echo "Build first: bin/build-platform, then review/build-2.sh." >&2
   exit 2
 fi
-timeout 118 "$JAVA_HOME/bin/java" -Xmx1g -cp target/review-2/classes:target/platform/lib/node.jar:target/review-2/standins.jar \
-  "$class" "$folder/record.txt"
+timeout 118 "$JAVA_HOME/bin/java" -Xmx1g -cp target/review-2/classes "$class" "$folder/record.txt"
 code=$?
-[ "$code" -le 1 ] || code=2
+case $code in
+  0 | 1) grep -q '^[0-9]* verdict: ' "$folder/record.txt" || code=2 ;;
+  *) code=2 ;;
+esac
 exit "$code"
