--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -186,12 +186,6 @@
             process = builder.start();
         }
 
-        /** Starts the process again with the same settings. */
-        void restart() throws IOException {
-            start();
-            note("node " + name + " started again");
-        }
-
         void signal(String signal) throws IOException, InterruptedException {
             note("signal " + signal + " to node " + name);
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
