Reuse no connection that holds the beginning of an answer

Cause: ClientConnection sees whole messages of the decoder only. A head that has begun stayed in the decoder when the connection went back to the pool, and went unnoticed while it rested. The next answer's lines were read as fields of the stale head, so that the status came from one answer and the request id from the other. The decoder's check of field names was switched off.

Fix: AnswerDecoder knows whether all received bytes belong to answers that have ended; the connection is closed otherwise, at once or while it rests. For bytes that cross the next request, a head with a second status line, in its reason phrase or in a field, is a decoding failure, so that the call is broken: it may have run, and is neither repeated nor refused as not run. Field names are checked again.

--- /dev/null
+++ b/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
@@ -0,0 +1,90 @@
+package org.verbenadyke.node.http1;
+
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * Decodes the answers on one connection, and knows what a decoder of whole messages hides: whether bytes beyond the
+ * last answer have arrived, and whether a head was joined from two answers.
+ *
+ * <p>A head that begins is held in the decoder, and the next answer on the connection would continue it. Each answer
+ * begins with a status line, so that a joined head has a second one, in its reason phrase or in a field.
+ */
+final class AnswerDecoder extends HttpResponseDecoder {
+    private static final String PROTOCOL = "HTTP";
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+
+    private HttpMethod method = HttpMethod.GET;
+    private boolean withinAnswer;
+
+    private AnswerDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    /**
+     * Creates the decoder of one connection.
+     *
+     * @param maxHeadBytes the maximum size of a head in bytes; a longer one is delivered as a decoding failure
+     */
+    static AnswerDecoder limitedTo(int maxHeadBytes) {
+        return new AnswerDecoder(new HttpDecoderConfig().setMaxHeaderSize(maxHeadBytes));
+    }
+
+    /** Sets the method of the request whose answer is due, which tells whether the answer has a body. */
+    void expectAnswerTo(HttpMethod newMethod) {
+        method = newMethod;
+    }
+
+    /** Returns whether all received bytes belong to answers that have ended. */
+    boolean readyForNextAnswer() {
+        return !withinAnswer && actualReadableBytes() == 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        int start = buffer.readerIndex();
+        super.decode(context, buffer, out);
+        withinAnswer |= buffer.readerIndex() != start;
+        for (Object message : out) {
+            withinAnswer &= !(message instanceof LastHttpContent);
+            if (message instanceof HttpResponse head && joinsTwoAnswers(head)) {
+                head.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("head of two answers")));
+            }
+        }
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return method.equals(HttpMethod.HEAD)
+                || super.isContentAlwaysEmpty(message)
+                || method.equals(HttpMethod.CONNECT)
+                        && message instanceof HttpResponse head
+                        && head.status().codeClass() == HttpStatusClass.SUCCESS;
+    }
+
+    private static boolean joinsTwoAnswers(HttpResponse head) {
+        if (!head.protocolVersion().protocolName().equals(PROTOCOL)
+                || STATUS_LINE.matcher(head.status().reasonPhrase()).find()) {
+            return true;
+        }
+        for (Map.Entry<String, String> field : head.headers()) {
+            if (STATUS_LINE.matcher(field.getValue()).find()) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -31,7 +31,8 @@
 
 /**
  * One connection of a pool. Bytes that arrive while no request is in flight, or together with the end of an answer,
- * belong to no request and close the connection; an answer that doesn't match its request is skipped.
+ * belong to no request and close the connection, even if they are no whole message; an answer that doesn't match its
+ * request is skipped.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LogManager.getLogger("http");
@@ -47,7 +48,11 @@
      */
     private static final int MAX_RECENT_IDS = 16;
 
+    /** The maximum size of an answer's head in bytes. */
+    private static final int MAX_HEAD_BYTES = 32 * 1024;
+
     private final HttpPool pool;
+    private final AnswerDecoder decoder = AnswerDecoder.limitedTo(MAX_HEAD_BYTES);
     /** The correlation ids of recent requests. */
     private final Deque<String> recentIds = new ConcurrentLinkedDeque<>();
 
@@ -70,6 +75,11 @@
         this.idleNanos = pool.settings().idleNanos();
     }
 
+    /** Returns the decoder, which comes before this handler in the pipeline. */
+    AnswerDecoder decoder() {
+        return decoder;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext newContext) {
         context = newContext;
@@ -96,6 +106,9 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ignored) {
         completeAnsweredCall();
+        if (call == null && !closed && !decoder.readyForNextAnswer()) {
+            closeUnrequested();
+        }
     }
 
     @Override
@@ -171,13 +184,15 @@
         next.bind(this);
         recordId(next.correlationId());
         HttpRequestMessage m = next.takeMessage();
+        HttpMethod method = HttpMethod.valueOf(m.method());
+        decoder.expectAnswerTo(method);
         HttpHeaders headers = HttpFields.headers(m.fields());
         if (m.body().length > 0 || !m.method().equals("GET")) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, m.body().length);
         }
         context.writeAndFlush(new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
-                        HttpMethod.valueOf(m.method()),
+                        method,
                         m.target(),
                         Unpooled.wrappedBuffer(m.body()),
                         headers,
@@ -267,10 +282,18 @@
             return;
         }
         if (call == null) {
-            close();
+            closeUnrequested();
             return;
         }
-        if (failed || message.decoderResult().isFailure()) {
+        if (failed) {
+            failCall();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            LOG.info(
+                    "An answer of {} could not be decoded: {}.",
+                    pool.server(),
+                    message.decoderResult().cause().getMessage());
             failCall();
             return;
         }
@@ -322,7 +345,7 @@
         ClientCall done = answeredCall;
         answeredCall = null;
         setAutoRead(true);
-        if (!reusable) {
+        if (!reusable || !decoder.readyForNextAnswer()) {
             close();
         } else if (written) {
             releaseToPool();
@@ -332,6 +355,11 @@
         done.end();
     }
 
+    private void closeUnrequested() {
+        LOG.info("{} sent bytes that belong to no request.", pool.server());
+        close();
+    }
+
     private void failCall() {
         ClientCall failedCall = detachCall();
         close();
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -16,8 +16,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 
 /**
  * A pool of connections to one server, with one request at a time on each. The most recently used connection is reused
@@ -30,8 +29,6 @@
      */
     static final int MAX_UNREAD_REQUESTS = 4;
 
-    private static final int HEADER_BYTES = 32 * 1024;
-
     private final Endpoint server;
     private final EventLoops loops;
     private final TimerService timers;
@@ -188,10 +185,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        HttpDecoderConfig decoder = new HttpDecoderConfig()
-                                .setMaxHeaderSize(HEADER_BYTES)
-                                .setValidateHeaders(false);
-                        channel.pipeline().addLast(new HttpClientCodec(decoder, false, false), connection);
+                        channel.pipeline().addLast(connection.decoder(), new HttpRequestEncoder(), connection);
                     }
                 })
                 .connect(new InetSocketAddress(server.host(), server.port()))
