End an answer without a length only when its server closes in order

Cause: an answer without a length ends with its connection, and the decoder ends it whenever the channel becomes inactive. Only a failed read was recorded. While a part of the request waits to be written, the event loop writes first, the write meets the reset and consumes the error, and the channel closes without a failed read.

Ruled out: a reset that a read meets, also while the reader pauses; a length that isn't reached; chunks without the last one. They held before.

Fix: connections to servers allow half-closure, by which the end of the stream is reported as an event of its own; AnswerDecoder ends an answer without a length on nothing else.

--- a/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
@@ -6,6 +6,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -18,7 +19,8 @@
 
 /**
  * Decodes the answers on one connection, and knows what a decoder of whole messages hides: whether bytes beyond the
- * last answer have arrived, and whether a head was joined from two answers.
+ * last answer have arrived, whether a head was joined from two answers, and whether the peer has ended its answers in
+ * order.
  *
  * <p>A head that begins is held in the decoder, and the next answer on the connection would continue it. Each answer
  * begins with a status line, so that a joined head has a second one, in its reason phrase or in a field.
@@ -29,6 +31,8 @@
 
     private HttpMethod method = HttpMethod.GET;
     private boolean withinAnswer;
+    private boolean inputFailed;
+    private boolean inputEnded;
 
     private AnswerDecoder(HttpDecoderConfig config) {
         super(config);
@@ -48,9 +52,9 @@
         method = newMethod;
     }
 
-    /** Returns whether all received bytes belong to answers that have ended. */
+    /** Returns whether all received bytes belong to answers that have ended, and more answers may come. */
     boolean readyForNextAnswer() {
-        return !withinAnswer && actualReadableBytes() == 0;
+        return !withinAnswer && !inputEnded && actualReadableBytes() == 0;
     }
 
     @Override
@@ -66,6 +70,30 @@
         }
     }
 
+    /**
+     * Ends an answer without a length only if the peer has closed its side of the connection. A reset may be met by a
+     * write, after which the connection closes without a failed read.
+     */
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (inputEnded) {
+            super.decodeLast(context, buffer, out);
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) throws Exception {
+        // A read that fails shuts the input down as well, after its exception was reported.
+        inputEnded |= event instanceof ChannelInputShutdownEvent && !inputFailed;
+        super.userEventTriggered(context, event);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
+        inputFailed = true;
+        super.exceptionCaught(context, cause);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return method.equals(HttpMethod.HEAD)
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -15,6 +15,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -59,7 +60,6 @@
     private ChannelHandlerContext context;
     private ClientCall call;
     private ClientCall answeredCall;
-    private boolean failed;
     private boolean skipping;
     private boolean headReceived;
     private boolean reusable;
@@ -111,6 +111,13 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ignored, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ignored) {
         closed = true;
@@ -124,7 +131,6 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ignored, Throwable cause) {
         LOG.debug("Connection to {} failed: {}.", pool.server(), cause.getMessage());
-        failed = true;
         context.close();
     }
 
@@ -285,10 +291,6 @@
             closeUnrequested();
             return;
         }
-        if (failed) {
-            failCall();
-            return;
-        }
         if (message.decoderResult().isFailure()) {
             LOG.info(
                     "An answer of {} could not be decoded: {}.",
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -181,6 +181,8 @@
                 .group(loops.group())
                 .channel(loops.socketChannelType())
                 .option(ChannelOption.TCP_NODELAY, true)
+                // Tells the peer's orderly end from a connection that failed.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, settings.connectMillis())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
