Keep a connection open while its answer waits for a slow reader

Cause: a connection counted as idle when the end of its answer was queued. The idle timeout did the same to callers that read for longer than it.

Fix: a connection whose channel has bytes to write isn't idle, as long as its caller reads some of them within the idle timeout.

--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -41,6 +41,7 @@
     private final ServerLimits limits;
     private final Deque<HttpObject> pendingMessages = new ArrayDeque<>();
     private final StallDetector stall = new StallDetector();
+    private final WriteBacklog backlog;
     private ChannelHandlerContext context;
     private HttpRequest head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -58,6 +59,7 @@
     ServerConnection(HttpServer server, ServerLimits limits) {
         this.server = server;
         this.limits = limits;
+        this.backlog = WriteBacklog.of(limits.idleNanos());
     }
 
     @Override
@@ -110,17 +112,21 @@
     void closeIfIdle(long now) {
         boolean expired = server.closing() || now - idleSince > limits.idleNanos();
         if (!busy && expired) {
-            context.executor().execute(() -> {
-                if (!busy) {
-                    context.close();
-                }
-            });
+            context.executor().execute(() -> closeUnlessBusy(now));
         }
         if (stall.stalled(now)) {
             context.executor().execute(this::endStalledBody);
         }
     }
 
+    private void closeUnlessBusy(long now) {
+        if (!busy && backlog.waitsForReader(context.channel(), now)) {
+            idleSince = now;
+        } else if (!busy) {
+            context.close();
+        }
+    }
+
     ChannelHandlerContext context() {
         return context;
     }
