End an answer that has begun at its request's deadline

Cause: Dispatch cancelled the deadline when the head of an answer came, and nothing took its place.

Fix: the deadline stays until the answer ends; an answer that has begun is aborted then, which closes the caller's connection. The operators' timeout bounds the time to the final answer, not to the first byte.

DispatcherTest.abortsAtTheDeadlineAnAnswerThatHasBegunAndDoesNotEnd failed before (no "aborted" among the events).

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -204,7 +204,6 @@
     private void commit(Attempt attempt, Message.Head m) {
         attempt.markHeadSeen();
         committed = true;
-        deadline.cancel();
         sink.head(m.status(), m.headers());
         List<Message> deferred = List.copyOf(attempt.deferredMessages());
         attempt.deferredMessages().clear();
@@ -359,7 +358,11 @@
     }
 
     private void deadlinePassed() {
-        if (finished || committed) {
+        if (finished) {
+            return;
+        }
+        if (committed) {
+            abort(current);
             return;
         }
         if (current != null && current.sent() && !current.concluded()) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -134,6 +134,18 @@
         assertTrue(!got.getFirst().endsWith(" 0"), got.toString());
     }
 
+    /** An answer whose rest never comes must not keep its caller waiting beyond the deadline. */
+    @Test
+    void abortsAtTheDeadlineAnAnswerThatHasBegunAndDoesNotEnd() {
+        send(false, 2);
+        CallId id = calls().getFirst().id();
+        dispatcher.received(link, new Message.Head(id, 200, List.of(), false, CALM));
+        dispatcher.received(link, new Message.Data(id, 0, "ab".getBytes()));
+        clock.advance(1_000 * MILLI);
+        assertEquals(List.of("head 200", "data ab", "aborted"), got);
+        assertEquals(0, dispatcher.inFlight());
+    }
+
     @Test
     void refusesAtOnceWhenTheCalledPathShedsTheRank() {
         send(true, 2);
