Give the slot back when a streamed answer has lost its caller

Cause: an answer is received as credit allows. Credit stays away for good when the caller leaves, and when the link is lost with data and credit in its buffers; the answer then waited without an end, as a filing isn't cancelled and the stall timeout excuses an answer for which nothing more is wanted.

Fix: such an answer is abandoned. Nothing more of it is sent and its rest is received, so that the upstream can end it. An inquiry about it gets "has run, connection lost" at once.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
@@ -23,6 +23,7 @@
     private final AnswerMemory memory;
     private boolean storing;
     private boolean complete;
+    private boolean abandoned;
     private long credit;
     private long sent;
     private Message.Head head;
@@ -45,19 +46,34 @@
     }
 
     boolean wantsMore() {
-        return storing || credit > 0;
+        return storing || abandoned || credit > 0;
+    }
+
+    /** Returns whether the answer is being streamed: what was sent of it can't be sent again. */
+    boolean streaming() {
+        return head != null && !storing && !complete;
+    }
+
+    /**
+     * Sends no more of a streamed answer, and returns whether that unblocks receiving. The rest is still received, so
+     * that the upstream can end the answer and its slot becomes free.
+     */
+    boolean abandon() {
+        boolean blocked = !wantsMore();
+        abandoned = true;
+        return blocked;
     }
 
     void head(Message.Head newHead, Link link) {
         head = newHead;
-        if (!storing) {
+        if (!storing && !abandoned) {
             link.send(newHead);
         }
     }
 
     void data(byte[] bytes, Link link) {
         if (!storing) {
-            sendData(bytes, link);
+            stream(bytes, link);
             return;
         }
         if (stored.size() + bytes.length <= maxStoredBytes && memory.reserve(bytes.length)) {
@@ -65,11 +81,13 @@
             return;
         }
         storing = false;
-        link.send(head);
+        if (!abandoned) {
+            link.send(head);
+        }
         if (stored.size() > 0) {
-            sendData(stored.toByteArray(), link);
+            stream(stored.toByteArray(), link);
         }
-        sendData(bytes, link);
+        stream(bytes, link);
         discard();
     }
 
@@ -81,7 +99,7 @@
             stored = new ByteArrayOutputStream(0);
             memory.add(whole);
             sendStored(body, link);
-        } else {
+        } else if (!abandoned) {
             link.send(new Message.End(id, sent));
         }
     }
@@ -142,6 +160,12 @@
         link.send(new Message.End(id, sent));
     }
 
+    private void stream(byte[] bytes, Link link) {
+        if (!abandoned) {
+            sendData(bytes, link);
+        }
+    }
+
     private void sendData(byte[] bytes, Link link) {
         link.send(new Message.Data(id, sent, bytes));
         sent += bytes.length;
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -90,11 +90,7 @@
     }
 
     void credit(int bytes) {
-        serial.run(() -> {
-            if (answer.credit(bytes) && exchange != null && !finished()) {
-                exchange.request();
-            }
-        });
+        serial.run(() -> requestIf(answer.credit(bytes)));
     }
 
     void granted(long ticket, boolean granted) {
@@ -104,10 +100,12 @@
     void cancelled() {
         serial.run(() -> {
             if (phase == Phase.WAITING) {
-                refuseNotRun(RefusalReason.CANCELLED);
+                refuseNow(server.notRun(RefusalReason.CANCELLED));
             } else if (phase == Phase.HANDED && call.idempotent()) {
                 server.parts().counters().refused(RunState.MAY_HAVE_RUN, RefusalReason.CANCELLED);
                 cancelExchange();
+            } else if (phase == Phase.HANDED) {
+                requestIf(answer.abandon());
             }
         });
     }
@@ -115,9 +113,11 @@
     void linkLost(Link lost) {
         serial.run(() -> {
             if (link == lost && phase == Phase.WAITING) {
-                refuseNotRun(RefusalReason.SEALED);
+                refuseNow(server.notRun(RefusalReason.SEALED));
             } else if (link == lost && phase == Phase.HANDED && call.idempotent()) {
                 cancelExchange();
+            } else if (link == lost && phase == Phase.HANDED && answer.streaming()) {
+                requestIf(answer.abandon());
             }
         });
     }
@@ -129,9 +129,10 @@
             server.parts().counters().count(Event.ANSWER_REPLAYED);
             if (lastRefusal != null) {
                 newLink.send(new Message.Refused(call.id(), lastRefusal, report()));
-            } else if (!answer.replay(newLink, this::report) && finished()) {
+            } else if (!answer.replay(newLink, this::report) && (finished() || answer.streaming())) {
                 newLink.send(new Message.Refused(
                         call.id(), new Refusal(RunState.RAN, RefusalReason.CONNECTION_LOST, 0), report()));
+                requestIf(answer.abandon());
             }
             Optional.ofNullable(context).ifPresent(c -> c.budget().resendPending());
         });
@@ -212,7 +213,7 @@
             timer = stallTimeout;
             Message.Head head = new Message.Head(call.id(), newStatus, headers, context.hasFailedChild(), report());
             answer.head(head, link);
-            requestMore();
+            requestIf(answer.wantsMore());
         });
     }
 
@@ -221,7 +222,7 @@
         ifHandedOver(() -> {
             stallTimeout.progressed();
             answer.data(bytes, link);
-            requestMore();
+            requestIf(answer.wantsMore());
         });
     }
 
@@ -314,8 +315,8 @@
         });
     }
 
-    private void requestMore() {
-        if (answer.wantsMore()) {
+    private void requestIf(boolean wanted) {
+        if (wanted && exchange != null) {
             exchange.request();
         }
     }
@@ -332,7 +333,7 @@
 
     private void onDeadline() {
         if (phase == Phase.WAITING) {
-            refuseNotRun(RefusalReason.DEADLINE);
+            refuseNow(server.notRun(RefusalReason.DEADLINE));
             return;
         }
         if (phase != Phase.HANDED || deadlinePassed && !call.idempotent() && !times.graceExpired()) {
@@ -350,10 +351,6 @@
         timer = server.parts().timers().after(times.graceAfterDeadline(), () -> serial.run(this::onDeadline));
     }
 
-    private void refuseNotRun(RefusalReason reason) {
-        refuseNow(server.notRun(reason));
-    }
-
     /** Refuses a call that holds no slot. */
     private void refuseNow(Refusal refusal) {
         phase = Phase.FINISHED;
