--- a/node/src/test/java/org/verbenadyke/node/transport/QuickAckHandlerTest.java
+++ b/node/src/test/java/org/verbenadyke/node/transport/QuickAckHandlerTest.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.node.transport;
 
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
@@ -50,7 +51,7 @@
 
     @Test
     void theOptionIsTakenByAConnectionWhereTheSystemHasIt() throws Exception {
-        try (var socket = java.nio.channels.SocketChannel.open()) {
+        try (var socket = SocketChannel.open()) {
             boolean supported = socket.supportedOptions().contains(ExtendedSocketOptions.TCP_QUICKACK);
             NioSocketChannel connection = new NioSocketChannel(socket);
             boolean taken =
