Leave an answer that goes on after the deadline to its caller

Callers saw: downloads that they were reading ended at the route's timeout.

Fix: past the deadline an answer is aborted once it brings nothing more between two checks 0.2 s apart, so that it ends less than half a second after the deadline.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -16,6 +16,9 @@
  * other threads.
  */
 final class Attempt {
+    /** How often an answer that is still coming after its deadline is checked, in nanoseconds. */
+    static final long PROGRESS_CHECK_NANOS = 200_000_000L;
+
     private final CallId id;
     private final Dispatch dispatch;
     private final Candidate candidate;
@@ -26,6 +29,7 @@
     private long targetClock;
     private boolean headSeen;
     private long receivedBytes;
+    private long checkedBytes = -1;
     private boolean concluded;
     private boolean countedOnLink;
     private boolean usageReported;
@@ -119,6 +123,13 @@
         receivedBytes += bytes;
     }
 
+    /** Returns whether more of the answer has come since the last call; the first call returns true. */
+    boolean progressed() {
+        boolean more = receivedBytes != checkedBytes;
+        checkedBytes = receivedBytes;
+        return more;
+    }
+
     List<Message> deferredMessages() {
         return deferredMessages;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -274,7 +274,8 @@
 
     private void handleLinkLoss(Attempt attempt) {
         if (!request.idempotent()) {
-            inquire(attempt);
+            runState = RunState.MAY_HAVE_RUN;
+            Inquiry.start(parts, attempt, serial, () -> !finished && attempt == current, this::handleLinkLoss);
             return;
         }
         if (attempt.headSeen()) {
@@ -289,11 +290,6 @@
         retryIfIdempotent(RetryReason.CONNECTION_LOST, Refusal.mayHaveRun(RefusalReason.CONNECTION_LOST));
     }
 
-    private void inquire(Attempt attempt) {
-        runState = RunState.MAY_HAVE_RUN;
-        Inquiry.start(parts, attempt, serial, () -> !finished && attempt == current, this::handleLinkLoss);
-    }
-
     private void reroute(Attempt attempt, RefusalReason reason) {
         if (reroutes >= MAX_REROUTES) {
             refuse(reason);
@@ -362,7 +358,11 @@
             return;
         }
         if (committed) {
-            abort(current);
+            if (current.progressed()) {
+                deadline = parts.timers().after(Attempt.PROGRESS_CHECK_NANOS, () -> serial.run(this::deadlinePassed));
+            } else {
+                abort(current);
+            }
             return;
         }
         if (current != null && current.sent() && !current.concluded()) {
