Tests of answers share their listeners and the server with one slot

AnswerEndTest has one body for its two resets. The assertions stay; the outcome of the unwritable request is asserted as ended at once, and then as broken.

--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/OneSlotFixture.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/OneSlotFixture.java
@@ -67,10 +67,15 @@
 
     /** Creates a filing. */
     Message.Call call(long sequence) {
+        return call(sequence, "u1");
+    }
+
+    /** Creates a filing for an upstream. */
+    Message.Call call(long sequence, String upstream) {
         return new Message.Call(
                 new CallId(5, sequence),
                 new RequestId(5, sequence),
-                new Message.Target("s", "u1"),
+                new Message.Target("s", upstream),
                 Importance.NORMAL,
                 0,
                 TTL_MICROS,
--- a/node/src/test/java/org/verbenadyke/node/http1/AnswerEndTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/AnswerEndTest.java
@@ -35,7 +35,7 @@
             loops,
             EventLoopTimerService.on(loops.group().next()),
             PoolSettings.standard());
-    private final RecordedAnswer answer = new RecordedAnswer();
+    private final RecordedAnswer answer = RecordedAnswer.ofCall();
 
     @AfterEach
     void stop() throws IOException {
@@ -56,26 +56,12 @@
 
     @Test
     void anAnswerWithoutLengthIsIncompleteWhenAWriteMeetsTheReset() throws Exception {
-        send(new byte[LONG_BODY_BYTES]);
-        try (Socket socket = accept()) {
-            readRequestStart(socket);
-            write(socket, WITHOUT_LENGTH + PART);
-            answer.awaitData();
-            reset(socket);
-        }
-        assertNotEquals("end", answer.outcome());
+        assertIncompleteWhenReset(new byte[LONG_BODY_BYTES]);
     }
 
     @Test
     void anAnswerWithoutLengthIsIncompleteWhenAReadMeetsTheReset() throws Exception {
-        send(new byte[0]);
-        try (Socket socket = accept()) {
-            readRequestStart(socket);
-            write(socket, WITHOUT_LENGTH + PART);
-            answer.awaitData();
-            reset(socket);
-        }
-        assertNotEquals("end", answer.outcome());
+        assertIncompleteWhenReset(new byte[0]);
     }
 
     @Test
@@ -111,6 +97,17 @@
         assertNotEquals("end", answer.outcome());
     }
 
+    private void assertIncompleteWhenReset(byte[] requestBody) throws Exception {
+        send(requestBody);
+        try (Socket socket = accept()) {
+            readRequestStart(socket);
+            write(socket, WITHOUT_LENGTH + PART);
+            answer.awaitData();
+            reset(socket);
+        }
+        assertNotEquals("end", answer.outcome());
+    }
+
     private HttpCall send(byte[] body) {
         return pool.send(new HttpRequestMessage("POST", "/", List.of(), body), answer);
     }
--- a/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ClientConnectionTest.java
@@ -8,12 +8,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.node.time.EventLoopTimerService;
 import org.verbenadyke.node.transport.EventLoops;
@@ -28,6 +25,7 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Tests {@link ClientConnection} against a server that answers before it has read the body. */
 final class ClientConnectionTest {
@@ -60,16 +58,16 @@
     @Test
     void sendsTheRestOfAnAnsweredRequestAndMeanwhileNoOtherOnTheConnection() throws Exception {
         HttpPool pool = pool(PoolSettings.standard().idleNanos());
-        CompletableFuture<String> first = post(pool, new byte[BODY_BYTES]);
+        RecordedAnswer first = post(pool, new byte[BODY_BYTES]);
         try (Socket early = accept()) {
             readHead(early);
             early.getOutputStream().write(ANSWER);
-            assertEquals("end", first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
-            CompletableFuture<String> second = post(pool, new byte[1]);
+            assertEquals("end", first.outcome());
+            RecordedAnswer second = post(pool, new byte[1]);
             try (Socket other = accept()) {
                 readHead(other);
                 other.getOutputStream().write(ANSWER);
-                assertEquals("end", second.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+                assertEquals("end", second.outcome());
                 assertArrayEquals(new byte[BODY_BYTES], early.getInputStream().readNBytes(BODY_BYTES));
                 assertEquals(0, early.getInputStream().available());
                 assertEquals(2, pool.size());
@@ -80,11 +78,11 @@
     @Test
     void disconnectsAServerThatNeverReadsTheRest() throws Exception {
         HttpPool pool = pool(IDLE_NANOS);
-        CompletableFuture<String> first = post(pool, new byte[BODY_BYTES]);
+        RecordedAnswer first = post(pool, new byte[BODY_BYTES]);
         try (Socket early = accept()) {
             readHead(early);
             early.getOutputStream().write(ANSWER);
-            assertEquals("end", first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            assertEquals("end", first.outcome());
             awaitSize(pool, 0);
         }
     }
@@ -93,11 +91,11 @@
     @Test
     void waitsForTheRestNoLongerThanThePoolKeepsAnIdleConnection() throws Exception {
         HttpPool pool = pool(IDLE_NANOS);
-        CompletableFuture<String> first = post(pool, new byte[BODY_BYTES]);
+        RecordedAnswer first = post(pool, new byte[BODY_BYTES]);
         try (Socket early = accept()) {
             readHead(early);
             early.getOutputStream().write(LONG_IDLE_ANSWER);
-            assertEquals("end", first.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+            assertEquals("end", first.outcome());
             awaitSize(pool, 0);
         }
     }
@@ -109,12 +107,12 @@
         List<Socket> sockets = new ArrayList<>();
         try {
             for (int i = 0; i < HttpPool.MAX_UNREAD_REQUESTS + 2; i++) {
-                CompletableFuture<String> outcome = post(pool, new byte[MANY_BODY_BYTES]);
+                RecordedAnswer outcome = post(pool, new byte[MANY_BODY_BYTES]);
                 Socket early = accept();
                 sockets.add(early);
                 readHead(early);
                 early.getOutputStream().write(ANSWER);
-                assertEquals("end", outcome.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+                assertEquals("end", outcome.outcome());
             }
             awaitSize(pool, HttpPool.MAX_UNREAD_REQUESTS);
             sockets.removeFirst().close();
@@ -128,8 +126,8 @@
 
     /** A write that fails without closing the connection must not leave the call waiting for its deadline. */
     @Test
-    void endsTheCallAsBrokenWhenTheRequestCannotBeWritten() {
-        CompletableFuture<String> outcome = new CompletableFuture<>();
+    void endsTheCallAsBrokenWhenTheRequestCannotBeWritten() throws Exception {
+        RecordedAnswer answer = RecordedAnswer.ofCall();
         HttpRequestMessage request = new HttpRequestMessage("POST", "/", List.of(), new byte[1]);
         ChannelOutboundHandlerAdapter failing = new ChannelOutboundHandlerAdapter() {
             @Override
@@ -138,11 +136,12 @@
                 promise.setFailure(new EncoderException("not encodable"));
             }
         };
-        ClientCall call = new ClientCall(request, "", new Outcome(outcome));
+        ClientCall call = new ClientCall(request, "", answer);
         EmbeddedChannel channel = new EmbeddedChannel(
                 failing, new ClientConnection(pool(PoolSettings.standard().idleNanos()), call));
         channel.runPendingTasks();
-        assertEquals("broken", outcome.getNow("waiting"));
+        assertTrue(answer.ended());
+        assertEquals("broken", answer.outcome());
         assertFalse(channel.isOpen());
     }
 
@@ -161,10 +160,10 @@
                 new PoolSettings(TIMEOUT_MILLIS, idleNanos));
     }
 
-    private static CompletableFuture<String> post(HttpPool pool, byte[] body) {
-        CompletableFuture<String> outcome = new CompletableFuture<>();
-        pool.send(new HttpRequestMessage("POST", "/", List.of(), body), new Outcome(outcome));
-        return outcome;
+    private static RecordedAnswer post(HttpPool pool, byte[] body) {
+        RecordedAnswer answer = RecordedAnswer.ofCall();
+        pool.send(new HttpRequestMessage("POST", "/", List.of(), body), answer);
+        return answer;
     }
 
     private static String readHead(Socket socket) throws IOException {
@@ -195,42 +194,4 @@
             throw new IllegalStateException(e);
         }
     }
-
-    /** Completes with the end of an exchange. */
-    private record Outcome(CompletableFuture<String> result) implements AnswerListener {
-        @Override
-        public void unreachable() {
-            result.complete("unreachable");
-        }
-
-        @Override
-        public boolean matches(int status, List<HeaderField> fields) {
-            return true;
-        }
-
-        @Override
-        public void head(int status, List<HeaderField> fields) {
-            // Only the end counts.
-        }
-
-        @Override
-        public void data(byte[] bytes) {
-            // Only the end counts.
-        }
-
-        @Override
-        public void end() {
-            result.complete("end");
-        }
-
-        @Override
-        public void broken() {
-            result.complete("broken");
-        }
-
-        @Override
-        public void closed() {
-            result.complete("closed");
-        }
-    }
 }
--- a/node/src/test/java/org/verbenadyke/node/http1/RecordedAnswer.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/RecordedAnswer.java
@@ -15,6 +15,21 @@
     private final CompletableFuture<String> result = new CompletableFuture<>();
     private final CountDownLatch firstData = new CountDownLatch(1);
     private final AtomicLong bytes = new AtomicLong();
+    private final boolean matches;
+
+    private RecordedAnswer(boolean matches) {
+        this.matches = matches;
+    }
+
+    /** Records the answer to a call. */
+    static RecordedAnswer ofCall() {
+        return new RecordedAnswer(true);
+    }
+
+    /** Records the end of a call that no answer belongs to. */
+    static RecordedAnswer matchingNone() {
+        return new RecordedAnswer(false);
+    }
 
     /** Waits for the end of the call and returns its name. */
     String outcome() throws Exception {
@@ -43,7 +58,7 @@
 
     @Override
     public boolean matches(int status, List<HeaderField> fields) {
-        return true;
+        return matches;
     }
 
     @Override
--- a/node/src/test/java/org/verbenadyke/node/http1/UnendingAnswerTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/UnendingAnswerTest.java
@@ -54,19 +54,19 @@
     @ParameterizedTest
     @ValueSource(strings = {"x", "x: y\r\n", "HTTP/1.1 200 OK\r\nContent-Length: z\r\n\r\n"})
     void endsTheCallAndTheConnectionWhenAHeadHasNoEnd(String bytes) throws Exception {
-        Listener listener = new Listener(true);
+        RecordedAnswer listener = RecordedAnswer.ofCall();
         CompletableFuture<Long> written = serve("", bytes);
         pool.send(request(), listener);
-        assertTrue(List.of("broken", "closed").contains(listener.result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)));
+        assertTrue(List.of("broken", "closed").contains(listener.outcome()));
         assertTrue(written.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) < PASSED_BYTES);
     }
 
     @Test
     void endsTheConnectionWhenBytesFollowAnAnswerWithoutEnd() throws Exception {
-        Listener listener = new Listener(true);
+        RecordedAnswer listener = RecordedAnswer.ofCall();
         CompletableFuture<Long> written = serve(ANSWER, "x");
         pool.send(request(), listener);
-        assertEquals("end", listener.result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals("end", listener.outcome());
         assertTrue(written.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) < PASSED_BYTES);
     }
 
@@ -84,7 +84,7 @@
     }
 
     private void assertEndsWhenCancelled(CompletableFuture<Long> written) throws Exception {
-        HttpCall call = pool.send(request(), new Listener(false));
+        HttpCall call = pool.send(request(), RecordedAnswer.matchingNone());
         assertTrue(answering.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
         call.cancel();
         assertTrue(written.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) > 0);
@@ -93,7 +93,7 @@
     /** An answer that is throttled isn't read beyond what was requested. */
     @Test
     void readsNoMoreOfAThrottledAnswerThanIsRequested() throws Exception {
-        Listener listener = new Listener(true);
+        RecordedAnswer listener = RecordedAnswer.ofCall();
         CompletableFuture<Long> written = serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n");
         HttpCall call = pool.send(request(), listener);
         call.throttle();
@@ -136,49 +136,4 @@
             throw new IllegalStateException(e);
         }
     }
-
-    /** Completes with the end of the call. */
-    private static final class Listener implements AnswerListener {
-        private final CompletableFuture<String> result = new CompletableFuture<>();
-        private final boolean matches;
-
-        private Listener(boolean matches) {
-            this.matches = matches;
-        }
-
-        @Override
-        public void unreachable() {
-            result.complete("unreachable");
-        }
-
-        @Override
-        public boolean matches(int status, List<HeaderField> fields) {
-            return matches;
-        }
-
-        @Override
-        public void head(int status, List<HeaderField> fields) {
-            // Only the end counts.
-        }
-
-        @Override
-        public void data(byte[] bytes) {
-            // Only the end counts.
-        }
-
-        @Override
-        public void end() {
-            result.complete("end");
-        }
-
-        @Override
-        public void broken() {
-            result.complete("broken");
-        }
-
-        @Override
-        public void closed() {
-            result.complete("closed");
-        }
-    }
 }
