Mark calls that repeat an earlier one, and count them at the upstream

An operator who sees repetitions pile up at a service can't tell retries of its calls from the calls of runs that were repeated higher up in the chain: both were counted as calls only. Calls now carry whether they are a retry or belong to a repeated run, and the node beside the upstream counts both kinds. A call that the upstream itself shed (reached it) is told from one that the node shed before (did not). No decision changes: the same attempts are made.

Dispatch keeps what it has tried in a class of its own, AttemptHistory; the version of the protocol between nodes rises to 8.

--- a/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
+++ b/bench/src/main/java/org/verbenadyke/bench/decisions/DecisionBenchmarks.java
@@ -29,6 +29,7 @@
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.Repetition;
 import org.verbenadyke.kernel.once.SeenCalls;
 import org.verbenadyke.kernel.routing.Choice;
 import org.verbenadyke.kernel.routing.Endpoint;
@@ -95,6 +96,7 @@
                 "",
                 Message.Stated.NOTHING,
                 false,
+                Repetition.NONE,
                 new Message.Content(
                         "GET", "/lookup?id=1", List.of(new HeaderField("accept", "*/*")), new byte[BODY_BYTES]));
         frame = FrameCodec.encode(message);
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RetryReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RetryReason.java
@@ -8,8 +8,10 @@
 public enum RetryReason {
     /** The upstream answered with a failure. */
     UPSTREAM_FAILED,
-    /** The called node shed the call. */
+    /** The called node shed the call before it reached the upstream. */
     SHED,
+    /** The upstream itself shed the call. */
+    UPSTREAM_SHED,
     /** The connection was lost with an idempotent call in flight. */
     CONNECTION_LOST,
     /** The upstream crashed with an idempotent call in flight. */
@@ -28,6 +30,15 @@
     /** No retry: the deadline leaves no time. */
     DENIED_DEADLINE;
 
+    /**
+     * Returns whether the attempt before the retry may have reached an upstream.
+     *
+     * @return whether it may have, for the reasons of a retry that is made
+     */
+    public boolean reachedUpstream() {
+        return this != SHED && this != REROUTED;
+    }
+
     /**
      * Returns the name used in counters.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
@@ -34,6 +34,15 @@
         // Not collected.
     }
 
+    /**
+     * Returns whether the call being served repeats an earlier one, so that all calls made for it are repetitions.
+     *
+     * @return whether it is a repetition
+     */
+    default boolean repeated() {
+        return false;
+    }
+
     /**
      * Returns an observer for requests that enter the system at this node and so have no calling node.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -1,9 +1,7 @@
 package org.verbenadyke.kernel.dispatch;
 
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.Refusal;
@@ -23,20 +21,17 @@
  * One request in flight: routed, retried within its budget and answered. All fields are confined to a serial executor.
  */
 final class Dispatch implements CallHandle {
-    private static final int MAX_REROUTES = 3;
-
     private final Dispatcher dispatcher;
     private final Dispatcher.Parts parts;
     private final Request request;
     private final String pathClass;
     private final AnswerSink sink;
     private final SerialExecutor serial = SerialExecutor.create();
-    private final Set<String> tried = new HashSet<>();
+    private final AttemptHistory history = new AttemptHistory();
     private Attempt current;
     private boolean finished;
     private boolean committed;
     private boolean awaitingRetryDecision;
-    private int reroutes;
     private final CreditAccumulator credit = new CreditAccumulator();
     private RunState runState = RunState.NOT_RUN;
     private Subscription deadline;
@@ -120,7 +115,7 @@
         if (finished || expected != current) {
             return;
         }
-        switch (dispatcher.route(request, pathClass, tried)) {
+        switch (dispatcher.route(request, pathClass, history.tried())) {
             case Choice.Selected to -> openAttempt(dispatcher.open(this, to.candidate()));
             case Choice.Shed shed -> {
                 request.observer().serviceReached(request.service());
@@ -155,7 +150,7 @@
         }
         attempt.bind(link.get());
         parts.ledger().attempted(request.id(), request.service(), attempt.id());
-        link.get().send(RetryRules.buildCall(request, attempt, now));
+        link.get().send(RetryRules.buildCall(request, attempt, history.next(request.observer()), now));
         if (link.get().closed()) {
             handleLinkLoss(attempt);
         }
@@ -195,7 +190,7 @@
             return;
         }
         runState = RunState.MAY_HAVE_RUN;
-        requestRetry(RetryRules.isShed(m.status()) ? RetryReason.SHED : RetryReason.UPSTREAM_FAILED, () -> {
+        requestRetry(RetryRules.isShed(m.status()) ? RetryReason.UPSTREAM_SHED : RetryReason.UPSTREAM_FAILED, () -> {
             request.observer().childFailed();
             commit(attempt, m);
         });
@@ -251,7 +246,8 @@
                 attempt.upstreamFailed(parts);
                 reroute(attempt, refusal.reason());
             }
-            case SHED_QUEUE, UPSTREAM_REFUSED -> requestRetry(RetryReason.SHED, () -> finishRefused(refusal));
+            case SHED_QUEUE -> requestRetry(RetryReason.SHED, () -> finishRefused(refusal));
+            case UPSTREAM_REFUSED -> requestRetry(RetryReason.UPSTREAM_SHED, () -> finishRefused(refusal));
             case UPSTREAM_ENDED -> {
                 attempt.upstreamCrashed(parts, request);
                 retryIfIdempotent(RetryReason.UPSTREAM_ENDED, refusal);
@@ -291,11 +287,10 @@
     }
 
     private void reroute(Attempt attempt, RefusalReason reason) {
-        if (reroutes >= MAX_REROUTES) {
+        if (!history.tryReroute()) {
             refuse(reason);
             return;
         }
-        reroutes++;
         parts.counters().retried(RetryReason.REROUTED);
         dispatcher.recordReroute(request, attempt, reason);
         abandon(attempt);
@@ -307,8 +302,8 @@
     }
 
     private void rerouteToUntried(Attempt attempt, Refusal refusal) {
-        tried.add(attempt.candidate().upstream().id());
-        if (!dispatcher.hasUntriedUpstream(request, tried)) {
+        history.recordTried(attempt.candidate().upstream().id());
+        if (!dispatcher.hasUntriedUpstream(request, history.tried())) {
             finishRefused(refusal);
             return;
         }
@@ -328,10 +323,11 @@
         dispatcher.recordRetry(request, current, reason, granted);
         if (granted) {
             parts.counters().retried(reason);
+            history.recordRetry(reason);
             Attempt last = current;
             abandon(last);
             dispatcher
-                    .retryTarget(request, last, reason, tried)
+                    .retryTarget(request, last, reason, history.tried())
                     .ifPresentOrElse(to -> openAttempt(dispatcher.open(this, to)), () -> routeNext(current));
             return;
         }
@@ -342,7 +338,7 @@
     }
 
     private void abandon(Attempt attempt) {
-        tried.add(attempt.candidate().upstream().id());
+        history.recordTried(attempt.candidate().upstream().id());
         attempt.deferredMessages().clear();
         close(attempt);
         current = null;
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryRules.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.kernel.dispatch;
 
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.Repetition;
 
 /**
  * Decides which failures may be retried, and builds the call of an attempt.
@@ -43,7 +44,7 @@
      * Builds the call. Its time to live ends a little before the sender's deadline, so that the refusal at the deadline
      * comes from the called node, which knows whether the call ran.
      */
-    static Message.Call buildCall(Request request, Attempt attempt, long nowNanos) {
+    static Message.Call buildCall(Request request, Attempt attempt, Repetition repetition, long nowNanos) {
         long leftNanos = request.deadlineNanos() - nowNanos;
         long margin = Math.min(MAX_MARGIN_NANOS, leftNanos / MARGIN_DIVISOR);
         return new Message.Call(
@@ -60,6 +61,7 @@
                 request.key(),
                 attempt.candidate().stated(),
                 request.observer().collectsUsage(),
+                repetition,
                 request.content());
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -15,7 +15,7 @@
  */
 public sealed interface Message {
     /** The version of the protocol. */
-    int VERSION = 7;
+    int VERSION = 8;
 
     /**
      * The first message of both sides.
@@ -49,6 +49,7 @@
      * @param key the idempotency key, empty if none
      * @param known what the sender knows the upstream to have stated about itself
      * @param usageRequested whether the reports of the call and of all nested calls carry their usage
+     * @param repetition whether the call repeats an earlier one
      * @param content the request that the upstream receives
      */
     record Call(
@@ -64,6 +65,7 @@
             String key,
             Stated known,
             boolean usageRequested,
+            Repetition repetition,
             Content content)
             implements Message {
         /**
@@ -88,6 +90,7 @@
                     key,
                     known,
                     usageRequested,
+                    repetition,
                     content.withoutBody());
         }
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Counters.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Counters.java
@@ -5,6 +5,7 @@
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.message.Repetition;
 
 /**
  * The counters of one node. Thread-safe.
@@ -60,6 +61,20 @@
         events[event.ordinal()].increment();
     }
 
+    /**
+     * Counts a call that was passed to the upstream.
+     *
+     * @param repetition whether the call repeats an earlier one
+     */
+    public void handedOver(Repetition repetition) {
+        count(Event.HANDED_OVER);
+        if (repetition == Repetition.RETRY) {
+            count(Event.RETRY_HANDED_OVER);
+        } else if (repetition == Repetition.INHERITED) {
+            count(Event.INHERITED_RETRY_HANDED_OVER);
+        }
+    }
+
     /**
      * Reads a counter.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/metrics/Event.java
@@ -16,6 +16,10 @@
     CALL_IN,
     /** A call was passed to the upstream. */
     HANDED_OVER,
+    /** A call was passed to the upstream of which an earlier attempt may have reached an upstream. */
+    RETRY_HANDED_OVER,
+    /** A call was passed to the upstream that a repeated run made. */
+    INHERITED_RETRY_HANDED_OVER,
     /** A message matched no call and was dropped. */
     MESSAGE_UNMATCHED,
     /** A call arrived twice; the second was dropped. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
@@ -13,6 +13,7 @@
 import org.verbenadyke.kernel.dispatch.ChainObserver;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.Repetition;
 
 /**
  * The context that an upstream's nested calls inherit from the call it serves. The upstream sees only the token.
@@ -27,6 +28,7 @@
     private final CallTimes times;
     private final String service;
     private final boolean usageRequested;
+    private final boolean repeated;
     private final ParentBudget budget;
     private final Set<String> services = ConcurrentHashMap.newKeySet();
     private volatile boolean childFailed;
@@ -42,6 +44,7 @@
         this.times = times;
         this.service = call.target().service();
         this.usageRequested = call.usageRequested();
+        this.repeated = call.repetition() != Repetition.NONE;
         this.budget = ParentBudget.of(link, call.id());
     }
 
@@ -143,6 +146,11 @@
         childFailed = true;
     }
 
+    @Override
+    public boolean repeated() {
+        return repeated;
+    }
+
     @Override
     public boolean collectsUsage() {
         return usageRequested;
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -261,7 +261,7 @@
     }
 
     void recordHandOver(Message.Call call, LocalUpstream local, long receivedNanos) {
-        parts.counters.count(Event.HANDED_OVER);
+        parts.counters.handedOver(call.repetition());
         local.notices().rate().recordHandOver();
         parts.ledger.handedOver(call.id(), call.key(), call.idempotent());
         if (local.drainingBefore(receivedNanos)) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -22,6 +22,7 @@
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.message.RecordingLink;
+import org.verbenadyke.kernel.message.Repetition;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.once.KeyTable;
@@ -376,6 +377,7 @@
                 key,
                 Message.Stated.NOTHING,
                 usageRequested,
+                Repetition.NONE,
                 new Message.Content(idempotent ? "GET" : "POST", "/p", List.of(), body));
     }
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/HandOverCheckTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/HandOverCheckTest.java
@@ -18,6 +18,7 @@
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.message.RecordingLink;
+import org.verbenadyke.kernel.message.Repetition;
 import org.verbenadyke.kernel.metrics.Counters;
 import org.verbenadyke.kernel.once.KeyTable;
 import org.verbenadyke.kernel.quarantine.Quarantine;
@@ -112,6 +113,7 @@
                 key,
                 Message.Stated.NOTHING,
                 false,
+                Repetition.NONE,
                 new Message.Content("POST", "/p", List.of(), body));
     }
 }
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -18,6 +18,7 @@
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.Repetition;
 
 /**
  * Encodes the messages between nodes as MessagePack: the type's number, then its fields in order. On the wire each
@@ -161,7 +162,7 @@
         p.packLong(m.ttlMicros()).packLong(m.dueMicros()).packLong(m.receiverClock());
         p.packBoolean(m.idempotent()).packString(m.key());
         StatedCodec.pack(p, m.known());
-        p.packBoolean(m.usageRequested());
+        p.packBoolean(m.usageRequested()).packInt(m.repetition().ordinal());
         p.packString(m.content().method()).packString(m.content().path());
         packHeaders(p, m.content().headers());
         packBytes(p, m.content().body());
@@ -182,6 +183,7 @@
                 u.unpackString(),
                 StatedCodec.unpack(u),
                 u.unpackBoolean(),
+                Repetition.values()[u.unpackInt()],
                 new Message.Content(
                         u.unpackString(), u.unpackString(), unpackHeaders(u), unpackBytes(u), u.unpackString()));
     }
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
 import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.Repetition;
 import org.verbenadyke.kernel.once.StoredOutcome;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
@@ -54,6 +55,7 @@
                     "key",
                     new Message.Stated(7, 0, false),
                     true,
+                    Repetition.INHERITED,
                     new Message.Content("GET", "/x?y", HEADERS, new byte[] {1, 2, 3})),
             new Message.Head(ID, 200, HEADERS, true, REPORT),
             new Message.Data(ID, 1L << 40, new byte[20_000]),
