Reproduce the sum of retries beyond the allowance, failing

Callers saw nothing of it; operators saw repetitions beyond the ratio. Counted at the upstreams, as the rule counts: arrivals beyond the first, and all calls of repeated runs, against callers' own requests.

FleetUpstream can now fail, lose and reject runs, and its nested calls have paths of their own.

--- a/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/AnnouncingFleet.java
@@ -203,7 +203,13 @@
     private void attachWorker(LabServer server) {
         LabNode node = server.node();
         FleetUpstream worker = new FleetUpstream(
-                node, Map.of(request.name(), request), lab.random(), 1, lab.statements(), new WorkLog());
+                node,
+                Map.of(request.name(), request),
+                lab.random(),
+                1,
+                lab.statements(),
+                new WorkLog(),
+                new RetryAudit());
         node.core()
                 .attachUpstream(
                         UpstreamRegistration.of(server.spec().name(), worker).withSlots(SLOTS));
--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -37,6 +37,10 @@
     private static final int MIN_FAILED_STATUS = 300;
     private static final long WARM_UP_NANOS = 3 * Lab.SECOND;
 
+    private static final long NODE_DOWN_NANOS = 300 * Lab.MILLI;
+    private static final long REGISTRATION_NANOS = 500 * Lab.MILLI;
+    private static final long NEVER_NANOS = 100_000 * Lab.SECOND;
+
     /** Callers honour a Retry-After delay of at most their timeout divided by this number. */
     private static final int MAX_RETRY_DELAY_DIVISOR = 4;
 
@@ -46,14 +50,18 @@
 
     private final Lab lab;
     private final WorkLog workLog;
+    private final RetryAudit audit;
+    private final Map<String, FleetOperation> operations;
     private final Map<LabServer, RequestCosts> trueCosts = new HashMap<>();
     private double swingTimes = 1;
     private long nextNumber;
     private boolean usageRequested;
 
-    private CallerFleet(Lab lab, WorkLog workLog) {
+    private CallerFleet(Lab lab, Map<String, FleetOperation> operations) {
         this.lab = lab;
-        this.workLog = workLog;
+        this.operations = operations;
+        this.workLog = new WorkLog();
+        this.audit = new RetryAudit();
     }
 
     /** Starts a fleet and lets its nodes discover each other. */
@@ -73,21 +81,41 @@
         services.forEach(s -> lab.add(s, LOCATIONS));
         lab.startAll();
         lab.advance(Lab.SECOND);
-        Map<String, FleetOperation> byName =
-                operations.stream().collect(Collectors.toMap(FleetOperation::name, Function.identity()));
-        WorkLog workLog = new WorkLog();
+        CallerFleet fleet = new CallerFleet(
+                lab, operations.stream().collect(Collectors.toMap(FleetOperation::name, Function.identity())));
         int at = 0;
         for (LabServer s : lab.servers()) {
-            double speed = speeds[at++ % speeds.length];
-            FleetUpstream upstream =
-                    new FleetUpstream(s.node(), byName, lab.random(), speed, new Statements(), workLog);
-            s.node()
-                    .core()
-                    .attachUpstream(UpstreamRegistration.of(s.spec().name(), upstream)
-                            .withSlots(s.spec().slots()));
+            fleet.attachUpstream(s, speeds[at++ % speeds.length]);
         }
         lab.advance(WARM_UP_NANOS);
-        return new CallerFleet(lab, workLog);
+        return fleet;
+    }
+
+    private void attachUpstream(LabServer server, double speed) {
+        LabNode node = server.node();
+        FleetUpstream upstream =
+                new FleetUpstream(node, operations, lab.random(), speed, new Statements(), workLog, audit);
+        node.process()
+                .run(() -> node.core()
+                        .attachUpstream(UpstreamRegistration.of(server.spec().name(), upstream)
+                                .withSlots(server.spec().slots())));
+    }
+
+    /** Kills a node, which starts again after a moment and finds its upstream, at the usual speed. */
+    void restartNode(LabServer server) {
+        if (!server.up()) {
+            return;
+        }
+        lab.crashNode(server);
+        lab.clock().after(NODE_DOWN_NANOS, () -> {
+            lab.restartNode(server, NEVER_NANOS);
+            lab.clock().after(REGISTRATION_NANOS, () -> attachUpstream(server, 1));
+        });
+    }
+
+    /** Returns the counts that are taken at the upstreams. */
+    RetryAudit audit() {
+        return audit;
     }
 
     /** Returns the policy of a node with few slots and far more callers than it can serve. */
@@ -216,6 +244,11 @@
 
         void send() {
             FleetOperation operation = group.operation;
+            audit.requested(operation.service(), lab.clock().nanos());
+            if (!entry.up()) {
+                recordOutcome("failed");
+                return;
+            }
             Message.Content content = new Message.Content(
                     operation.once() ? "POST" : "GET",
                     "/" + operation.name() + "/" + nextNumber++,
--- a/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/FleetUpstream.java
@@ -28,9 +28,10 @@
     private final double speed;
     private final Statements statements;
     private final WorkLog workLog;
+    private final RetryAudit audit;
 
     FleetUpstream(LabNode node, Map<String, FleetOperation> operations, RandomGenerator random, double speed) {
-        this(node, operations, random, speed, new Statements(), new WorkLog());
+        this(node, operations, random, speed, new Statements(), new WorkLog(), new RetryAudit());
     }
 
     FleetUpstream(
@@ -39,9 +40,11 @@
             RandomGenerator random,
             double speed,
             Statements statements,
-            WorkLog workLog) {
+            WorkLog workLog,
+            RetryAudit audit) {
         this.statements = statements;
         this.workLog = workLog;
+        this.audit = audit;
         this.node = node;
         this.operations = operations;
         this.random = random;
@@ -51,10 +54,24 @@
     @Override
     public Exchange start(HandOver handOver, Listener listener) {
         Work work = new Work(handOver, listener);
-        work.workHalf(work::startNestedCalls);
+        work.workHalf(work.run.outcome() == Outcome.REJECTED ? work::reject : work::startNestedCalls);
         return work;
     }
 
+    /**
+     * What becomes of a run.
+     */
+    enum Outcome {
+        /** It is answered. */
+        ANSWERED,
+        /** It is answered with a failure at its end. */
+        FAILED,
+        /** Its answer is lost. */
+        LOST,
+        /** It is refused as not run. */
+        REJECTED
+    }
+
     /**
      * One running call: spends half of its own time before its nested calls and half after them.
      */
@@ -62,6 +79,7 @@
         private final HandOver handOver;
         private final Listener listener;
         private final FleetOperation operation;
+        private final RetryAudit.Run run;
         private final long startNanos = node.process().nanos();
         private final long deadline;
         private int answered;
@@ -71,7 +89,9 @@
         private Work(HandOver handOver, Listener listener) {
             this.handOver = handOver;
             this.listener = listener;
-            this.operation = operations.get(handOver.content().path().split("/")[1]);
+            String path = handOver.content().path();
+            this.operation = operations.get(path.split("/")[1]);
+            this.run = audit.arrived(operation.service(), path, startNanos);
             this.deadline = startNanos + handOver.remainingNanos();
         }
 
@@ -103,7 +123,7 @@
             long left = Math.min(deadline - node.process().nanos(), nested.timeoutMillis() * Lab.MILLI);
             Message.Content content = new Message.Content(
                     "GET",
-                    "/" + nested.name() + "/x",
+                    audit.pathOfCall(nested, run),
                     List.of(new HeaderField(
                             UpstreamStatement.SENT_BY, node.core().self().nodeId())),
                     new byte[0]);
@@ -126,11 +146,22 @@
             }
         }
 
+        private void reject() {
+            ended = true;
+            listener.notRun();
+        }
+
         private void answer(int status) {
+            if (run.outcome() == Outcome.LOST) {
+                ended = true;
+                listener.broken();
+                return;
+            }
             headSent = true;
             workLog.record(
                     handOver.request(), operation.service(), node.process().nanos() - startNanos);
-            listener.head(status, List.of(new HeaderField("content-length", "0")));
+            listener.head(
+                    run.outcome() == Outcome.FAILED ? FAILED : status, List.of(new HeaderField("content-length", "0")));
         }
 
         @Override
