Bound the sum of retries by callers' requests, over the whole chain

What callers saw: nothing by itself; what operators saw: a service at the end of a chain got several times the repetitions that the ratio allows, and a service alone an eighth of them, while callers failed.

Cause: retries were bounded by a share of the successful calls between two services at one node. Calls outnumber callers' requests where a chain multiplies them; a retry high in the chain was charged once, not for the calls that its run makes again; each start began with a full share. Class: a limit that counts another quantity than the rule that it stands for, with a constant in place of what must be known.

Each entry now spends what its own callers' requests for a service earn. Nodes learn from answers which calls a run makes, and a retry at any depth is charged at the entry for all of them before it is made. Nothing is exchanged between entries, so that cuts, kills and starts add nothing. Retries that miss the deadline, or belong to a run that fails anyway, are denied. The ratio remains for calls that reached no upstream.

KeyFact moved out of Message, and the kinds of RequestCosts into KindTable, which RunCosts shares.

--- a/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/CallerFleet.java
@@ -11,6 +11,7 @@
 
 import org.verbenadyke.kernel.admission.GateSettings;
 import org.verbenadyke.kernel.admission.QueueOrder;
+import org.verbenadyke.kernel.budget.AllowanceSettings;
 import org.verbenadyke.kernel.call.AnswerSink;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
@@ -133,7 +134,8 @@
                 new DispatchSettings(0.04, 2, false, 0, true, true, false, 300),
                 standard.serve(),
                 standard.link(),
-                standard.locality());
+                standard.locality(),
+                new AllowanceSettings(0.2, 10 * Lab.SECOND, 47));
     }
 
     Lab lab() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/budget/RootBudget.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/budget/RootBudget.java
@@ -2,15 +2,20 @@
 
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Function;
+
+import org.verbenadyke.kernel.cost.CallCounts;
 
 /**
  * The retry count of a request, held by the node where the request entered.
  */
 public final class RootBudget implements RetryBudget {
     private final AtomicInteger left;
+    private final Function<CallCounts, RetryDecision> allowance;
 
-    private RootBudget(int retries) {
+    private RootBudget(int retries, Function<CallCounts, RetryDecision> allowance) {
         this.left = new AtomicInteger(retries);
+        this.allowance = allowance;
     }
 
     /**
@@ -20,7 +25,18 @@
      * @return the budget
      */
     public static RootBudget of(int retries) {
-        return new RootBudget(retries);
+        return new RootBudget(retries, calls -> RetryDecision.GRANTED);
+    }
+
+    /**
+     * Creates a budget whose retries also draw on an allowance.
+     *
+     * @param retries the number of retries that the whole call chain may make
+     * @param allowance decides whether the calls of a retry are allowed, and charges them if so
+     * @return the budget
+     */
+    public static RootBudget of(int retries, Function<CallCounts, RetryDecision> allowance) {
+        return new RootBudget(retries, allowance);
     }
 
     /**
@@ -49,7 +65,15 @@
     }
 
     @Override
-    public void spend(Consumer<Boolean> decision) {
-        decision.accept(take());
+    public void spend(CallCounts calls, Consumer<RetryDecision> callback) {
+        if (!take()) {
+            callback.accept(RetryDecision.DENIED_BUDGET);
+            return;
+        }
+        RetryDecision decision = allowance.apply(calls);
+        if (!decision.granted()) {
+            left.incrementAndGet();
+        }
+        callback.accept(decision);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/call/RetryReason.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/call/RetryReason.java
@@ -27,6 +27,12 @@
     DENIED_BUDGET,
     /** No retry: the retry ratio of the pair of services is used up. */
     DENIED_RATIO,
+    /** No retry: a service that it would reach has no retries left at the node where the request entered. */
+    DENIED_ALLOWANCE,
+    /** No retry: no call of the kind was answered yet, so that it isn't known what its run would reach. */
+    DENIED_UNKNOWN,
+    /** No retry: another call of the same run has failed for good. */
+    DENIED_FUTILE,
     /** No retry: the deadline leaves no time. */
     DENIED_DEADLINE;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -302,7 +302,8 @@
                 owners,
                 (link, m) -> owners.received(link, m, upstream()),
                 planExchange::received,
-                (link, m) -> limiter.received(link, m));
+                (link, m) -> limiter.received(link, m),
+                () -> table.present().size());
     }
 
     private TeamLimiter.Parts limiterParts() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/cost/LearnedCost.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/cost/LearnedCost.java
@@ -10,7 +10,7 @@
  * The cost of one kind of request at each service of its chain, and the rates at which its requests are answered.
  * Thread-safe.
  */
-final class LearnedCost {
+final class LearnedCost implements KindTable.Aged {
     /** The maximum number of services of a kind; those with the least slot time are dropped. */
     static final int MAX_SERVICES = 8;
 
@@ -80,7 +80,8 @@
         return rate == null || nowNanos - rate.lastNanos() > MAX_AGE_NANOS ? 0 : rate.perSecond(nowNanos);
     }
 
-    synchronized long lastNanos() {
+    @Override
+    public synchronized long lastNanos() {
         return lastNanos;
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/cost/RequestCosts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/cost/RequestCosts.java
@@ -1,11 +1,9 @@
 package org.verbenadyke.kernel.cost;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.concurrent.ConcurrentHashMap;
 
 import org.verbenadyke.kernel.call.Importance;
 
@@ -14,10 +12,7 @@
  * Held by kind of request, that is by service and class of paths. Thread-safe.
  */
 public final class RequestCosts {
-    /** The maximum number of kinds; a new one replaces the one whose last answer is the oldest. */
-    static final int MAX_KINDS = 256;
-
-    private final Map<Kind, LearnedCost> kinds = new ConcurrentHashMap<>();
+    private final KindTable<LearnedCost> kinds = KindTable.empty();
 
     private RequestCosts() {}
 
@@ -45,12 +40,8 @@
         if (usage.isEmpty()) {
             return;
         }
-        Kind kind = new Kind(service, pathClass);
-        LearnedCost cost = kinds.get(kind);
-        if (cost == null) {
-            cost = add(kind, nowNanos);
-        }
-        cost.record(importance, repeatable, usage, nowNanos);
+        kinds.findOrAdd(service, pathClass, nowNanos, () -> LearnedCost.startedAt(nowNanos))
+                .record(importance, repeatable, usage, nowNanos);
     }
 
     /**
@@ -64,11 +55,10 @@
      *     seen or the last one is too old
      */
     public OptionalDouble slotNanos(String service, String pathClass, String deepService, long nowNanos) {
-        LearnedCost cost = kinds.get(new Kind(service, pathClass));
-        if (cost == null || !cost.known(nowNanos)) {
-            return OptionalDouble.empty();
-        }
-        return OptionalDouble.of(cost.slotNanos(deepService));
+        Optional<LearnedCost> cost = kinds.find(service, pathClass).filter(c -> c.known(nowNanos));
+        return cost.isEmpty()
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(cost.get().slotNanos(deepService));
     }
 
     /**
@@ -81,8 +71,7 @@
      * @return whether it is
      */
     public boolean fresh(String service, String pathClass, long nowNanos) {
-        LearnedCost cost = kinds.get(new Kind(service, pathClass));
-        return cost != null && cost.fresh(nowNanos);
+        return kinds.find(service, pathClass).filter(c -> c.fresh(nowNanos)).isPresent();
     }
 
     /**
@@ -104,38 +93,10 @@
             for (boolean repeatable : new boolean[] {true, false}) {
                 double rate = cost.requestsPerSecond(importance, repeatable, nowNanos);
                 if (rate > 0) {
-                    using.add(new KindCost(kind.service, kind.pathClass, repeatable, slotNanos, rate));
+                    using.add(new KindCost(kind.service(), kind.pathClass(), repeatable, slotNanos, rate));
                 }
             }
         });
         return using;
     }
-
-    private synchronized LearnedCost add(Kind kind, long nowNanos) {
-        if (kinds.size() >= MAX_KINDS && !kinds.containsKey(kind)) {
-            kinds.entrySet().stream()
-                    .max(Comparator.comparingLong(e -> nowNanos - e.getValue().lastNanos()))
-                    .ifPresent(oldest -> kinds.remove(oldest.getKey()));
-        }
-        return kinds.computeIfAbsent(kind, k -> LearnedCost.startedAt(nowNanos));
-    }
-
-    /**
-     * A kind of request.
-     *
-     * @param service the service that the requests are sent to
-     * @param pathClass the class of their paths
-     */
-    private record Kind(String service, String pathClass) {
-        // Written out: the record's own methods are generated at their first use, which slows the start of a process.
-        @Override
-        public boolean equals(Object other) {
-            return other instanceof Kind o && service.equals(o.service) && pathClass.equals(o.pathClass);
-        }
-
-        @Override
-        public int hashCode() {
-            return 31 * service.hashCode() + pathClass.hashCode();
-        }
-    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/ChainObserver.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.dispatch;
 
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 
 /**
@@ -13,6 +14,16 @@
      */
     void serviceReached(String service);
 
+    /**
+     * Called when a nested call has been answered or refused, once for all its attempts.
+     *
+     * @param service the called service
+     * @param nested the calls that were made for it
+     */
+    default void called(String service, CallCounts nested) {
+        // Not counted.
+    }
+
     /** Called when a nested call has failed and won't be retried. */
     void childFailed();
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -10,6 +10,7 @@
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.concurrent.SerialExecutor;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.metrics.Event;
@@ -106,7 +107,7 @@
             case Message.End m -> onEnd(attempt, m);
             case Message.Refused m -> onRefused(attempt, m);
             case Message.Spend m ->
-                request.budget().spend(granted -> attempt.link().send(new Message.Grant(m.id(), m.ticket(), granted)));
+                request.budget().spend(m.calls(), d -> attempt.link().send(new Message.Grant(m.id(), m.ticket(), d)));
             default -> parts.counters().count(Event.MESSAGE_UNMATCHED);
         }
     }
@@ -173,9 +174,7 @@
         attempt.applyReport(request, pathClass, m.report(), parts.timers().nanos());
         long now = parts.timers().nanos();
         if (!RetryRules.isServerError(m.status())) {
-            attempt.candidate().succeeded(now - attempt.startNanos());
-            dispatcher.retryRatio(request).succeeded();
-            dispatcher.callerRetries().recordAnswer(request, now - attempt.startNanos());
+            dispatcher.recordSuccess(request, attempt, m.report().calls(), now);
             commit(attempt, m);
             return;
         }
@@ -199,6 +198,7 @@
     private void commit(Attempt attempt, Message.Head m) {
         attempt.markHeadSeen();
         committed = true;
+        request.observer().called(request.service(), m.report().calls());
         sink.head(m.status(), m.headers());
         List<Message> deferred = List.copyOf(attempt.deferredMessages());
         attempt.deferredMessages().clear();
@@ -381,6 +381,7 @@
     private void finishRefused(Refusal refusal) {
         Refusal given = runState == RunState.NOT_RUN ? refusal : refusal.withState(runState);
         request.observer().childFailed();
+        request.observer().called(request.service(), CallCounts.NONE);
         parts.counters().refused(given.state(), given.reason());
         sink.refused(dispatcher.withRetryAfter(request, given));
         finish();
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/DispatchSettings.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/DispatchSettings.java
@@ -7,7 +7,8 @@
  * @param maxSavedRetries how many of the allowed retries can be saved up
  * @param retryPerHop whether each hop retries on its own, as in the baseline
  * @param attemptTimeoutNanos the timeout of one attempt, in nanoseconds; 0 to wait until the deadline
- * @param ratioCoversLostConnections whether the ratio also limits the retries after a lost connection
+ * @param allowanceCharged whether retries of calls that may have reached an upstream draw on the allowance of the node
+ *     where the request entered; the ratio then limits only the others
  * @param nestedCallsExempt whether calls inside a chain are sent regardless of the admission level that their upstream
  *     reports
  * @param brokenRetriedElsewhere whether a call is retried at another upstream when its own connection to the upstream
@@ -19,7 +20,7 @@
         int maxSavedRetries,
         boolean retryPerHop,
         long attemptTimeoutNanos,
-        boolean ratioCoversLostConnections,
+        boolean allowanceCharged,
         boolean nestedCallsExempt,
         boolean brokenRetriedElsewhere,
         long retryAfterMillis) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -17,6 +17,8 @@
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.concurrent.SerialExecutor;
+import org.verbenadyke.kernel.cost.CallCounts;
+import org.verbenadyke.kernel.cost.RunCosts;
 import org.verbenadyke.kernel.ledger.Ledger;
 import org.verbenadyke.kernel.link.Links;
 import org.verbenadyke.kernel.message.Link;
@@ -47,6 +49,7 @@
     private final Map<CallId, Attempt> attempts = new ConcurrentHashMap<>();
     private final Map<Pair, RatioBudget> retryRatios = new ConcurrentHashMap<>();
     private final CallerRetryPolicy callerRetries;
+    private final RunCosts runCosts = RunCosts.empty();
 
     private Dispatcher(Parts parts, DispatchSettings settings) {
         this.parts = parts;
@@ -155,8 +158,19 @@
         return request.importance().rank(request.id(), callerRetries.prioritized(request, parts.timers.nanos()));
     }
 
-    CallerRetryPolicy callerRetries() {
-        return callerRetries;
+    /** Returns what another run of a request takes. */
+    RunCosts runCosts() {
+        return runCosts;
+    }
+
+    void recordSuccess(Request request, Attempt attempt, CallCounts calls, long now) {
+        long elapsed = now - attempt.startNanos();
+        attempt.candidate().succeeded(elapsed);
+        retryRatio(request).succeeded();
+        callerRetries.recordAnswer(request, elapsed);
+        if (settings.allowanceCharged()) {
+            runCosts.record(request.service(), request.pathClass(), calls, elapsed, now);
+        }
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Engine.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.kernel.engine;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -8,6 +9,7 @@
 import org.verbenadyke.kernel.admission.ConcurrencyLimit;
 import org.verbenadyke.kernel.admission.Gate;
 import org.verbenadyke.kernel.body.BodyMemory;
+import org.verbenadyke.kernel.budget.RetryAllowance;
 import org.verbenadyke.kernel.budget.RetryBudget;
 import org.verbenadyke.kernel.budget.RootBudget;
 import org.verbenadyke.kernel.call.AnswerSink;
@@ -48,7 +50,7 @@
     private final LinkPool links;
     private final Dispatcher dispatcher;
     private final CallServer server;
-    private final KeyedBudgets keyedBudgets;
+    private final EntryBudgets budgets;
     private final KeyTable keys;
     private final ImportanceRaising raising;
     private volatile StartNotices notices = StartNotices.of(StartNotices.UNKNOWN_START);
@@ -98,7 +100,7 @@
                         parts.quarantine(),
                         parts.bodies()),
                 policy.serve());
-        this.keyedBudgets = KeyedBudgets.withRetention(policy.keyRetentionNanos());
+        this.budgets = EntryBudgets.of(parts, policy);
         this.keys = KeyTable.withRetention(policy.keyRetentionNanos());
         this.raising = ImportanceRaising.of(parts, router.levels());
     }
@@ -161,7 +163,7 @@
                 inbound.key(),
                 false,
                 false,
-                rootBudget(inbound, id, config),
+                budgets.enter(inbound, id, config),
                 ChainObserver.none());
         return dispatcher.dispatch(request, sink);
     }
@@ -194,12 +196,14 @@
         if (routed.surplus()) {
             parts.counters().count(Event.SURPLUS_RANKED);
         }
+        Importance importance =
+                parent.map(CallContext::importance).orElseGet(() -> raising.importance(routed, id, now));
         Request request = new Request(
                 id,
                 "",
                 routed.service(),
                 routed.content(),
-                parent.map(CallContext::importance).orElseGet(() -> raising.importance(routed, id, now)),
+                importance,
                 parent.map(c -> c.depth() + 1).orElse(0),
                 now + ttl,
                 now + Math.min(ttl, route.targetNanos() - routed.waitedNanos()),
@@ -207,7 +211,7 @@
                 "",
                 routed.waitedNanos() > 0,
                 routed.surplus(),
-                parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> RootBudget.of(route.attempts() - 1)),
+                parent.<RetryBudget>map(CallContext::budget).orElseGet(() -> budgets.enter(routed, id, importance)),
                 parent.<ChainObserver>map(c -> c).orElseGet(ChainObserver::none));
         return raising.dispatch(dispatcher, routed, request, sink);
     }
@@ -366,25 +370,20 @@
         return raising.costs();
     }
 
+    /**
+     * Returns what this node may still grant of retries.
+     *
+     * @return the services, in no particular order
+     */
+    public List<RetryAllowance.Status> retryAllowance() {
+        return budgets.status();
+    }
+
     private long ttlNanos(InboundRequest inbound) {
         long maxTtl = policy.serve().maxTtlNanos();
         return Math.min(maxTtl, inbound.ttlNanos().orElse(policy.defaultTtlNanos()));
     }
 
-    private RetryBudget rootBudget(InboundRequest inbound, RequestId id, Configuration config) {
-        if (policy.perHopRetries() > 0) {
-            return RootBudget.of(policy.perHopRetries());
-        }
-        if (!inbound.key().isEmpty()) {
-            return keyedBudgets.of(
-                    inbound.service() + " " + inbound.key(),
-                    config.retries(),
-                    parts.timers().nanos());
-        }
-        parts.ledger().budgetCreated(id, config.retries());
-        return RootBudget.of(config.retries());
-    }
-
     private void endWindow() {
         server.upstream().ifPresent(u -> u.gate().endWindow());
     }
@@ -392,6 +391,6 @@
     private void sweep() {
         server.sweep();
         parts.ledger().rotate();
-        keyedBudgets.expire(parts.timers().nanos());
+        budgets.expire(parts.timers().nanos());
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EngineParts.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -37,6 +38,7 @@
  * @param keyMessages handles messages about keys from other nodes
  * @param planMessages handles messages about route plans
  * @param quotaMessages handles messages about teams' permits
+ * @param fleetSize supplies the number of nodes that are present
  */
 public record EngineParts(
         String nodeId,
@@ -54,4 +56,5 @@
         KeyClaims keyClaims,
         BiConsumer<Link, Message> keyMessages,
         BiConsumer<Link, Message> planMessages,
-        BiConsumer<Link, Message> quotaMessages) {}
+        BiConsumer<Link, Message> quotaMessages,
+        IntSupplier fleetSize) {}
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Policy.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Policy.java
@@ -2,6 +2,7 @@
 
 import org.verbenadyke.kernel.admission.GateSettings;
 import org.verbenadyke.kernel.admission.LimitSettings;
+import org.verbenadyke.kernel.budget.AllowanceSettings;
 import org.verbenadyke.kernel.dispatch.DispatchSettings;
 import org.verbenadyke.kernel.link.LinkSettings;
 import org.verbenadyke.kernel.routing.Locality;
@@ -22,6 +23,7 @@
  * @param serve how calls are served
  * @param link how links are monitored
  * @param locality how strongly calls are kept inside their data centre
+ * @param allowance how many retries all nodes together may make
  */
 public record Policy(
         String chooser,
@@ -35,7 +37,8 @@
         DispatchSettings dispatch,
         ServeSettings serve,
         LinkSettings link,
-        Locality locality) {
+        Locality locality,
+        AllowanceSettings allowance) {
     private static final long SECOND = 1_000_000_000L;
     private static final int DEFAULT_SUBSET = 12;
     private static final long DEFAULT_TTL_SECONDS = 5;
@@ -61,7 +64,8 @@
                 DispatchSettings.standard(),
                 ServeSettings.standard(),
                 LinkSettings.standard(),
-                Locality.STANDARD);
+                Locality.STANDARD,
+                AllowanceSettings.UNLIMITED);
     }
 
     /**
@@ -84,6 +88,7 @@
                 DispatchSettings.baseline(),
                 s.serve,
                 s.link,
-                s.locality);
+                s.locality,
+                AllowanceSettings.UNLIMITED);
     }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/message/Message.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 
+import org.verbenadyke.kernel.budget.RetryDecision;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.once.StoredOutcome;
 
@@ -203,6 +205,7 @@
      * @param stated what the upstream has stated about itself
      * @param deeperLevel the highest admission level among the services that were called for the answer
      * @param usage the slot time that the answered call took at each service, empty if not requested
+     * @param calls the calls that were made for the answered call, without those that repeat an earlier one
      */
     record Report(
             int inFlight,
@@ -212,9 +215,10 @@
             boolean draining,
             Stated stated,
             DeeperLevel deeperLevel,
-            Usage usage) {
+            Usage usage,
+            CallCounts calls) {
         /**
-         * Creates the report of a node whose upstream has stated nothing about itself, without usage.
+         * Creates the report of a node whose upstream has stated nothing about itself, without usage and calls.
          *
          * @param inFlight calls handed to the upstream
          * @param limit the concurrency limit
@@ -224,7 +228,16 @@
          * @param deeperLevel the highest admission level among the services that were called for the answer
          */
         public Report(int inFlight, int limit, int level, int directLevel, boolean draining, DeeperLevel deeperLevel) {
-            this(inFlight, limit, level, directLevel, draining, Stated.NOTHING, deeperLevel, Usage.NONE);
+            this(
+                    inFlight,
+                    limit,
+                    level,
+                    directLevel,
+                    draining,
+                    Stated.NOTHING,
+                    deeperLevel,
+                    Usage.NONE,
+                    CallCounts.NONE);
         }
 
         /**
@@ -309,17 +322,18 @@
      *
      * @param id the attempt that the called node serves
      * @param ticket correlates the {@link Grant} with the message
+     * @param calls the calls that the retry would make at each service of its chain
      */
-    record Spend(CallId id, long ticket) implements Message {}
+    record Spend(CallId id, long ticket, CallCounts calls) implements Message {}
 
     /**
      * Replies to {@link Spend}.
      *
      * @param id the attempt
      * @param ticket the ticket of the {@link Spend}
-     * @param granted whether the retry is allowed
+     * @param decision whether the retry is allowed
      */
-    record Grant(CallId id, long ticket, boolean granted) implements Message {}
+    record Grant(CallId id, long ticket, RetryDecision decision) implements Message {}
 
     /**
      * Inquires over a new connection about the outcome of an attempt. A receiver that never received the attempt, and
@@ -378,23 +392,4 @@
      * @param document the document
      */
     record PlanReply(byte[] document) implements Message {}
-
-    /**
-     * The record that a former owner has of a key.
-     */
-    sealed interface KeyFact {
-        /** The former owner never ran the key and never will. */
-        record NeverRan() implements KeyFact {}
-
-        /** The former owner can't tell, since the owners before it are in doubt. */
-        record Undetermined() implements KeyFact {}
-
-        /**
-         * The former owner ran the key.
-         *
-         * @param fingerprint a hash of the request that used the key
-         * @param outcome the outcome
-         */
-        record Known(long fingerprint, StoredOutcome outcome) implements KeyFact {}
-    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/owner/KeyOwners.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 
 import org.verbenadyke.kernel.link.Links;
+import org.verbenadyke.kernel.message.KeyFact;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.once.KeyTable;
@@ -29,7 +30,7 @@
     private final TimerService timers;
     private final BooleanSupplier isolated;
     private final AtomicLong tickets = new AtomicLong();
-    private final Map<Long, Consumer<Optional<Message.KeyFact>>> pendingQueries = new ConcurrentHashMap<>();
+    private final Map<Long, Consumer<Optional<KeyFact>>> pendingQueries = new ConcurrentHashMap<>();
     private volatile Links links = (endpoint, callback) -> callback.accept(Optional.empty());
 
     private KeyOwners(OwnerView view, OwnerSettings settings, TimerService timers, BooleanSupplier isolated) {
@@ -148,21 +149,21 @@
     }
 
     /** Applies the reply of a former owner; returns false if it leaves the ownership in doubt. */
-    private boolean applyFact(Optional<Message.KeyFact> fact, String key, LocalUpstream local) {
+    private boolean applyFact(Optional<KeyFact> fact, String key, LocalUpstream local) {
         if (fact.isEmpty()) {
             return false;
         }
         return switch (fact.get()) {
-            case Message.KeyFact.NeverRan u -> true;
-            case Message.KeyFact.Undetermined u -> false;
-            case Message.KeyFact.Known k -> {
+            case KeyFact.NeverRan u -> true;
+            case KeyFact.Undetermined u -> false;
+            case KeyFact.Known k -> {
                 local.keys().adopt(key, k.fingerprint(), k.outcome(), timers.nanos());
                 yield true;
             }
         };
     }
 
-    private void query(OwnerQuery query, String newOwner, String key, Consumer<Optional<Message.KeyFact>> callback) {
+    private void query(OwnerQuery query, String newOwner, String key, Consumer<Optional<KeyFact>> callback) {
         long ticket = tickets.incrementAndGet();
         pendingQueries.put(ticket, callback);
         timers.after(
@@ -182,7 +183,7 @@
         // key
         // could run again.
         if (local.map(l -> !l.id().equals(query.formerOwner())).orElse(true)) {
-            link.send(new Message.KeyReply(query.ticket(), new Message.KeyFact.Undetermined()));
+            link.send(new Message.KeyReply(query.ticket(), new KeyFact.Undetermined()));
             return;
         }
         LocalUpstream l = local.get();
@@ -190,14 +191,14 @@
         if (claimed.isEmpty()) {
             boolean undetermined =
                     query.vouchForPredecessors() && view.mayHaveRunElsewhere(l, query.newOwner(), query.key());
-            Message.KeyFact fact = undetermined ? new Message.KeyFact.Undetermined() : new Message.KeyFact.NeverRan();
+            KeyFact fact = undetermined ? new KeyFact.Undetermined() : new KeyFact.NeverRan();
             link.send(new Message.KeyReply(query.ticket(), fact));
             return;
         }
         KeyTable.ClaimedKey k = claimed.get();
         k.outcome()
-                .accept(outcome -> link.send(
-                        new Message.KeyReply(query.ticket(), new Message.KeyFact.Known(k.fingerprint(), outcome))));
+                .accept(outcome ->
+                        link.send(new Message.KeyReply(query.ticket(), new KeyFact.Known(k.fingerprint(), outcome))));
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallContext.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.budget.ParentBudget;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.cost.UsageSum;
 import org.verbenadyke.kernel.dispatch.ChainObserver;
@@ -32,6 +33,7 @@
     private final ParentBudget budget;
     private final Set<String> services = ConcurrentHashMap.newKeySet();
     private volatile boolean childFailed;
+    private volatile CallCounts calls = CallCounts.NONE;
 
     /** The slot time of the nested calls; empty until one reports any, as most calls have none. */
     private volatile Optional<UsageSum> nestedUsage = Optional.empty();
@@ -45,7 +47,7 @@
         this.service = call.target().service();
         this.usageRequested = call.usageRequested();
         this.repeated = call.repetition() != Repetition.NONE;
-        this.budget = ParentBudget.of(link, call.id());
+        this.budget = ParentBudget.of(link, call.id(), this::hasFailedChild);
     }
 
     /** Creates the context of a received call that is about to be handed over; the link leads to the calling node. */
@@ -136,6 +138,16 @@
         return nestedUsage.map(n -> n.totalWith(service, ownMicros)).orElseGet(() -> Usage.of(service, ownMicros));
     }
 
+    /** Returns the calls that were made for the served call so far. */
+    CallCounts calls() {
+        return calls;
+    }
+
+    @Override
+    public synchronized void called(String calledService, CallCounts nested) {
+        calls = calls.plusOne(calledService).plus(nested);
+    }
+
     @Override
     public void serviceReached(String service) {
         services.add(service);
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -13,6 +13,7 @@
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.dispatch.RetryAfter;
 import org.verbenadyke.kernel.ledger.Ledger;
@@ -114,7 +115,7 @@
             case Message.Call m -> call(link, m);
             case Message.Credit m -> find(m.id()).ifPresent(c -> c.credit(m.bytes()));
             case Message.Cancel m -> find(m.id()).ifPresent(IncomingCall::cancelled);
-            case Message.Grant m -> find(m.id()).ifPresent(c -> c.granted(m.ticket(), m.granted()));
+            case Message.Grant m -> find(m.id()).ifPresent(c -> c.retryDecided(m.ticket(), m.decision()));
             case Message.Inquire m -> inquire(link, m);
             default -> parts.counters.count(Event.MESSAGE_UNMATCHED);
         }
@@ -239,9 +240,10 @@
                         c -> parts.levels.strictestLevel(c.services(), parts.timers.nanos()))
                 .orElse(Message.DeeperLevel.NONE);
         Usage usage = context.map(CallContext::usage).orElse(Usage.NONE);
+        CallCounts calls = context.map(CallContext::calls).orElse(CallCounts.NONE);
         LocalUpstream local = upstream;
         if (local == null) {
-            return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, deeperLevel, usage);
+            return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, deeperLevel, usage, calls);
         }
         Gate gate = local.gate();
         return new Message.Report(
@@ -252,7 +254,8 @@
                 local.draining(),
                 local.stated(),
                 deeperLevel,
-                usage);
+                usage,
+                calls);
     }
 
     UpstreamPort.HandOver handOver(Message.Call call, CallContext context, long remainingNanos) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -6,6 +6,7 @@
 import org.verbenadyke.kernel.admission.ConcurrencyLimit;
 import org.verbenadyke.kernel.admission.WaitingCall;
 import org.verbenadyke.kernel.body.BodyReservation;
+import org.verbenadyke.kernel.budget.RetryDecision;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
@@ -93,8 +94,8 @@
         serial.run(() -> requestIf(answer.credit(bytes)));
     }
 
-    void granted(long ticket, boolean granted) {
-        Optional.ofNullable(context).ifPresent(c -> c.budget().decided(ticket, granted));
+    void retryDecided(long ticket, RetryDecision decision) {
+        Optional.ofNullable(context).ifPresent(c -> c.budget().decided(ticket, decision));
     }
 
     void cancelled() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -1,6 +1,8 @@
 package org.verbenadyke.kernel.trace;
 
+import org.verbenadyke.kernel.budget.RetryAllowance;
 import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RetryReason;
@@ -107,6 +109,15 @@
     record Retried(RequestId chain, String service, String upstream, RetryReason reason, boolean granted)
             implements Decision {}
 
+    /**
+     * A retry was charged to the allowance of this node, where its request entered, or denied by it.
+     *
+     * @param chain the request
+     * @param importance its importance
+     * @param charge the decision, with what was left at the service that had least
+     */
+    record AllowanceCharged(RequestId chain, Importance importance, RetryAllowance.Charge charge) implements Decision {}
+
     /**
      * A request that was not run by one upstream is sent to another one.
      *
--- a/kernel/src/test/java/org/verbenadyke/kernel/cost/RequestCostsTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/cost/RequestCostsTest.java
@@ -109,7 +109,7 @@
     @Test
     void replacesTheKindWhoseLastAnswerIsTheOldest() {
         record("GET /first", 8, usage("deep", 1));
-        for (int i = 0; i < RequestCosts.MAX_KINDS; i++) {
+        for (int i = 0; i < KindTable.MAX_KINDS; i++) {
             now++;
             record(READ, 8, usage("deep", 40));
             record("GET /" + i, 8, usage("deep", 1));
@@ -118,7 +118,7 @@
         assertEquals(OptionalDouble.empty(), slotNanos("GET /first", "deep"));
         assertEquals(OptionalDouble.empty(), slotNanos("GET /0", "deep"));
         assertEquals(
-                RequestCosts.MAX_KINDS,
+                KindTable.MAX_KINDS,
                 costs.kindsUsing(Importance.NORMAL, "deep", now).size());
     }
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/RefusedThenLostTest.java
@@ -41,7 +41,7 @@
     private final List<String> got = new ArrayList<>();
     private final SplittableRandom random = new SplittableRandom(1);
     private final Router router = Router.create("me", PLACE, 8, new TwoChoicesProvider().create(), () -> random, true);
-    private final ParentBudget budget = ParentBudget.of(RecordingLink::new, new CallId(1, 1));
+    private final ParentBudget budget = ParentBudget.of(RecordingLink::new, new CallId(1, 1), () -> false);
     private RecordingLink link = new RecordingLink();
     private final Dispatcher dispatcher = Dispatcher.create(
             new Dispatcher.Parts(
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/Engines.java
@@ -57,7 +57,8 @@
                 KeyClaims.unshared(),
                 (link, message) -> {},
                 (link, message) -> {},
-                (link, message) -> {});
+                (link, message) -> {},
+                () -> 1);
     }
 
     /** Returns a request of a caller on an idempotent route to a service. */
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/ReattachedUpstreamTest.java
@@ -36,7 +36,8 @@
                     KeyClaims.unshared(),
                     (link, message) -> {},
                     (link, message) -> {},
-                    (link, message) -> {}),
+                    (link, message) -> {},
+                    () -> 1),
             Policy.standard());
 
     @Test
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/AnswerMemoryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/AnswerMemoryTest.java
@@ -5,6 +5,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.message.RecordingLink;
@@ -80,6 +81,7 @@
     }
 
     private static Message.Report report() {
-        return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, Message.DeeperLevel.NONE, Usage.NONE);
+        return new Message.Report(
+                0, 0, 0, 0, false, Message.Stated.NOTHING, Message.DeeperLevel.NONE, Usage.NONE, CallCounts.NONE);
     }
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -17,6 +17,7 @@
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.ledger.Breach;
 import org.verbenadyke.kernel.ledger.Ledger;
@@ -155,11 +156,12 @@
     void aPendingRetryRequestIsRepeatedOverANewConnection() {
         Message.Call call = call(false, "");
         server.received(link, call);
-        server.context(token).orElseThrow().budget().spend(granted -> {});
+        CallCounts calls = CallCounts.of("s", 3);
+        server.context(token).orElseThrow().budget().spend(calls, decision -> {});
         server.linkLost(link);
         RecordingLink fresh = new RecordingLink();
         server.received(fresh, new Message.Inquire(call.id(), 1, call.receiverClock()));
-        assertEquals(List.of(new Message.Spend(call.id(), 1)), fresh.sent());
+        assertEquals(List.of(new Message.Spend(call.id(), 1, calls)), fresh.sent());
     }
 
     @Test
@@ -235,7 +237,7 @@
         server.received(link, call(true, ""));
         clock.advance(7 * MILLI);
         answer(1, 200, "");
-        assertEquals(usage(7_000), lastUsage(link));
+        assertEquals(Usage.of("s", 7_000), lastUsage(link));
     }
 
     @Test
@@ -264,14 +266,10 @@
             clock.advance(50 * MILLI);
             RecordingLink fresh = new RecordingLink();
             server.received(fresh, new Message.Inquire(call.id(), 1, call.receiverClock()));
-            assertEquals(usage(9_000), lastUsage(fresh));
+            assertEquals(Usage.of("s", 9_000), lastUsage(fresh));
         }
     }
 
-    private static Usage usage(long micros) {
-        return new Usage(List.of(new Usage.SlotTime("s", micros)));
-    }
-
     private static Usage lastUsage(RecordingLink link) {
         return link.sent().stream()
                 .flatMap(m -> switch (m) {
--- a/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
+++ b/node/src/main/java/org/verbenadyke/node/metrics/MetricsText.java
@@ -1,9 +1,12 @@
 package org.verbenadyke.node.metrics;
 
+import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
 
 import org.verbenadyke.kernel.admission.Gate;
+import org.verbenadyke.kernel.budget.RetryAllowance;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RetryReason;
 import org.verbenadyke.kernel.call.RunState;
@@ -27,8 +30,11 @@
     private static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
 
     private final MetricRegistry registry = new MetricRegistry();
+    private final Supplier<List<RetryAllowance.Status>> retryAllowance;
 
-    private MetricsText() {}
+    private MetricsText(Supplier<List<RetryAllowance.Status>> retryAllowance) {
+        this.retryAllowance = retryAllowance;
+    }
 
     /**
      * Creates the metrics of a node.
@@ -38,7 +44,7 @@
      * @return the metrics
      */
     public static MetricsText of(NodeCore core, Counters counters) {
-        MetricsText text = new MetricsText();
+        MetricsText text = new MetricsText(core.engine()::retryAllowance);
         for (Event e : Event.values()) {
             text.gauge("events_total{event=\"" + e.label() + "\"}", () -> counters.events(e));
         }
@@ -105,6 +111,7 @@
     @SuppressWarnings("rawtypes")
     public String text() {
         StringBuilder out = new StringBuilder();
+        retryAllowance.get().forEach(s -> appendAllowance(out, s));
         for (Map.Entry<String, Gauge> e : registry.getGauges().entrySet()) {
             out.append(PREFIX)
                     .append(e.getKey())
@@ -115,6 +122,23 @@
         return out.toString();
     }
 
+    private static void appendAllowance(StringBuilder out, RetryAllowance.Status status) {
+        appendOfService(out, "retry_allowance_left", status.service(), status.left());
+        appendOfService(out, "retry_allowance_saveable", status.service(), status.saveable());
+        appendOfService(out, "retry_repetitions_granted_total", status.service(), status.granted());
+        appendOfService(out, "retry_repetitions_denied_total", status.service(), status.denied());
+    }
+
+    private static void appendOfService(StringBuilder out, String name, String service, Object value) {
+        out.append(PREFIX)
+                .append(name)
+                .append("{service=\"")
+                .append(service)
+                .append("\"} ")
+                .append(value)
+                .append('\n');
+    }
+
     private <T> void gauge(String name, Gauge<T> value) {
         registry.register(name, value);
     }
--- a/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
+++ b/node/src/main/java/org/verbenadyke/node/settings/NodeSettingsReader.java
@@ -141,13 +141,14 @@
                         d.maxSavedRetries(),
                         d.retryPerHop(),
                         d.attemptTimeoutNanos(),
-                        d.ratioCoversLostConnections(),
+                        d.allowanceCharged(),
                         d.nestedCallsExempt(),
                         locality == Locality.SLACK,
                         retryAfterMillis),
                 base.serve(),
                 base.link(),
-                locality);
+                locality,
+                base.allowance());
     }
 
     private static Policy preset(IniReader ini) {
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
+import org.verbenadyke.kernel.budget.RetryAllowance;
 import org.verbenadyke.kernel.follow.PlanStatus;
 import org.verbenadyke.kernel.notice.RateChange;
 import org.verbenadyke.kernel.route.ShareChange;
@@ -98,6 +99,7 @@
             case Decision.CallRefused d -> "turned-away-" + d.reason().label();
             case Decision.OverRateLimit d -> "turned-away-upstream-limited";
             case Decision.Retried d -> "retried-" + d.reason().label();
+            case Decision.AllowanceCharged d -> "retry-" + (d.charge().granted() ? "allowed" : "not-allowed");
             case Decision.Rerouted d -> "rerouted-" + d.reason().label();
             case Decision.StatusInquired d -> "fate-asked";
             case Decision.StatusReported d -> "fate-told";
@@ -147,6 +149,8 @@
                         .with("service", d.service())
                         .with("upstream", d.upstream())
                         .with("granted", d.granted());
+            case Decision.AllowanceCharged d ->
+                addFields(line.with(CHAIN, d.chain()).with("importance", d.importance()), d.charge());
             case Decision.Rerouted d ->
                 line.with(CHAIN, d.chain()).with("service", d.service()).with("upstream", d.upstream());
             case Decision.StatusInquired d ->
@@ -179,6 +183,10 @@
         }
     }
 
+    private static void addFields(StringMapMessage line, RetryAllowance.Charge charge) {
+        line.with("service", charge.service()).with("calls", charge.calls()).with("left", charge.left());
+    }
+
     private static void addFields(StringMapMessage line, ShareChange change) {
         OptionalInt team = change.teamPriority();
         line.with(ROUTE, change.route())
--- a/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/FrameCodec.java
@@ -8,6 +8,7 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
+import org.verbenadyke.kernel.budget.RetryDecision;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
@@ -96,8 +97,9 @@
             }
             case Message.Credit m -> packId(p, m.id()).packInt(m.bytes());
             case Message.Cancel m -> packId(p, m.id());
-            case Message.Spend m -> packId(p, m.id()).packLong(m.ticket());
-            case Message.Grant m -> packId(p, m.id()).packLong(m.ticket()).packBoolean(m.granted());
+            case Message.Spend m -> CallCountsCodec.pack(packId(p, m.id()).packLong(m.ticket()), m.calls());
+            case Message.Grant m ->
+                packId(p, m.id()).packLong(m.ticket()).packInt(m.decision().ordinal());
             case Message.Inquire m ->
                 packId(p, m.id()).packLong(m.targetIncarnation()).packLong(m.targetClock());
             case Message.KeyQuery m ->
@@ -134,8 +136,8 @@
             case REFUSED -> new Message.Refused(unpackId(u), unpackRefusal(u), unpackReport(u));
             case CREDIT -> new Message.Credit(unpackId(u), u.unpackInt());
             case CANCEL -> new Message.Cancel(unpackId(u));
-            case SPEND -> new Message.Spend(unpackId(u), u.unpackLong());
-            case GRANT -> new Message.Grant(unpackId(u), u.unpackLong(), u.unpackBoolean());
+            case SPEND -> new Message.Spend(unpackId(u), u.unpackLong(), CallCountsCodec.unpack(u));
+            case GRANT -> new Message.Grant(unpackId(u), u.unpackLong(), RetryDecision.values()[u.unpackInt()]);
             case INQUIRE -> new Message.Inquire(unpackId(u), u.unpackLong(), u.unpackLong());
             case KEY_ASK ->
                 new Message.KeyQuery(
@@ -235,6 +237,7 @@
                 .packInt(r.deeperLevel().level())
                 .packInt(r.deeperLevel().ageMillis());
         UsageCodec.pack(p, r.usage());
+        CallCountsCodec.pack(p, r.calls());
     }
 
     private static Message.Report unpackReport(MessageUnpacker u) throws IOException {
@@ -246,7 +249,8 @@
                 u.unpackBoolean(),
                 StatedCodec.unpack(u),
                 unpackDeeperLevel(u),
-                UsageCodec.unpack(u));
+                UsageCodec.unpack(u),
+                CallCountsCodec.unpack(u));
     }
 
     private static Message.DeeperLevel unpackDeeperLevel(MessageUnpacker u) throws IOException {
--- a/wire/src/main/java/org/verbenadyke/wire/IdempotencyKeyCodec.java
+++ b/wire/src/main/java/org/verbenadyke/wire/IdempotencyKeyCodec.java
@@ -4,7 +4,7 @@
 
 import org.msgpack.core.MessagePacker;
 import org.msgpack.core.MessageUnpacker;
-import org.verbenadyke.kernel.message.Message;
+import org.verbenadyke.kernel.message.KeyFact;
 import org.verbenadyke.kernel.once.StoredOutcome;
 
 /**
@@ -43,23 +43,23 @@
         };
     }
 
-    static void packFact(MessagePacker p, Message.KeyFact fact) throws IOException {
+    static void packFact(MessagePacker p, KeyFact fact) throws IOException {
         switch (fact) {
-            case Message.KeyFact.NeverRan f -> p.packByte(NEVER_RAN);
-            case Message.KeyFact.Undetermined f -> p.packByte(UNDETERMINED);
-            case Message.KeyFact.Known f -> {
+            case KeyFact.NeverRan f -> p.packByte(NEVER_RAN);
+            case KeyFact.Undetermined f -> p.packByte(UNDETERMINED);
+            case KeyFact.Known f -> {
                 p.packByte(KNOWN).packLong(f.fingerprint());
                 pack(p, f.outcome());
             }
         }
     }
 
-    static Message.KeyFact unpackFact(MessageUnpacker u) throws IOException {
+    static KeyFact unpackFact(MessageUnpacker u) throws IOException {
         byte kind = u.unpackByte();
         return switch (kind) {
-            case NEVER_RAN -> new Message.KeyFact.NeverRan();
-            case UNDETERMINED -> new Message.KeyFact.Undetermined();
-            case KNOWN -> new Message.KeyFact.Known(u.unpackLong(), unpack(u));
+            case NEVER_RAN -> new KeyFact.NeverRan();
+            case UNDETERMINED -> new KeyFact.Undetermined();
+            case KNOWN -> new KeyFact.Known(u.unpackLong(), unpack(u));
             default -> throw FrameCodec.malformed("state of a key " + kind);
         };
     }
--- a/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/FrameCodecTest.java
@@ -6,15 +6,18 @@
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
+import org.verbenadyke.kernel.budget.RetryDecision;
 import org.verbenadyke.kernel.call.CallId;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RequestId;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
+import org.verbenadyke.kernel.message.KeyFact;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.message.Repetition;
 import org.verbenadyke.kernel.once.StoredOutcome;
@@ -27,6 +30,8 @@
 final class FrameCodecTest {
     private static final int MANY_FIELDS = 4_000;
     private static final CallId ID = new CallId(-3, 9);
+    private static final CallCounts CALLS =
+            CallCounts.of("deep", Integer.MAX_VALUE).plusOne("s");
     private static final Message.Report REPORT = new Message.Report(
             1,
             2,
@@ -35,7 +40,8 @@
             true,
             new Message.Stated(-6, 44.9, true),
             new Message.DeeperLevel("deep", 4, 5),
-            new Usage(List.of(new Usage.SlotTime("deep", Long.MAX_VALUE), new Usage.SlotTime("s", 0))));
+            new Usage(List.of(new Usage.SlotTime("deep", Long.MAX_VALUE), new Usage.SlotTime("s", 0))),
+            CALLS);
     private static final List<HeaderField> HEADERS = List.of(new HeaderField("a", "b"), new HeaderField("ü", ""));
     private static final int MUTATED_FRAMES = 20_000;
 
@@ -63,13 +69,13 @@
             new Message.Refused(ID, Refusal.notRun(RefusalReason.SEALED, 4), REPORT),
             new Message.Credit(ID, 5),
             new Message.Cancel(ID),
-            new Message.Spend(ID, 6),
-            new Message.Grant(ID, 6, false),
+            new Message.Spend(ID, 6, CALLS),
+            new Message.Grant(ID, 6, RetryDecision.DENIED_ALLOWANCE),
             new Message.Inquire(ID, 3, 4),
             new Message.KeyQuery(1, "you", "me", true, "k"),
-            new Message.KeyReply(1, new Message.KeyFact.Undetermined()),
+            new Message.KeyReply(1, new KeyFact.Undetermined()),
             new Message.KeyReply(
-                    1, new Message.KeyFact.Known(2, new StoredOutcome.CompleteAnswer(201, HEADERS, new byte[] {4}))),
+                    1, new KeyFact.Known(2, new StoredOutcome.CompleteAnswer(201, HEADERS, new byte[] {4}))),
             new Message.KeyTransfer(
                     "k", 2, new StoredOutcome.NoAnswer(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN))),
             new Message.KeyTransferEnd("u"),
@@ -101,7 +107,16 @@
                 200,
                 fields,
                 false,
-                new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, Message.DeeperLevel.NONE, Usage.NONE)));
+                new Message.Report(
+                        0,
+                        0,
+                        0,
+                        0,
+                        false,
+                        Message.Stated.NOTHING,
+                        Message.DeeperLevel.NONE,
+                        Usage.NONE,
+                        CallCounts.NONE)));
         assertEquals(fields, ((Message.Head) FrameCodec.decode(frame)).headers());
     }
 
--- a/wire/src/test/java/org/verbenadyke/wire/UsageCodecTest.java
+++ b/wire/src/test/java/org/verbenadyke/wire/UsageCodecTest.java
@@ -11,6 +11,7 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.error.ErrorCode;
 import org.verbenadyke.kernel.error.VerbenadykeException;
@@ -72,8 +73,8 @@
     }
 
     private static Message.Head head(Usage usage) {
-        Message.Report report =
-                new Message.Report(1, 2, 3, 4, false, Message.Stated.NOTHING, Message.DeeperLevel.NONE, usage);
+        Message.Report report = new Message.Report(
+                1, 2, 3, 4, false, Message.Stated.NOTHING, Message.DeeperLevel.NONE, usage, CallCounts.NONE);
         return new Message.Head(new CallId(1, 2), 200, List.of(), false, report);
     }
 
