--- a/kernel/src/main/java/org/verbenadyke/kernel/budget/RetryAllowance.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/budget/RetryAllowance.java
@@ -20,9 +20,6 @@
  * pay for, chosen at random, so that the nodes of a large fleet together grant what they may.
  */
 public final class RetryAllowance {
-    /** The chance below which a retry is denied without being charged. */
-    private static final double MIN_CHANCE = 0.05;
-
     /** The part of what may be saved up that is kept for each higher importance. */
     private static final double RESERVED_PART = 0.1;
 
@@ -99,11 +96,11 @@
                 scarcest = new Charge(false, wanted.service(), wanted.calls(), left);
             }
         }
-        boolean payable = chance >= MIN_CHANCE;
-        boolean granted = payable && (chance == 1 || random.get().nextDouble() < chance);
+        double paid = Math.max(0, chance);
+        boolean granted = paid == 1 || paid > 0 && random.get().nextDouble() < paid;
         for (CallCounts.ServiceCalls wanted : calls) {
             ServiceAllowance allowance = allowance(wanted.service(), now);
-            allowance.take(payable ? chance * wanted.calls() : 0);
+            allowance.take(paid * wanted.calls());
             allowance.decided(granted, wanted.calls());
         }
         return scarcest.granted(granted);
