Earn no retries by calls of runs that the node doesn't know

A server goes on calling while its node is killed and starts again, or after its caller has left and the node has cancelled the run. The entry finds no run that such a call belongs to and took it for a request of a caller: it earned retries for the called service, and had a full budget of its own.

--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/EntryBudgets.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/EntryBudgets.java
@@ -35,6 +35,9 @@
 
     /** Creates the budget of a request whose retries are bounded by its route, and counts it as a caller's request. */
     RetryBudget enter(RoutedRequest routed, RequestId id, Importance importance) {
+        if (routed.orphaned()) {
+            return RootBudget.of(0);
+        }
         allowance.requested(routed.service());
         return RootBudget.of(routed.route().attempts() - 1, calls -> charge(id, calls, importance));
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/Policy.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/Policy.java
@@ -91,4 +91,27 @@
                 s.locality,
                 AllowanceSettings.UNLIMITED);
     }
+
+    /**
+     * Returns the same policy with a limit of the retries that all nodes together may make.
+     *
+     * @param retries the limit
+     * @return the policy
+     */
+    public Policy withAllowance(AllowanceSettings retries) {
+        return new Policy(
+                chooser,
+                limit,
+                subsetSize,
+                perHopRetries,
+                defaultTtlNanos,
+                keyRetentionNanos,
+                gate,
+                limits,
+                dispatch,
+                serve,
+                link,
+                locality,
+                retries);
+    }
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/engine/RoutedRequest.java
@@ -26,6 +26,8 @@
  *     ignored if there is a parent, whose own call decides it
  * @param id the request's id; empty if the engine is to create one, or if the request continues a call chain
  * @param surplus whether the request belongs to the surplus of its team, and is refused before others of its importance
+ * @param orphaned whether the request is a call of a run that this node doesn't know, as after a restart; it counts as
+ *     no request of a caller and gets no retries
  */
 public record RoutedRequest(
         Route route,
@@ -38,7 +40,8 @@
         long waitedNanos,
         boolean usageRequested,
         Optional<RequestId> id,
-        boolean surplus) {
+        boolean surplus,
+        boolean orphaned) {
     /**
      * Creates a request whose team is not known, that is no surplus, whose slot time is learned only if the route plan
      * needs it, and whose id the engine creates.
@@ -70,6 +73,7 @@
                 waitedNanos,
                 false,
                 Optional.empty(),
+                false,
                 false);
     }
 
@@ -91,7 +95,8 @@
                 waitedNanos,
                 usageRequested,
                 id,
-                surplus);
+                surplus,
+                orphaned);
     }
 
     /**
@@ -102,7 +107,18 @@
      */
     public RoutedRequest withUsageRequested(boolean requested) {
         return new RoutedRequest(
-                route, service, content, team, importance, parent, ttlNanos, waitedNanos, requested, id, surplus);
+                route,
+                service,
+                content,
+                team,
+                importance,
+                parent,
+                ttlNanos,
+                waitedNanos,
+                requested,
+                id,
+                surplus,
+                orphaned);
     }
 
     /**
@@ -124,6 +140,29 @@
                 waitedNanos,
                 usageRequested,
                 Optional.of(requestId),
-                isSurplus);
+                isSurplus,
+                orphaned);
+    }
+
+    /**
+     * Returns the request with the knowledge whether it is a call of a run that this node doesn't know.
+     *
+     * @param isOrphaned whether it is
+     * @return the request
+     */
+    public RoutedRequest withOrphaned(boolean isOrphaned) {
+        return new RoutedRequest(
+                route,
+                service,
+                content,
+                team,
+                importance,
+                parent,
+                ttlNanos,
+                waitedNanos,
+                usageRequested,
+                id,
+                surplus,
+                isOrphaned);
     }
 }
