Write a member's record again when another writer replaced it

Another operator's machines ended, or stopped following the list of servers, when another writer left an odd entry in it.

A follower of the operators' record reads the members' stream anyway every 15 to 45 s; it now writes its record again when it finds another in its place. MemberLogTest failed before (1 append instead of 2). A node that starts in between may stand alone until then: open.

RunCostsTest also learns larger runs after smaller ones; the mutation that takes the largest number out was missed before.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/MemberLog.java
@@ -49,6 +49,7 @@
     private boolean read;
     private boolean written;
     private boolean foundSelf;
+    private boolean overwritten;
     private long nextRegistrationNanos;
     private volatile boolean stopped;
 
@@ -170,6 +171,10 @@
 
     private void readComplete() {
         afterJitter(REPEAT_NANOS, this::readAgain);
+        if (overwritten) {
+            overwritten = false;
+            rewrite();
+        }
         if (read) {
             return;
         }
@@ -250,6 +255,7 @@
         boolean alive = member.state() == MemberState.ALIVE;
         if (member.nodeId().equals(self.nodeId())) {
             foundSelf = alive && member.endpoint().equals(self.endpoint());
+            overwritten = false;
         } else if (alive) {
             others.add(member.nodeId());
         } else {
@@ -257,7 +263,9 @@
         }
     }
 
+    /** Skips a record. One under this node's own key has replaced its record, by which starting nodes find it. */
     private void skip(LogService.LogRecord record, String reason) {
+        overwritten |= record.key().orElse("").equals(host.self().nodeId());
         parts.counters().count(Event.RECORD_SKIPPED);
         parts.decisions().note(new Decision.RecordSkipped(STREAM, record.key().orElse(""), reason));
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/core/MemberLogTest.java
@@ -198,6 +198,20 @@
         assertEquals(1, node.registrations);
     }
 
+    /** Starting nodes would no longer find a follower whose record another writer has replaced. */
+    @Test
+    void writesItsRecordAgainWhenAnotherWriterReplacedIt() {
+        node.follower = true;
+        start();
+        assertEquals(1, log.appends);
+        log.page(record("self", UNREADABLE), record("self", "a"));
+        clock.advance(90 * SECOND_NANOS);
+        assertEquals(2, log.appends);
+        log.page(record("self", UNREADABLE), record("self", "self"));
+        clock.advance(90 * SECOND_NANOS);
+        assertEquals(2, log.appends);
+    }
+
     @Test
     void recordsItsDepartureOnlyWhenRegistered() {
         log.page(enoughRegistered());
--- a/kernel/src/test/java/org/verbenadyke/kernel/cost/RunCostsTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/cost/RunCostsTest.java
@@ -33,7 +33,9 @@
     /** The runs that fail are often those with most calls; their mean would let through twice what is charged. */
     @Test
     void takesTheLargestNumberSeenLately() {
+        record(CallCounts.of("deep", 2), 20);
         record(CALLS, 1);
+        assertEquals(8, callsAt("deep"));
         record(CallCounts.NONE, 1);
         assertEquals(8, callsAt("deep"));
         record(CallCounts.of("deep", 2), 300);
--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -93,7 +93,18 @@
      * @param value the value
      */
     public void write(String topic, String key, String value) {
-        topic(topic).append(key, value.getBytes(StandardCharsets.UTF_8));
+        write(topic, key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Writes a record of any bytes, as another writer may.
+     *
+     * @param topic the topic
+     * @param key the key
+     * @param value the value
+     */
+    public void write(String topic, String key, byte[] value) {
+        topic(topic).append(key, value);
     }
 
     /**
