Soaks of real processes share what surrounds their nodes

RetryProcessSoak wrote anew what DepartureProcessSoak had: the store, the folder and the event loops, and their end. SoakSurroundings holds them. No check changes.

--- a/bench/src/main/java/org/verbenadyke/bench/real/DepartureProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/DepartureProcessSoak.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,10 +12,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
-import org.verbenadyke.node.time.EventLoopTimerService;
 import org.verbenadyke.node.transport.EventLoops;
 import org.verbenadyke.standins.platform.Documents;
-import org.verbenadyke.standins.platform.NodePorts;
 import org.verbenadyke.standins.platform.StoreStandIn;
 
 /**
@@ -86,33 +83,29 @@
      * @throws Exception when the processes can't be started
      */
     public static List<String> run(Path home, long seed, int seconds) throws Exception {
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-        EventLoops loops = EventLoops.nio(2);
-        Path folder = Files.createTempDirectory("departure-soak");
-        StoreStandIn store = StoreStandIn.listen(
-                NodePorts.freeEndpoint(),
-                loops,
-                EventLoopTimerService.on(loops.group().next()));
-        DepartureProcessSoak soak = new DepartureProcessSoak(store, loops, seed);
-        store.write(StoreStandIn.OPERATORS, StoreStandIn.CONFIGURATION, configuration());
-        try {
-            soak.start(home, folder);
-            soak.load(seconds);
-        } finally {
-            soak.running = false;
-            for (NodeProcess n : soak.nodes) {
-                n.close();
+        try (SoakSurroundings around = SoakSurroundings.start("departure-soak", configuration())) {
+            DepartureProcessSoak soak = new DepartureProcessSoak(around.store(), around.loops(), seed);
+            try {
+                soak.start(home, around.folder());
+                soak.load(seconds);
+            } finally {
+                soak.stop();
             }
-            soak.servers.forEach(ReportingServer::close);
-            soak.leaving.forEach(ReportingServer::close);
-            store.close();
-            loops.group().shutdownGracefully();
+            System.out.println("soak: seed " + seed + ", " + NODES + " nodes, " + soak.departures + " departures, "
+                    + soak.faults.injected() + " faults, " + soak.requests + " requests, " + soak.answered
+                    + " answered, " + soak.lateOutOfTouch + " late out of touch, " + soak.violations.size()
+                    + " violations; logs in " + around.folder());
+            return List.copyOf(soak.violations);
+        }
+    }
+
+    private void stop() throws InterruptedException {
+        running = false;
+        for (NodeProcess n : nodes) {
+            n.close();
         }
-        System.out.println("soak: seed " + seed + ", " + NODES + " nodes, " + soak.departures + " departures, "
-                + soak.faults.injected() + " faults, " + soak.requests + " requests, " + soak.answered + " answered, "
-                + soak.lateOutOfTouch + " late out of touch, " + soak.violations.size() + " violations; logs in "
-                + folder);
-        return List.copyOf(soak.violations);
+        servers.forEach(ReportingServer::close);
+        leaving.forEach(ReportingServer::close);
     }
 
     private static String configuration() {
--- a/bench/src/main/java/org/verbenadyke/bench/real/RetryProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/RetryProcessSoak.java
@@ -1,7 +1,6 @@
 package org.verbenadyke.bench.real;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -14,9 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import org.verbenadyke.bench.retry.RepetitionCounts;
-import org.verbenadyke.node.time.EventLoopTimerService;
 import org.verbenadyke.node.transport.EventLoops;
-import org.verbenadyke.standins.platform.NodePorts;
 import org.verbenadyke.standins.platform.StoreStandIn;
 
 /**
@@ -79,31 +76,28 @@
      * @throws Exception when the processes can't be started
      */
     public static List<String> run(Path home, long seed, int seconds) throws Exception {
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-        EventLoops loops = EventLoops.nio(2);
-        Path folder = Files.createTempDirectory("retry-soak");
-        StoreStandIn store = StoreStandIn.listen(
-                NodePorts.freeEndpoint(),
-                loops,
-                EventLoopTimerService.on(loops.group().next()));
-        RetryProcessSoak soak = new RetryProcessSoak(store, loops, seed);
-        store.write(StoreStandIn.OPERATORS, StoreStandIn.CONFIGURATION, configuration());
-        try {
-            soak.start(home, folder);
-            soak.load(seconds);
-        } finally {
-            soak.running = false;
-            for (NodeProcess n : soak.nodes) {
-                n.close();
+        try (SoakSurroundings around = SoakSurroundings.start("retry-soak", configuration())) {
+            RetryProcessSoak soak = new RetryProcessSoak(around.store(), around.loops(), seed);
+            try {
+                soak.start(home, around.folder());
+                soak.load(seconds);
+            } finally {
+                soak.stop();
             }
-            soak.servers.forEach(ChainServer::close);
-            store.close();
-            loops.group().shutdownGracefully();
+            SERVICES.forEach(soak::check);
+            System.out.println("soak: seed " + seed + ", " + soak.nodes.size() + " nodes, " + soak.requests
+                    + " requests, " + soak.answered + " answered, " + soak.violations.size() + " violations; logs in "
+                    + around.folder());
+            return List.copyOf(soak.violations);
+        }
+    }
+
+    private void stop() throws InterruptedException {
+        running = false;
+        for (NodeProcess n : nodes) {
+            n.close();
         }
-        SERVICES.forEach(soak::check);
-        System.out.println("soak: seed " + seed + ", " + soak.nodes.size() + " nodes, " + soak.requests + " requests, "
-                + soak.answered + " answered, " + soak.violations.size() + " violations; logs in " + folder);
-        return List.copyOf(soak.violations);
+        servers.forEach(ChainServer::close);
     }
 
     private static String configuration() {
