Read the rest of a body that is too large before the connection closes

Cause: the connection was closed as soon as the 413 was written, with most of the 2 MB unread; a close with unread bytes resets the connection, and on a slow caller the reset can overtake the answer. Class: a close that discards what the other side has sent and loses what it was sent; the refusals for lack of memory had been mended for that, this one not.

Both new tests of ServerConnectionTest failed before (the connection was closed after the head).

--- a/node/src/main/java/org/verbenadyke/node/http1/HttpRequestMessage.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpRequestMessage.java
@@ -5,6 +5,8 @@
 
 import org.verbenadyke.kernel.call.HeaderField;
 
+import io.netty.handler.codec.http.HttpRequest;
+
 /**
  * A complete HTTP request, held in memory.
  *
@@ -28,6 +30,17 @@
         return new HttpRequestMessage(method, target, fields, EMPTY_BODY);
     }
 
+    /**
+     * Creates a request from its decoded head.
+     *
+     * @param head the head
+     * @param body the body
+     * @return the request
+     */
+    static HttpRequestMessage of(HttpRequest head, byte[] body) {
+        return new HttpRequestMessage(head.method().name(), head.uri(), HttpFields.of(head.headers()), body);
+    }
+
     /**
      * Finds a header field by its name.
      *
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -11,6 +11,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -203,7 +204,7 @@
         continueExpected = HttpUtil.is100ContinueExpected(request);
         long length = HttpUtil.getContentLength(request, 0L);
         if (length > limits.bodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            rejectBody();
             return;
         }
         if (needsMemory(length)) {
@@ -226,7 +227,7 @@
         if (bodyUncounted || !server.bodies().counts(bytes)) {
             return false;
         }
-        bodyUncounted = !server.handler().countsBody(requestWith(EMPTY_BODY));
+        bodyUncounted = !server.handler().countsBody(HttpRequestMessage.of(head, EMPTY_BODY));
         return !bodyUncounted;
     }
 
@@ -309,7 +310,8 @@
     private void appendBody(HttpContent content) {
         int more = content.content().readableBytes();
         if (body.readableBytes() + more > limits.bodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            rejectBody();
+            discard(content);
             return;
         }
         if (!stall.watching() && needsMemory(body.readableBytes() + more)) {
@@ -334,34 +336,19 @@
 
     private void dispatchRequest() {
         stall.end();
-        byte[] bytes = bodyBytes();
+        byte[] bytes = RequestBody.bytes(body);
         dropBody();
         memory.shrinkTo(bytes.length);
         exchange = new ServerExchange(this, takeRequest(bytes));
         server.handler().handle(exchange);
     }
 
-    /** Returns the bytes of the body, without a copy if its length was known in advance. */
-    private byte[] bodyBytes() {
-        int length = body.readableBytes();
-        if (length > 0 && body.hasArray() && body.array().length == length) {
-            return body.array();
-        }
-        byte[] bytes = new byte[length];
-        body.readBytes(bytes);
-        return bytes;
-    }
-
     private HttpRequestMessage takeRequest(byte[] bytes) {
-        HttpRequestMessage request = requestWith(bytes);
+        HttpRequestMessage request = HttpRequestMessage.of(head, bytes);
         head = null;
         return request;
     }
 
-    private HttpRequestMessage requestWith(byte[] bytes) {
-        return new HttpRequestMessage(head.method().name(), head.uri(), HttpFields.of(head.headers()), bytes);
-    }
-
     private void dropBody() {
         body.release();
         body = Unpooled.EMPTY_BUFFER;
@@ -376,12 +363,23 @@
         context.channel().config().setAutoRead(autoRead);
     }
 
+    /** Rejects a body that is too large, and reads its rest for a while: an earlier close would reset the answer. */
+    private void rejectBody() {
+        discarding = true;
+        closeAfterDiscard = true;
+        server.timers().after(StallDetector.MAX_PAUSE_NANOS, this::close);
+        reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+    }
+
     private void reject(HttpResponseStatus status) {
         head = null;
         stall.end();
         dropBody();
         memory.release();
-        context.writeAndFlush(Rejections.response(status)).addListener(f -> context.close());
+        ChannelFuture answer = context.writeAndFlush(Rejections.response(status));
+        if (!discarding) {
+            answer.addListener(f -> context.close());
+        }
         LOG.info("Request from {} rejected: {}.", context.channel().remoteAddress(), List.of(status));
     }
 
--- a/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/ServerConnectionTest.java
@@ -94,6 +94,27 @@
         assertTrue(channel.isOpen());
     }
 
+    /** Closing the connection with unread data would reset it, and the caller could lose the rejection. */
+    @Test
+    void readsTheRestOfABodyThatIsTooLargeBeforeItCloses() {
+        send(head(LIMIT + 1));
+        assertTrue(sent().startsWith("HTTP/1.1 413"));
+        send(body(LIMIT));
+        assertTrue(channel.isOpen());
+        send(body(1));
+        assertFalse(channel.isOpen());
+        assertEquals(0, handled.size() + memory.enteringBytes());
+    }
+
+    @Test
+    void closesAConnectionWhoseTooLargeBodyGoesOn() {
+        send(head(Integer.MAX_VALUE));
+        send(body(LIMIT));
+        clock.advance(PAUSE_NANOS);
+        run();
+        assertFalse(channel.isOpen());
+    }
+
     @Test
     void releasesWhenTheCallerLeavesWhileItWaitsOrIsServed() {
         BodyReservation other = fill();
