--- a/bench/src/main/java/org/verbenadyke/bench/real/RetryProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/RetryProcessSoak.java
@@ -32,9 +32,7 @@
     private static final int CALLS = 4;
     private static final int DATA_CENTRES = 3;
     private static final String HEARTBEAT = "1500ms";
-    private static final double RATIO = 0.2;
-    private static final double SLACK = 47;
-    private static final long WINDOW_NANOS = 10_000_000_000L;
+    private static final RepetitionCounts.Allowance ALLOWED = new RepetitionCounts.Allowance(0.2, 10_000_000_000L, 47);
     private static final int CALLERS_PER_NODE = 4;
 
     /** The pause of a caller: 24 callers send about 160 requests a second. */
@@ -200,7 +198,7 @@
     }
 
     private void check(String service) {
-        Optional<RepetitionCounts.Window> worst = counts.worst(service, WINDOW_NANOS, RATIO, SLACK);
+        Optional<RepetitionCounts.Window> worst = counts.worst(service, ALLOWED);
         worst.ifPresent(w -> System.out.println(service + ": " + w));
         worst.filter(w -> w.excess() > 0)
                 .ifPresent(w -> violations.add(service + " got " + w.repetitions() + " repetitions in a window, "
--- a/bench/src/main/java/org/verbenadyke/bench/retry/RepetitionCounts.java
+++ b/bench/src/main/java/org/verbenadyke/bench/retry/RepetitionCounts.java
@@ -1,6 +1,7 @@
 package org.verbenadyke.bench.retry;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -67,34 +68,44 @@
     }
 
     /**
-     * Returns the window of a service in which its repetitions come nearest to what is allowed, or exceed it most. Each
-     * window begins a quarter of a second after the one before.
+     * Returns the window of a service in which its repetitions come nearest to what is allowed, or exceed it most.
      *
      * @param service the service
-     * @param lengthNanos the length of a window, in nanoseconds
-     * @param ratio repetitions allowed per request
-     * @param slack repetitions allowed beyond that
+     * @param allowance what is allowed
+     * @return the window, empty if there was no repetition
+     */
+    public Optional<Window> worst(String service, Allowance allowance) {
+        return windows(service, allowance).stream().max(Comparator.comparingDouble(Window::excess));
+    }
+
+    /**
+     * Returns the window of a service with most repetitions.
+     *
+     * @param service the service
+     * @param allowance what is allowed
      * @return the window, empty if there was no repetition
      */
-    public synchronized Optional<Window> worst(String service, long lengthNanos, double ratio, double slack) {
+    public Optional<Window> busiest(String service, Allowance allowance) {
+        return windows(service, allowance).stream().max(Comparator.comparingInt(Window::repetitions));
+    }
+
+    /** Lists the windows of a service; each begins a quarter of a second after the one before. */
+    private synchronized List<Window> windows(String service, Allowance allowance) {
         List<Long> repeated = repetitions.getOrDefault(service, List.of());
+        List<Long> requested = requests.getOrDefault(service, List.of());
+        List<Window> windows = new ArrayList<>();
         if (repeated.isEmpty()) {
-            return Optional.empty();
+            return windows;
         }
-        List<Long> requested = requests.getOrDefault(service, List.of());
-        Optional<Window> worst = Optional.empty();
-        for (long from = repeated.getFirst() - lengthNanos; from <= repeated.getLast(); from += STEP_NANOS) {
+        long length = allowance.windowNanos();
+        for (long from = repeated.getFirst() - length; from <= repeated.getLast(); from += STEP_NANOS) {
             int sent = Math.max(
-                    count(requested, from, lengthNanos),
-                    Math.max(
-                            count(requested, from - lengthNanos / 2, lengthNanos),
-                            count(requested, from - lengthNanos, lengthNanos)));
-            Window window = new Window(from, count(repeated, from, lengthNanos), sent, ratio * sent + slack);
-            if (worst.isEmpty() || window.excess() > worst.get().excess()) {
-                worst = Optional.of(window);
-            }
+                    count(requested, from, length),
+                    Math.max(count(requested, from - length / 2, length), count(requested, from - length, length)));
+            double allowed = allowance.ratio() * sent + allowance.slack();
+            windows.add(new Window(from, count(repeated, from, length), sent, allowed));
         }
-        return worst;
+        return windows;
     }
 
     private static int count(List<Long> times, long from, long length) {
@@ -115,6 +126,15 @@
         return low;
     }
 
+    /**
+     * What is allowed.
+     *
+     * @param ratio repetitions allowed per request
+     * @param windowNanos the length of a window, in nanoseconds
+     * @param slack repetitions allowed beyond that
+     */
+    public record Allowance(double ratio, long windowNanos, double slack) {}
+
     /**
      * One window of a service.
      *
--- a/bench/src/test/java/org/verbenadyke/bench/lab/RetrySumTest.java
+++ b/bench/src/test/java/org/verbenadyke/bench/lab/RetrySumTest.java
@@ -17,9 +17,8 @@
  * fail and other services call it many times for one request.
  */
 final class RetrySumTest {
-    private static final double RATIO = 0.2;
-    private static final double SLACK = 47;
     private static final long WINDOW_NANOS = 10 * Lab.SECOND;
+    private static final RepetitionCounts.Allowance ALLOWED = new RepetitionCounts.Allowance(0.2, WINDOW_NANOS, 47);
     private static final long RUN_NANOS = 30 * Lab.SECOND;
     private static final long TIMEOUT_MILLIS = 3_000;
 
@@ -91,10 +90,10 @@
         generateLoad(READ, reads, 170);
         fleet.lab().advance(RUN_NANOS);
         RepetitionCounts.Window most =
-                fleet.audit().counts().worst("deep", WINDOW_NANOS, RATIO, 0).orElseThrow();
+                fleet.audit().counts().busiest("deep", ALLOWED).orElseThrow();
         System.out.println("single service, " + outcome + ": " + most + "; " + reads);
         assertWithinAllowance();
-        assertTrue(most.repetitions() >= most.allowed() / 2, most.toString());
+        assertTrue(most.repetitions() >= ALLOWED.ratio() * most.requests() / 2, most.toString());
     }
 
     private void startChain(long seed) {
@@ -132,7 +131,7 @@
 
     private void assertWithinAllowance() {
         Stream.of("front", "middle", "deep")
-                .flatMap(s -> fleet.audit().counts().worst(s, WINDOW_NANOS, RATIO, SLACK).stream()
+                .flatMap(s -> fleet.audit().counts().worst(s, ALLOWED).stream()
                         .peek(w -> System.out.println(s + ": " + w + "; lookups " + lookups + "; reads " + reads)))
                 .forEach(w -> assertTrue(w.excess() <= 0, w.toString()));
     }
