Log what was found of the upstream for each call that got no answer

A call that broke without counting as a crash left no line but its outcome, under the same reason whether the upstream was found to be draining, still listening, or had been given up by its caller. The recording moves from CallServer to a class of its own.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -24,7 +24,6 @@
 import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.once.SeenCalls;
 import org.verbenadyke.kernel.quarantine.Quarantine;
-import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.routing.ServiceLevels;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.kernel.trace.Decision;
@@ -44,6 +43,7 @@
     private final SeenCalls seenCalls;
     private final NoticeHandler notices;
     private final AnswerMemory answerMemory;
+    private final CrashRecorder crashes;
     private final SuspectQueue suspectQueue = SuspectQueue.empty();
     private final Map<CallId, IncomingCall> calls = new ConcurrentHashMap<>();
     private final Map<String, CallContext> contexts = new ConcurrentHashMap<>();
@@ -55,6 +55,7 @@
         this.settings = settings;
         this.notices = new NoticeHandler(parts.counters, parts.decisions);
         this.answerMemory = AnswerMemory.of(settings.storedAnswersBytes());
+        this.crashes = CrashRecorder.create(parts.quarantine, parts.decisions);
         this.seenCalls = SeenCalls.startingAt(parts.timers.nanos());
     }
 
@@ -272,18 +273,9 @@
         }
     }
 
-    /**
-     * Records that an upstream crashed with a call in flight, and returns the reason for the refusal. A draining
-     * upstream stops as planned, with calls possibly still in flight; its shutdown says nothing about those calls.
-     */
-    RefusalReason recordCrash(Message.Call call, RequestDigest digest, LocalUpstream local) {
-        if (local.draining()) {
-            return RefusalReason.UPSTREAM_BROKEN;
-        }
-        String id = call.target().upstream();
-        parts.decisions.note(new Decision.UpstreamCrashed(call.request(), id, digest));
-        parts.quarantine.recordCrash(digest, id);
-        return RefusalReason.UPSTREAM_ENDED;
+    /** Returns what records the calls that ended without an answer. */
+    CrashRecorder crashes() {
+        return crashes;
     }
 
     /** Returns the queue in which calls that may have crashed upstreams run one at a time. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -19,6 +19,7 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.once.StoredOutcome;
+import org.verbenadyke.kernel.quarantine.CrashFinding;
 import org.verbenadyke.kernel.time.Subscription;
 
 /**
@@ -238,14 +239,16 @@
 
     @Override
     public void broken() {
-        serial.run(() -> fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED));
+        ifHandedOver(() -> failLost(server.crashes().lost(call, handOverCheck.digest(), CrashFinding.CONNECTION_LOST)));
     }
 
     @Override
     public void upstreamCrashed() {
-        ifHandedOver(() -> fail(
-                Refusal.mayHaveRun(server.recordCrash(call, handOverCheck.digest(), local)),
-                ConcurrencyLimit.Outcome.IGNORED));
+        ifHandedOver(() -> failLost(server.crashes().crashed(call, handOverCheck.digest(), local)));
+    }
+
+    private void failLost(RefusalReason reason) {
+        fail(Refusal.mayHaveRun(reason), ConcurrencyLimit.Outcome.IGNORED);
     }
 
     private void ifHandedOver(Runnable step) {
@@ -328,6 +331,7 @@
     }
 
     private void cancelExchange() {
+        server.crashes().lost(call, handOverCheck.digest(), CrashFinding.CANCELLED);
         exchange.cancel();
         finish(ConcurrencyLimit.Outcome.IGNORED);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -9,6 +9,7 @@
 import org.verbenadyke.kernel.call.RunState;
 import org.verbenadyke.kernel.follow.PlanStatus;
 import org.verbenadyke.kernel.notice.RateChange;
+import org.verbenadyke.kernel.quarantine.CrashFinding;
 import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.route.ShareChange;
 
@@ -151,6 +152,16 @@
      */
     record StatusReported(CallId attempt, RunState state, RefusalReason reason, long incarnation) implements Decision {}
 
+    /**
+     * A call ended without an answer of its upstream, which counts as no crash yet.
+     *
+     * @param chain the request that the call belongs to
+     * @param upstream the upstream
+     * @param digest the digest of the call; the same for every attempt and repetition of it
+     * @param finding what is known of the upstream
+     */
+    record CallLost(RequestId chain, String upstream, RequestDigest digest, CrashFinding finding) implements Decision {}
+
     /**
      * An upstream crashed while it was running a call.
      *
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -103,6 +103,7 @@
             case Decision.Rerouted d -> "rerouted-" + d.reason().label();
             case Decision.StatusInquired d -> "fate-asked";
             case Decision.StatusReported d -> "fate-told";
+            case Decision.CallLost d -> "call-lost-" + d.finding().label();
             case Decision.UpstreamCrashed d -> "upstream-ended-under";
             case Decision.Quarantined d -> "request-quarantined";
             case Decision.QuarantineRefused d -> "request-held-back";
@@ -164,6 +165,8 @@
                         .with("runState", d.state().label())
                         .with("reason", d.reason().label())
                         .with("incarnation", d.incarnation());
+            case Decision.CallLost d ->
+                line.with(CHAIN, d.chain()).with("upstream", d.upstream()).with(DIGEST, d.digest());
             case Decision.UpstreamCrashed d ->
                 line.with(CHAIN, d.chain()).with("upstream", d.upstream()).with(DIGEST, d.digest());
             case Decision.Quarantined d -> line.with(DIGEST, d.digest()).with(EVIDENCE, d.evidence());
