Tell an upstream that leaves as planned from one that is given up

Callers lost all servers of a service, again and again, to one request: it was held after no number of crashes.

Cause: "draining" stood for two things. A planned leaving, under which calls may end without meaning anything, and the withdrawal of an upstream that fell silent, refuses connections or was replaced. When a server crashes, the probe reports first that connections are refused; that detaches the upstream, which drained it since so that waiting calls are refused; the calls' own reports of the crash came after and were discarded as those of a draining upstream.

Fix: an upstream has the causes for which it gets no new calls, each set and ended on its own: LEAVING, OPERATORS, NODE_STOPPING, DETACHED. Only the first two mean that its end is planned. The order in which listeners learn of a refused connection decides nothing any more. The stop of the node had the same fault: a server that crashed meanwhile counted nothing.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -26,6 +26,7 @@
 import org.verbenadyke.kernel.quota.TeamLimiter;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.serve.DrainCause;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.kernel.time.Debounce;
@@ -357,7 +358,15 @@
         engine.router().update(accepting);
         limiter.membersChanged();
         boolean leavingByOperators = leaving(gossip.self(), configuration);
-        upstream().ifPresent(u -> u.drain(lifecycle.draining() || leavingByOperators));
+        upstream().ifPresent(u -> drainIf(leavingByOperators, u));
+    }
+
+    private static void drainIf(boolean leavingByOperators, LocalUpstream local) {
+        if (leavingByOperators) {
+            local.drain(DrainCause.OPERATORS);
+        } else {
+            local.resume(DrainCause.OPERATORS);
+        }
     }
 
     /** Called when the members have changed. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.membership.MemberRecord;
 import org.verbenadyke.kernel.membership.MemberState;
 import org.verbenadyke.kernel.serve.Attachment;
+import org.verbenadyke.kernel.serve.DrainCause;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 
 /**
@@ -35,7 +36,9 @@
         }
         MemberRecord record = gossip.change(state(), registration.service());
         LocalUpstream local = attach(registration, record.upstreamId());
-        if (draining || local.draining()) {
+        if (draining) {
+            drain(DrainCause.NODE_STOPPING);
+        } else if (local.draining()) {
             drain();
         }
         changed.run();
@@ -47,21 +50,21 @@
         changed.run();
     }
 
+    /** Drains the upstream, which announced that it is leaving. */
     void drain() {
+        drain(DrainCause.LEAVING);
+    }
+
+    private void drain(DrainCause cause) {
         draining = true;
-        engine.server().upstream().ifPresent(u -> u.drain(true));
+        engine.server().upstream().ifPresent(u -> u.drain(cause));
         gossip.change(MemberState.DRAINING, gossip.self().service());
     }
 
     /** Drains the node, which stops: an upstream that registers from now on gets no work either. */
     void shutDown() {
         shuttingDown = true;
-        drain();
-    }
-
-    /** Returns whether the upstream or the node is draining. */
-    boolean draining() {
-        return draining;
+        drain(DrainCause.NODE_STOPPING);
     }
 
     /** Gives the upstream its new id: others may have assigned the keys of the old id to another owner. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/CrashFinding.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/CrashFinding.java
@@ -10,8 +10,8 @@
     CONNECTION_LOST("connection-lost"),
     /** The call was cancelled, and the upstream may go on running it. */
     CANCELLED("cancelled"),
-    /** It gets no new calls, and its calls end as planned. */
-    DRAINING("draining");
+    /** It is leaving as planned, and its calls may end with it. */
+    PLANNED_END("planned-end");
 
     private final String label;
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -76,13 +76,13 @@
      * @param local the upstream
      */
     public void attach(LocalUpstream local) {
-        upstream().filter(u -> u.gate() != local.gate()).ifPresent(u -> u.drain(true));
+        upstream().filter(u -> u.gate() != local.gate()).ifPresent(u -> u.drain(DrainCause.DETACHED));
         this.upstream = local;
     }
 
     /** Detaches the upstream: it is gone, and no other has announced itself yet. Calls that wait for it are refused. */
     public void detach() {
-        upstream().ifPresent(u -> u.drain(true));
+        upstream().ifPresent(u -> u.drain(DrainCause.DETACHED));
         this.upstream = null;
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashRecorder.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashRecorder.java
@@ -25,12 +25,12 @@
     }
 
     /**
-     * Records that an upstream crashed with a call in flight, and returns the reason for the refusal. A draining
-     * upstream stops as planned, with calls possibly still in flight; its shutdown says nothing about those calls.
+     * Records that an upstream crashed with a call in flight, and returns the reason for the refusal. An upstream that
+     * ends as planned may have calls in flight; its end says nothing about those.
      */
     RefusalReason crashed(Message.Call call, RequestDigest digest, LocalUpstream local) {
-        if (local.draining()) {
-            return lost(call, digest, CrashFinding.DRAINING);
+        if (local.plannedToEnd()) {
+            return lost(call, digest, CrashFinding.PLANNED_END);
         }
         String id = call.target().upstream();
         decisions.note(new Decision.UpstreamCrashed(call.request(), id, digest));
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -1,5 +1,8 @@
 package org.verbenadyke.kernel.serve;
 
+import java.util.EnumSet;
+import java.util.Set;
+
 import org.verbenadyke.kernel.admission.Gate;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.notice.StartNotices;
@@ -16,7 +19,7 @@
     private final StartNotices notices;
     private final TimerService timers;
     private volatile long acceptingSinceNanos;
-    private volatile boolean draining;
+    private volatile Set<DrainCause> drainCauses;
     private volatile long drainingSinceNanos;
 
     private LocalUpstream(Attachment attachment, Gate gate, KeyTable keys, StartNotices notices, TimerService timers) {
@@ -26,7 +29,7 @@
         this.notices = notices;
         this.timers = timers;
         this.acceptingSinceNanos = timers.nanos();
-        this.draining = notices.leaving();
+        this.drainCauses = notices.leaving() ? Set.of(DrainCause.LEAVING) : Set.of();
     }
 
     /**
@@ -68,7 +71,7 @@
      */
     public LocalUpstream withId(String newId) {
         LocalUpstream renamed = new LocalUpstream(attachment.withId(newId), gate, keys, notices, timers);
-        renamed.draining = draining;
+        renamed.drainCauses = drainCauses;
         return renamed;
     }
 
@@ -123,7 +126,12 @@
      * @return whether new calls are refused
      */
     public boolean draining() {
-        return draining;
+        return !drainCauses.isEmpty();
+    }
+
+    /** Returns whether the upstream is expected to end, so that its end says nothing about the calls in flight. */
+    boolean plannedToEnd() {
+        return drainCauses.stream().anyMatch(DrainCause::plannedEnd);
     }
 
     /**
@@ -133,29 +141,45 @@
      * @return whether a call that arrived at that time must not be handed over
      */
     public boolean drainingBefore(long nanos) {
-        return draining && drainingSinceNanos < nanos;
+        return draining() && drainingSinceNanos < nanos;
     }
 
     /**
-     * Starts or ends draining. An upstream that has stated that it is leaving goes on draining.
+     * Drains the upstream. Calls that wait for it are refused.
      *
-     * @param requested whether new calls are refused
+     * @param cause why it gets no new calls
      */
-    public void drain(boolean requested) {
-        boolean enabled = requested || notices.leaving();
-        if (enabled && !draining) {
+    public synchronized void drain(DrainCause cause) {
+        boolean begins = !draining();
+        if (begins) {
             drainingSinceNanos = timers.nanos();
         }
-        if (!enabled && draining) {
-            acceptingSinceNanos = timers.nanos();
-        }
-        boolean begins = enabled && !draining;
-        draining = enabled;
+        EnumSet<DrainCause> causes = EnumSet.of(cause);
+        causes.addAll(drainCauses);
+        drainCauses = Set.copyOf(causes);
         if (begins) {
             gate.flush();
         }
     }
 
+    /**
+     * Ends one cause for draining. An upstream that has stated that it is leaving goes on draining, and so does one for
+     * which another cause holds.
+     *
+     * @param cause the cause that is over
+     */
+    public synchronized void resume(DrainCause cause) {
+        if (!drainCauses.contains(cause) || cause == DrainCause.LEAVING && notices.leaving()) {
+            return;
+        }
+        EnumSet<DrainCause> causes = EnumSet.copyOf(drainCauses);
+        causes.remove(cause);
+        drainCauses = Set.copyOf(causes);
+        if (!draining()) {
+            acceptingSinceNanos = timers.nanos();
+        }
+    }
+
     /**
      * Returns what the upstream has stated about itself.
      *
@@ -180,7 +204,7 @@
 
     /** Drains the upstream, which has stated in an answer that it is leaving. */
     void leave() {
-        drain(true);
+        drain(DrainCause.LEAVING);
         attachment.onLeaving().run();
     }
 
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamCrashTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamCrashTest.java
@@ -14,6 +14,7 @@
 import org.verbenadyke.kernel.quarantine.QuarantineStatus;
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
+import org.verbenadyke.kernel.serve.DrainCause;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.kernel.time.VirtualTimerService;
@@ -115,7 +116,7 @@
     @Test
     void theCrashOfADrainingUpstreamDoesNotCount() {
         send(content("POST", "/bad"));
-        locals.get(runs.getLast()).drain(true);
+        locals.get(runs.getLast()).drain(DrainCause.LEAVING);
         crash(runs.getLast());
         assertEquals(
                 List.of(),
@@ -151,7 +152,7 @@
         send(BAD);
         send(BAD);
         assertEquals(List.of(only), runs);
-        locals.get(only).drain(true);
+        locals.get(only).drain(DrainCause.LEAVING);
         running.get(only).head(200, List.of());
         running.get(only).end();
         assertEquals(List.of(only), runs);
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamNoticeTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamNoticeTest.java
@@ -14,6 +14,7 @@
 import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.routing.Upstream;
 import org.verbenadyke.kernel.serve.Attachment;
+import org.verbenadyke.kernel.serve.DrainCause;
 import org.verbenadyke.kernel.serve.LocalUpstream;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 import org.verbenadyke.kernel.time.VirtualTimerService;
@@ -74,7 +75,7 @@
         send("");
         assertEquals(List.of("leaving"), leaving);
         LocalUpstream again = attach(server, START);
-        again.drain(false);
+        again.resume(DrainCause.LEAVING);
         assertTrue(again.draining());
         assertTrue(again.withId("renamed").draining());
         assertFalse(attach(server, START + 1).draining());
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CallServerTest.java
@@ -105,7 +105,7 @@
 
     @Test
     void aDrainingUpstreamGetsNoCalls() {
-        local.drain(true);
+        local.drain(DrainCause.LEAVING);
         server.received(link, call(true, ""));
         assertEquals(0, handed.size());
         assertEquals(RefusalReason.DRAINING, lastRefusal().refusal().reason());
@@ -299,7 +299,7 @@
         server.linkLost(link);
         assertEquals(BODY_BYTES, memory.callBytes());
         upload();
-        local.drain(true);
+        local.drain(DrainCause.LEAVING);
         assertEquals(BODY_BYTES, memory.callBytes());
         handed.getFirst().broken();
         handed.getFirst().broken();
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/HandOverCheckTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/HandOverCheckTest.java
@@ -72,7 +72,7 @@
         clock.advance(ONE_MILLI_NANOS);
         server.attach(local);
         server.received(link, call("k", new byte[0]));
-        local.drain(true);
+        local.drain(DrainCause.LEAVING);
         claims.forEach(Runnable::run);
         assertEquals(List.of(), handed);
         Message.Refused refused = (Message.Refused) link.sent().getLast();
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/RepeatedInquiryTest.java
@@ -29,7 +29,7 @@
 
     @Test
     void aRefusalBeforeQueueingIsReportedAgainWhenItWasLost() {
-        local.drain(true);
+        local.drain(DrainCause.LEAVING);
         Message.Call refused = call(1);
         server.received(link, refused);
         server.linkLost(link);
