Count a crash that is proved only after the connections broke

Callers lost servers to a request that was not held, where the connections of a crashing server end some milliseconds before its listener, or where its next start has the port at once.

Cause: whether a server crashed was decided by one look, a connection attempt when an exchange broke. If that succeeded, nothing that came later could prove the crash.

Fix: a call that got no answer is kept (CrashEvidence, 256 at most, ten seconds). A refused connection, or the report of another start without an announced leaving before it, proves the crash for all of them, whichever is learned first; two further reports of the same start prove that it survived. AttachedUpstream owns which start is attached and what follows from its end. A reset alone, silence and a planned leaving still prove nothing.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -135,11 +135,21 @@
         }
     }
 
-    /** Detaches the upstream, which is gone; the node goes on without one. */
+    /** Detaches the upstream, which has fallen silent; the node goes on without one. */
     public void detachUpstream() {
         lifecycle.detach();
     }
 
+    /** Detaches the upstream, at whose address nothing listens any more; the node goes on without one. */
+    public void detachCrashedUpstream() {
+        lifecycle.detachCrashed();
+    }
+
+    /** Called when the attached upstream has reported once more. */
+    public void upstreamReported() {
+        engine.server().attached().reported();
+    }
+
     /**
      * Follows another number of slots that the upstream announces.
      *
@@ -358,15 +368,7 @@
         engine.router().update(accepting);
         limiter.membersChanged();
         boolean leavingByOperators = leaving(gossip.self(), configuration);
-        upstream().ifPresent(u -> drainIf(leavingByOperators, u));
-    }
-
-    private static void drainIf(boolean leavingByOperators, LocalUpstream local) {
-        if (leavingByOperators) {
-            local.drain(DrainCause.OPERATORS);
-        } else {
-            local.resume(DrainCause.OPERATORS);
-        }
+        upstream().ifPresent(u -> u.setDraining(DrainCause.OPERATORS, leavingByOperators));
     }
 
     /** Called when the members have changed. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
@@ -46,6 +46,16 @@
 
     void detach() {
         engine.server().detach();
+        detached();
+    }
+
+    /** Detaches the upstream, which refuses connections. */
+    void detachCrashed() {
+        engine.server().attached().detachCrashed();
+        detached();
+    }
+
+    private void detached() {
         gossip.change(state(), "");
         changed.run();
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamMonitor.java
@@ -212,8 +212,11 @@
             listener.arrived(heartbeat, heartbeats);
         } else if (working && !present) {
             listener.leaving(heartbeat, LeavingAnnouncement.HEARTBEAT);
-        } else if (present && resized) {
-            listener.resized(heartbeat);
+        } else if (present) {
+            listener.reported(heartbeat);
+            if (resized) {
+                listener.resized(heartbeat);
+            }
         }
     }
 
@@ -295,6 +298,15 @@
          */
         void arrived(UpstreamHeartbeat heartbeat, long heartbeats);
 
+        /**
+         * Called when an upstream that gets work has reported once more.
+         *
+         * @param heartbeat the heartbeat of the upstream
+         */
+        default void reported(UpstreamHeartbeat heartbeat) {
+            // A listener that only follows changes ignores it.
+        }
+
         /**
          * Called when an upstream that gets work announces another number of slots than before.
          *
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/CrashFinding.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/CrashFinding.java
@@ -6,6 +6,8 @@
 public enum CrashFinding {
     /** It refused a connection: nothing listens at its address any more. */
     CONNECTION_REFUSED("connection-refused"),
+    /** Another start of it reports, and the one before has not announced that it leaves. */
+    REPLACED("replaced"),
     /** Only the call's connection is known to have ended; the upstream may go on. */
     CONNECTION_LOST("connection-lost"),
     /** The call was cancelled, and the upstream may go on running it. */
--- /dev/null
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
@@ -0,0 +1,54 @@
+package org.verbenadyke.kernel.serve;
+
+import java.util.Optional;
+
+import org.verbenadyke.kernel.quarantine.CrashFinding;
+
+/**
+ * The upstream that is attached to the node, and what is concluded from its attachment and detachment: a start that is
+ * replaced or refuses connections has crashed, unless it announced that it leaves. One that only fell silent may go on.
+ */
+public final class AttachedUpstream {
+    private final CrashRecorder crashes;
+    private volatile LocalUpstream upstream;
+    private volatile LocalUpstream lastAttached;
+
+    private AttachedUpstream(CrashRecorder crashes) {
+        this.crashes = crashes;
+    }
+
+    static AttachedUpstream none(CrashRecorder crashes) {
+        return new AttachedUpstream(crashes);
+    }
+
+    /** Returns the upstream, if one is attached. */
+    Optional<LocalUpstream> get() {
+        return Optional.ofNullable(upstream);
+    }
+
+    synchronized void attach(LocalUpstream local) {
+        get().filter(u -> u.gate() != local.gate()).ifPresent(u -> u.drain(DrainCause.DETACHED));
+        LocalUpstream before = lastAttached;
+        if (before != null && !before.mayBeSameStart(local)) {
+            crashes.ended(before, CrashFinding.REPLACED);
+        }
+        lastAttached = local;
+        upstream = local;
+    }
+
+    synchronized void detach() {
+        get().ifPresent(u -> u.drain(DrainCause.DETACHED));
+        upstream = null;
+    }
+
+    /** Detaches the upstream, which refuses connections. Calls that wait for it are refused. */
+    public synchronized void detachCrashed() {
+        get().ifPresent(u -> crashes.ended(u, CrashFinding.CONNECTION_REFUSED));
+        detach();
+    }
+
+    /** Called when the upstream has reported once more. */
+    public void reported() {
+        get().ifPresent(u -> u.crashEvidence().reported());
+    }
+}
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -44,18 +44,19 @@
     private final NoticeHandler notices;
     private final AnswerMemory answerMemory;
     private final CrashRecorder crashes;
+    private final AttachedUpstream attached;
     private final SuspectQueue suspectQueue = SuspectQueue.empty();
     private final Map<CallId, IncomingCall> calls = new ConcurrentHashMap<>();
     private final Map<String, CallContext> contexts = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
-    private volatile LocalUpstream upstream;
 
     private CallServer(Parts parts, ServeSettings settings) {
         this.parts = parts;
         this.settings = settings;
         this.notices = new NoticeHandler(parts.counters, parts.decisions);
         this.answerMemory = AnswerMemory.of(settings.storedAnswersBytes());
-        this.crashes = CrashRecorder.create(parts.quarantine, parts.decisions);
+        this.crashes = CrashRecorder.create(parts.timers, parts.quarantine, parts.decisions);
+        this.attached = AttachedUpstream.none(crashes);
         this.seenCalls = SeenCalls.startingAt(parts.timers.nanos());
     }
 
@@ -76,14 +77,12 @@
      * @param local the upstream
      */
     public void attach(LocalUpstream local) {
-        upstream().filter(u -> u.gate() != local.gate()).ifPresent(u -> u.drain(DrainCause.DETACHED));
-        this.upstream = local;
+        attached.attach(local);
     }
 
-    /** Detaches the upstream: it is gone, and no other has announced itself yet. Calls that wait for it are refused. */
+    /** Detaches the upstream, of which nothing was heard for too long. Calls that wait for it are refused. */
     public void detach() {
-        upstream().ifPresent(u -> u.drain(DrainCause.DETACHED));
-        this.upstream = null;
+        attached.detach();
     }
 
     /**
@@ -92,7 +91,16 @@
      * @return the upstream, if one announced itself
      */
     public Optional<LocalUpstream> upstream() {
-        return Optional.ofNullable(upstream);
+        return attached.get();
+    }
+
+    /**
+     * Returns what attaches and detaches the colocated upstream.
+     *
+     * @return the attached upstream
+     */
+    public AttachedUpstream attached() {
+        return attached;
     }
 
     /**
@@ -242,7 +250,7 @@
                 .orElse(Message.DeeperLevel.NONE);
         Usage usage = context.map(CallContext::usage).orElse(Usage.NONE);
         CallCounts calls = context.map(CallContext::calls).orElse(CallCounts.NONE);
-        LocalUpstream local = upstream;
+        LocalUpstream local = upstream().orElse(null);
         if (local == null) {
             return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, deeperLevel, usage, calls);
         }
@@ -297,7 +305,7 @@
             parts.counters.count(Event.CALL_REPEATED);
             return;
         }
-        LocalUpstream local = upstream;
+        LocalUpstream local = upstream().orElse(null);
         if (local == null || !local.id().equals(call.target().upstream())) {
             refuseUntracked(link, call, RefusalReason.UPSTREAM_UNREACHABLE);
             return;
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
@@ -74,8 +74,23 @@
         return true;
     }
 
+    /** Called when the connection ended without an answer; returns the reason for the refusal. */
+    RefusalReason connectionLost() {
+        return server.crashes().connectionLost(call, digest(), local);
+    }
+
+    /** Called when the upstream refuses connections and has not answered; returns the reason for the refusal. */
+    RefusalReason connectionRefused() {
+        return server.crashes().connectionRefused(call, digest(), local);
+    }
+
+    /** Called when the call is cancelled at the upstream, which may go on with it. */
+    void cancelled(long deadlineNanos) {
+        server.crashes().cancelled(call, digest(), local, deadlineNanos);
+    }
+
     /** Returns what identifies the request, should it crash the upstream. */
-    RequestDigest digest() {
+    private RequestDigest digest() {
         return digest.orElseGet(() -> RequestDigest.of(call.content()));
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -19,7 +19,6 @@
 import org.verbenadyke.kernel.metrics.Event;
 import org.verbenadyke.kernel.notice.UpstreamNotice;
 import org.verbenadyke.kernel.once.StoredOutcome;
-import org.verbenadyke.kernel.quarantine.CrashFinding;
 import org.verbenadyke.kernel.time.Subscription;
 
 /**
@@ -239,12 +238,12 @@
 
     @Override
     public void broken() {
-        ifHandedOver(() -> failLost(server.crashes().lost(call, handOverCheck.digest(), CrashFinding.CONNECTION_LOST)));
+        ifHandedOver(() -> failLost(handOverCheck.connectionLost()));
     }
 
     @Override
     public void upstreamCrashed() {
-        ifHandedOver(() -> failLost(server.crashes().crashed(call, handOverCheck.digest(), local)));
+        ifHandedOver(() -> failLost(handOverCheck.connectionRefused()));
     }
 
     private void failLost(RefusalReason reason) {
@@ -327,11 +326,10 @@
 
     private void onStall() {
         exchange.cancel();
-        fail(Refusal.mayHaveRun(RefusalReason.UPSTREAM_BROKEN), ConcurrencyLimit.Outcome.IGNORED);
+        failLost(RefusalReason.UPSTREAM_BROKEN);
     }
 
     private void cancelExchange() {
-        server.crashes().lost(call, handOverCheck.digest(), CrashFinding.CANCELLED);
         exchange.cancel();
         finish(ConcurrencyLimit.Outcome.IGNORED);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -17,16 +17,24 @@
     private final Gate gate;
     private final KeyTable keys;
     private final StartNotices notices;
+    private final CrashEvidence crashEvidence;
     private final TimerService timers;
     private volatile long acceptingSinceNanos;
     private volatile Set<DrainCause> drainCauses;
     private volatile long drainingSinceNanos;
 
-    private LocalUpstream(Attachment attachment, Gate gate, KeyTable keys, StartNotices notices, TimerService timers) {
+    private LocalUpstream(
+            Attachment attachment,
+            Gate gate,
+            KeyTable keys,
+            StartNotices notices,
+            CrashEvidence crashEvidence,
+            TimerService timers) {
         this.attachment = attachment;
         this.gate = gate;
         this.keys = keys;
         this.notices = notices;
+        this.crashEvidence = crashEvidence;
         this.timers = timers;
         this.acceptingSinceNanos = timers.nanos();
         this.drainCauses = notices.leaving() ? Set.of(DrainCause.LEAVING) : Set.of();
@@ -44,7 +52,7 @@
      */
     public static LocalUpstream of(
             Attachment attachment, Gate gate, KeyTable keys, StartNotices notices, TimerService timers) {
-        return new LocalUpstream(attachment, gate, keys, notices, timers);
+        return new LocalUpstream(attachment, gate, keys, notices, CrashEvidence.empty(), timers);
     }
 
     /**
@@ -70,7 +78,7 @@
      * @return the upstream, with the same gate, keys and notices
      */
     public LocalUpstream withId(String newId) {
-        LocalUpstream renamed = new LocalUpstream(attachment.withId(newId), gate, keys, notices, timers);
+        LocalUpstream renamed = new LocalUpstream(attachment.withId(newId), gate, keys, notices, crashEvidence, timers);
         renamed.drainCauses = drainCauses;
         return renamed;
     }
@@ -162,6 +170,20 @@
         }
     }
 
+    /**
+     * Begins or ends draining for a cause.
+     *
+     * @param cause why the upstream gets no new calls
+     * @param holds whether the cause holds
+     */
+    public void setDraining(DrainCause cause, boolean holds) {
+        if (holds) {
+            drain(cause);
+        } else {
+            resume(cause);
+        }
+    }
+
     /**
      * Ends one cause for draining. An upstream that has stated that it is leaving goes on draining, and so does one for
      * which another cause holds.
@@ -189,6 +211,19 @@
         return notices;
     }
 
+    /** Returns the calls that this start may have been running, should it crash. */
+    CrashEvidence crashEvidence() {
+        return crashEvidence;
+    }
+
+    /** Returns whether another upstream is the same start, or may be. */
+    boolean mayBeSameStart(LocalUpstream other) {
+        return gate == other.gate
+                || attachment.start() == other.attachment.start()
+                || attachment.start() == StartNotices.UNKNOWN_START
+                || other.attachment.start() == StartNotices.UNKNOWN_START;
+    }
+
     /** Admits waiting calls after the upstream has announced or named other limits. */
     public void limitsChanged() {
         gate.limitsChanged(timers.nanos());
--- a/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/trace/Decision.java
@@ -168,8 +168,10 @@
      * @param chain the request that the call belongs to
      * @param upstream the upstream
      * @param digest the digest of the call; the same for every attempt and repetition of it
+     * @param finding how the crash is known
      */
-    record UpstreamCrashed(RequestId chain, String upstream, RequestDigest digest) implements Decision {}
+    record UpstreamCrashed(RequestId chain, String upstream, RequestDigest digest, CrashFinding finding)
+            implements Decision {}
 
     /**
      * A request is quarantined from now on, because upstreams crashed while they were running it.
--- a/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
+++ b/node/src/main/java/org/verbenadyke/node/trace/DecisionLogger.java
@@ -6,8 +6,10 @@
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
 import org.verbenadyke.kernel.budget.RetryAllowance;
+import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.follow.PlanStatus;
 import org.verbenadyke.kernel.notice.RateChange;
+import org.verbenadyke.kernel.quarantine.RequestDigest;
 import org.verbenadyke.kernel.route.ShareChange;
 import org.verbenadyke.kernel.time.TimerService;
 import org.verbenadyke.kernel.trace.Decision;
@@ -165,10 +167,9 @@
                         .with("runState", d.state().label())
                         .with("reason", d.reason().label())
                         .with("incarnation", d.incarnation());
-            case Decision.CallLost d ->
-                line.with(CHAIN, d.chain()).with("upstream", d.upstream()).with(DIGEST, d.digest());
+            case Decision.CallLost d -> addFields(line, d.chain(), d.upstream(), d.digest());
             case Decision.UpstreamCrashed d ->
-                line.with(CHAIN, d.chain()).with("upstream", d.upstream()).with(DIGEST, d.digest());
+                addFields(line.with("finding", d.finding().label()), d.chain(), d.upstream(), d.digest());
             case Decision.Quarantined d -> line.with(DIGEST, d.digest()).with(EVIDENCE, d.evidence());
             case Decision.QuarantineRefused d -> addFields(line, d);
             case Decision.Ejected d -> line.with(CHAIN, d.chain()).with("upstream", d.upstream());
@@ -186,6 +187,10 @@
         }
     }
 
+    private static void addFields(StringMapMessage line, RequestId chain, String upstream, RequestDigest digest) {
+        line.with(CHAIN, chain).with("upstream", upstream).with(DIGEST, digest);
+    }
+
     private static void addFields(StringMapMessage line, RetryAllowance.Charge charge) {
         line.with("service", charge.service()).with("calls", charge.calls()).with("left", charge.left());
     }
