Remember cancelled calls that the server may go on running

Callers lost servers to a request whose callers leave, or whose deadline passes, before the server crashes under it.

Cause: a cancelled call was forgotten at once, though the server may run it on. When the server crashed some milliseconds later, nothing told of the request.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -325,11 +325,13 @@
     }
 
     private void onStall() {
+        handOverCheck.cancelled(times.deadline());
         exchange.cancel();
         failLost(RefusalReason.UPSTREAM_BROKEN);
     }
 
     private void cancelExchange() {
+        handOverCheck.cancelled(times.deadline());
         exchange.cancel();
         finish(ConcurrencyLimit.Outcome.IGNORED);
     }
