Soak of real processes with requests that crash servers

Counted at the servers are the arrivals later than 3 s after a request's third crash, sent by nodes in touch: three are allowed.

--- a/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
+++ b/bench/src/main/java/org/verbenadyke/bench/SoakMain.java
@@ -9,6 +9,7 @@
 import org.verbenadyke.bench.lab.SoakReport;
 import org.verbenadyke.bench.lab.SoakSettings;
 import org.verbenadyke.bench.real.ConfigurationProcessSoak;
+import org.verbenadyke.bench.real.CrashProcessSoak;
 import org.verbenadyke.bench.real.DepartureProcessSoak;
 import org.verbenadyke.bench.real.ProcessSoak;
 import org.verbenadyke.bench.real.RetryProcessSoak;
@@ -44,7 +45,8 @@
     @CommandLine.Option(
             names = "--faults",
             defaultValue = "all",
-            description = "all, mixed, keyed, crashes, notices, configuration, departures or retries.")
+            description =
+                    "all, mixed, keyed, crashes, notices, configuration, crashing-requests, departures or retries.")
     private String faults;
 
     @CommandLine.Option(names = "--trace", description = "Print each fault.")
@@ -97,6 +99,7 @@
     private List<String> runProcesses(Path home, long oneSeed) throws Exception {
         return switch (faults) {
             case "configuration" -> ConfigurationProcessSoak.run(home, oneSeed, seconds);
+            case "crashing-requests" -> CrashProcessSoak.run(home, oneSeed, seconds);
             case "departures" -> DepartureProcessSoak.run(home, oneSeed, seconds);
             case "retries" -> RetryProcessSoak.run(home, oneSeed, seconds);
             default -> ProcessSoak.run(home, oneSeed, seconds);
--- a/standins/src/main/java/org/verbenadyke/standins/platform/CrashingServer.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/CrashingServer.java
@@ -45,8 +45,8 @@
     private final Behaviour behaviour;
     private final AtomicInteger starts = new AtomicInteger();
     private final AtomicInteger badArrivals = new AtomicInteger();
-    private final List<Long> arrivalNanos = new CopyOnWriteArrayList<>();
-    private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
+    private final List<BadRequest> arrivals = new CopyOnWriteArrayList<>();
+    private final List<BadRequest> crashes = new CopyOnWriteArrayList<>();
     private volatile boolean closed;
     private volatile Instance instance;
 
@@ -73,21 +73,21 @@
     }
 
     /**
-     * Returns when requests that crash servers arrived here, rejected ones included.
+     * Returns the requests that crash servers and arrived here, rejected ones included.
      *
-     * @return the times in nanoseconds
+     * @return the requests, with the times of their arrivals
      */
-    public List<Long> badArrivals() {
-        return List.copyOf(arrivalNanos);
+    public List<BadRequest> badArrivals() {
+        return List.copyOf(arrivals);
     }
 
     /**
-     * Returns when the server crashed.
+     * Returns the crashes of the server.
      *
-     * @return the times in nanoseconds
+     * @return the requests that crashed it, with the times of the crashes
      */
-    public List<Long> crashes() {
-        return List.copyOf(crashNanos);
+    public List<BadRequest> crashes() {
+        return List.copyOf(crashes);
     }
 
     @Override
@@ -130,6 +130,15 @@
      */
     public record Behaviour(Crash crash, boolean rejectsEverySecond, long crashMillis, long downMillis) {}
 
+    /**
+     * A request that crashes servers.
+     *
+     * @param path its path
+     * @param id the id of this attempt of its caller
+     * @param nanos when it arrived, or crashed the server, in nanoseconds
+     */
+    public record BadRequest(String path, String id, long nanos) {}
+
     /** What callers see of a crash. */
     public enum Crash {
         /** The listener is closed, then the connections are reset. */
@@ -196,17 +205,18 @@
                 write(socket, "421 Misdirected Request", requestId, "");
                 return;
             }
-            if (!head.substring(0, head.indexOf('\r')).contains(BAD)) {
+            String path = head.split(" ", 3)[1];
+            if (!path.contains(BAD)) {
                 sleep(WORK_MILLIS);
                 write(socket, "200 OK", requestId, "X-Server-Signature: signed\r\n");
                 return;
             }
-            arrivalNanos.add(System.nanoTime());
+            arrivals.add(new BadRequest(path, requestId, System.nanoTime()));
             if (behaviour.rejectsEverySecond && badArrivals.incrementAndGet() % 2 == 1) {
                 write(socket, "503 Service Unavailable", requestId, "X-Not-Executed: 1\r\n");
                 return;
             }
-            Thread.startVirtualThread(this::crashLater);
+            Thread.startVirtualThread(() -> crashLater(path, requestId));
             begin(socket, requestId);
         }
 
@@ -221,18 +231,18 @@
             }
         }
 
-        private void crashLater() {
+        private void crashLater(String path, String requestId) {
             sleep(behaviour.crashMillis);
             synchronized (CrashingServer.this) {
                 if (ended || closed) {
                     return;
                 }
+                crashes.add(new BadRequest(path, requestId, System.nanoTime()));
                 crash();
             }
         }
 
         private void crash() {
-            crashNanos.add(System.nanoTime());
             if (behaviour.crash == Crash.PORT_TAKEN_OVER) {
                 ended = true;
                 startInstance(listener);
