Count each crash of an upstream that keeps its id

Callers of a service whose servers keep their ids over starts lost them again and again: two crashes of one server counted once, so that a request was held late or, with fewer than three servers, never; and a failed trial at a server that had crashed before didn't lengthen the quarantine, so that another trial followed each second.

Cause: a crash was named by the upstream's id, which in the product's own settings outlives a crash. A cleared crash also hid all later ones.

Fix: a crash that is observed over a second after one of the same id has a name of its own, id/number. Observations that are closer together are of one crash, which more nodes than one report.

QuarantineTest.countsEachCrashOfAnUpstreamThatKeepsItsId failed before.

--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -178,7 +178,7 @@
      * @param upstream the id of the upstream
      */
     public void recordCrash(RequestDigest request, String upstream) {
-        learn(new UpstreamCrash(request, upstream, false, timers.nanos(), ""));
+        learn(suspects.getOrDefault(request, Suspect.of(request)).observed(upstream, timers.nanos()));
     }
 
     /**
@@ -365,7 +365,7 @@
 
     private QuarantineStatus statusOfQuarantined(Suspect suspect, boolean atUpstream) {
         long now = timers.nanos();
-        long left = quarantinedUntilNanos(suspect) - now;
+        long left = suspect.quarantinedUntilNanos(settings) - now;
         if (left <= 0 && (!atUpstream || trials.isLocal(suspect.request(), trialTurn(suspect)))) {
             return QuarantineStatus.SOLE_SUSPECT;
         }
@@ -377,17 +377,13 @@
         return suspect.unclearedCrashes() >= settings.quarantineThreshold();
     }
 
-    private long quarantinedUntilNanos(Suspect suspect) {
-        return suspect.newestUnclearedNanos() + settings.quarantineNanosAfter(suspect.unclearedCrashes());
-    }
-
     /** Returns the number of the current trial turn, counted from 0 when the quarantine time is over. */
     private long trialTurn(Suspect suspect) {
-        return Math.max(0, timers.nanos() - quarantinedUntilNanos(suspect)) / settings.trialTurnNanos();
+        return Math.max(0, timers.nanos() - suspect.quarantinedUntilNanos(settings)) / settings.trialTurnNanos();
     }
 
     private long retainedUntilNanos(Suspect suspect) {
-        return (isQuarantined(suspect) ? quarantinedUntilNanos(suspect) : suspect.newestNanos())
+        return (isQuarantined(suspect) ? suspect.quarantinedUntilNanos(settings) : suspect.newestNanos())
                 + settings.retentionNanos();
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Suspect.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Suspect.java
@@ -14,6 +14,9 @@
 final class Suspect {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** How far apart the observations of one crash may be, in nanoseconds: less than an upstream takes to start. */
+    private static final long SAME_CRASH_NANOS = 1_000_000_000L;
+
     private final RequestDigest request;
     private final Map<String, UpstreamCrash> crashes;
 
@@ -42,6 +45,23 @@
         return new Suspect(request, Map.copyOf(merged));
     }
 
+    /**
+     * Returns a crash that was observed here now. An upstream that keeps its id over its starts can crash several
+     * times; observations that are close together are of one crash.
+     */
+    UpstreamCrash observed(String upstream, long nowNanos) {
+        String id = upstream;
+        for (int i = 1; isEarlierCrash(id, nowNanos); i++) {
+            id = upstream + "/" + i;
+        }
+        return new UpstreamCrash(request, id, false, nowNanos, "");
+    }
+
+    private boolean isEarlierCrash(String id, long nowNanos) {
+        UpstreamCrash known = crashes.get(id);
+        return known != null && nowNanos - known.crashedNanos() > SAME_CRASH_NANOS;
+    }
+
     Collection<UpstreamCrash> crashes() {
         return crashes.values();
     }
@@ -65,6 +85,11 @@
                 .orElse(Long.MIN_VALUE);
     }
 
+    /** Returns until when a quarantined request is refused without a trial. */
+    long quarantinedUntilNanos(QuarantineSettings settings) {
+        return newestUnclearedNanos() + settings.quarantineNanosAfter(unclearedCrashes());
+    }
+
     long newestNanos() {
         return crashes.values().stream()
                 .mapToLong(UpstreamCrash::crashedNanos)
--- a/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/quarantine/QuarantineTest.java
@@ -70,6 +70,18 @@
         assertEquals(QuarantineStatus.SOLE_SUSPECT, quarantine.statusAtUpstream(BAD));
     }
 
+    @Test
+    void countsEachCrashOfAnUpstreamThatKeepsItsId() {
+        for (int i = 0; i < 3; i++) {
+            assertEquals(i, quarantine.crashes(10).size());
+            quarantine.recordCrash(BAD, "u1");
+            clock.advance(SECOND / 2);
+            quarantine.recordCrash(BAD, "u1");
+            clock.advance(2 * SECOND);
+        }
+        assertInstanceOf(QuarantineStatus.Quarantined.class, quarantine.statusAtEntry(BAD));
+    }
+
     @Test
     void clearsARequestThatWasAnswered() {
         quarantine.recordCrash(BAD, "u1");
