Let a rejected trial of a quarantined request be the last for a while

Servers got a quarantined request more than three times too late where they reject some of it as not run.

Cause: a trial that was rejected left no trace. The next attempt was a trial again, as long as the turn lasted, and each one reaches a server.

Fix: a trial counts as failed from its hand-over on, until it is answered. The quarantine is longer by one step then.

UpstreamCrashTest.aTrialThatIsRejectedAsNotRunIsNotFollowedByAnotherAtOnce failed before (4 runs in place of 1; 3 where ids are unique).

--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/Quarantine.java
@@ -367,7 +367,7 @@
         long now = timers.nanos();
         long left = suspect.quarantinedUntilNanos(settings) - now;
         if (left <= 0 && (!atUpstream || trials.isLocal(suspect.request(), trialTurn(suspect)))) {
-            return QuarantineStatus.SOLE_SUSPECT;
+            return QuarantineStatus.TRIAL;
         }
         return new QuarantineStatus.Quarantined(
                 suspect.request(), Math.max(left, settings.trialTurnNanos()), suspect.evidence(now));
--- a/kernel/src/main/java/org/verbenadyke/kernel/quarantine/QuarantineStatus.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/quarantine/QuarantineStatus.java
@@ -10,6 +10,9 @@
     /** The status of a request that must not run together with another suspect. */
     QuarantineStatus SOLE_SUSPECT = new SoleSuspect();
 
+    /** The status of a quarantined request that may be tried now. */
+    QuarantineStatus TRIAL = new Trial();
+
     /** No crash, or too few, are known. */
     record Unrestricted() implements QuarantineStatus {}
 
@@ -19,6 +22,9 @@
      */
     record SoleSuspect() implements QuarantineStatus {}
 
+    /** The request may run once, at no upstream together with another suspect. */
+    record Trial() implements QuarantineStatus {}
+
     /**
      * The request must not run now.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
@@ -40,10 +40,8 @@
         }
         return switch (server.parts().quarantine().statusAtUpstream(call.content())) {
             case QuarantineStatus.Unrestricted unrestricted -> false;
-            case QuarantineStatus.SoleSuspect sole -> {
-                suspected = true;
-                yield !server.suspectQueue().tryStart(suspect);
-            }
+            case QuarantineStatus.SoleSuspect sole -> !startAlone();
+            case QuarantineStatus.Trial trial -> !startTrial();
             case QuarantineStatus.Quarantined quarantined -> {
                 refuse.accept(server.parts().quarantine().refusal(call.request(), quarantined));
                 yield true;
@@ -51,6 +49,25 @@
         };
     }
 
+    private boolean startAlone() {
+        suspected = true;
+        return server.suspectQueue().tryStart(suspect);
+    }
+
+    /**
+     * Starts the trial of a quarantined request. It counts as failed until the request is answered: a rejection, or a
+     * trial of which nothing is heard, lets no other trial follow at once.
+     */
+    private boolean startTrial() {
+        boolean starts = startAlone();
+        if (starts) {
+            server.parts()
+                    .quarantine()
+                    .recordCrash(call.content(), call.target().upstream());
+        }
+        return starts;
+    }
+
     private Optional<RefusalReason> refusalReason(CallTimes times) {
         if (times.handedOver() >= times.deadline()) {
             return Optional.of(RefusalReason.DEADLINE);
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamCrashTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamCrashTest.java
@@ -29,6 +29,9 @@
     private static final List<Endpoint> SERVERS =
             IntStream.range(2, 8).mapToObj(i -> new Endpoint("10.0.0." + i, 1)).toList();
 
+    /** The time after which a quarantined request is tried again, and a little more. */
+    private static final long TRIAL_NANOS = 20_100_000_000L;
+
     private final MemoryNet net = new MemoryNet();
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final Quarantine quarantine = Quarantine.standalone(clock);
@@ -80,6 +83,28 @@
         assertEquals(List.of("refused NOT_RUN QUARANTINED 20001"), outcomes);
     }
 
+    @Test
+    void aTrialThatIsRejectedAsNotRunIsNotFollowedByAnotherAtOnce() {
+        SERVERS.subList(0, 3).forEach(s -> quarantine.recordCrash(BAD, s.host()));
+        clock.advance(TRIAL_NANOS);
+        send(BAD);
+        assertEquals(1, runs.size());
+        running.get(runs.getFirst()).notRun();
+        send(BAD);
+        send(BAD);
+        assertEquals(1, runs.size());
+    }
+
+    @Test
+    void aTrialThatIsAnsweredLiftsTheQuarantine() {
+        SERVERS.subList(0, 3).forEach(s -> quarantine.recordCrash(BAD, s.host()));
+        clock.advance(TRIAL_NANOS);
+        send(BAD);
+        running.get(runs.getFirst()).head(200, List.of());
+        running.get(runs.getFirst()).end();
+        assertEquals(QuarantineStatus.UNRESTRICTED, quarantine.statusAtUpstream(BAD));
+    }
+
     /** The request that needs the call fails with it, and no calling node retries that request. */
     @Test
     void aNestedCallIsQuarantinedAndItsFailureIsFinal() {
