Let each refused connection prove a crash with the product's settings

Callers of a service whose node isn't on the platform lost servers to a request whose connections end before the listener does.

Cause: HttpUpstream looked once, when an exchange broke. A connection that was refused later told only the call that it was opened for.

Fix: each refused connection is reported, as on the platform; the calls that broke before it count. The upstream stays attached, as it may start again at its address and is announced once. A connect timeout is none.

ServerCrashTest.notifiesTheListenerWhenAConnectionIsRefused runs for both ports now; CrashRecorderTest has the case.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -145,6 +145,11 @@
         lifecycle.detachCrashed();
     }
 
+    /** Called when the attached upstream, which may start again at its address, refuses connections. */
+    public void upstreamCrashed() {
+        engine.server().attached().crashed();
+    }
+
     /** Called when the attached upstream has reported once more. */
     public void upstreamReported() {
         engine.server().attached().reported();
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
@@ -47,6 +47,14 @@
         detach();
     }
 
+    /**
+     * Called when an upstream refuses connections that is not detached for that, as it may start again at its address:
+     * unless it announced that it leaves, it has crashed.
+     */
+    public void crashed() {
+        get().ifPresent(crashes::crashed);
+    }
+
     /** Called when the upstream has reported once more. */
     public void reported() {
         get().ifPresent(u -> u.crashEvidence().reported());
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashRecorder.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashRecorder.java
@@ -59,6 +59,13 @@
         keep(call, local, lostCall(call, digest, until, true), CrashFinding.CANCELLED);
     }
 
+    /** Records that an upstream refuses connections; a later start of it may be the same upstream to this node. */
+    void crashed(LocalUpstream local) {
+        if (!local.plannedToEnd()) {
+            countLost(local, CrashFinding.CONNECTION_REFUSED);
+        }
+    }
+
     /** Records that a start of an upstream is over without having announced it. */
     void ended(LocalUpstream local, CrashFinding finding) {
         if (local.plannedToEnd()) {
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/CrashRecorderTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/CrashRecorderTest.java
@@ -51,6 +51,15 @@
         assertCrashes(1);
     }
 
+    @Test
+    void aCallCountsWhoseUpstreamRefusesConnectionsAndStaysAttached() {
+        lose("/a");
+        attached.crashed();
+        assertCrashes(1);
+        assertEquals(RefusalReason.UPSTREAM_BROKEN, lose("/b"));
+        assertCrashes(1);
+    }
+
     @Test
     void aCallCountsWhoseConnectionEndsAfterTheUpstreamWasGivenUp() {
         attached.detachCrashed();
--- a/node/src/main/java/org/verbenadyke/node/control/LocalService.java
+++ b/node/src/main/java/org/verbenadyke/node/control/LocalService.java
@@ -78,8 +78,9 @@
                     String service = node.path("service").asText();
                     Endpoint address =
                             IniReader.parseEndpoint(node.path("address").asText());
-                    core.attachUpstream(UpstreamRegistration.of(service, HttpUpstream.to(address, executor))
-                            .withStart(startOf(node)));
+                    core.attachUpstream(
+                            UpstreamRegistration.of(service, HttpUpstream.to(address, executor, core::upstreamCrashed))
+                                    .withStart(startOf(node)));
                     LOG.info("The upstream registered for service {}.", service);
                     return responses.noContent();
                 })
--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -16,6 +16,7 @@
 import org.verbenadyke.node.transport.ServiceTalkEventLoops;
 
 import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.client.api.ConnectTimeoutException;
 import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.concurrent.Cancellable;
 import io.servicetalk.concurrent.PublisherSource;
@@ -40,10 +41,12 @@
 
     private final StreamingHttpClient client;
     private final ServerProbe probe;
+    private final Runnable connectionRefusedListener;
 
-    private HttpUpstream(StreamingHttpClient client, ServerProbe presence) {
+    private HttpUpstream(StreamingHttpClient client, ServerProbe presence, Runnable connectionRefusedListener) {
         this.client = client;
         this.probe = presence;
+        this.connectionRefusedListener = connectionRefusedListener;
     }
 
     /**
@@ -51,9 +54,10 @@
      *
      * @param address the upstream's address
      * @param executor the threads that serve connections
+     * @param connectionRefusedListener is called each time that a connection is refused, so that the upstream has ended
      * @return the port
      */
-    public static HttpUpstream to(Endpoint address, IoExecutor executor) {
+    public static HttpUpstream to(Endpoint address, IoExecutor executor, Runnable connectionRefusedListener) {
         // A resolved address is usable at once; a host name is resolved asynchronously, and requests fail until then.
         StreamingHttpClient client = HttpClients.forResolvedAddress(
                         new InetSocketAddress(address.host(), address.port()))
@@ -61,12 +65,15 @@
                 .executionStrategy(HttpExecutionStrategies.offloadNone())
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
                 .buildStreaming();
-        return new HttpUpstream(client, ServerProbe.of(address, ServiceTalkEventLoops.of(executor), () -> {}));
+        return new HttpUpstream(
+                client,
+                ServerProbe.of(address, ServiceTalkEventLoops.of(executor), connectionRefusedListener),
+                connectionRefusedListener);
     }
 
     @Override
     public Exchange start(HandOver handOver, Listener listener) {
-        UpstreamExchange exchange = new UpstreamExchange(listener, probe);
+        UpstreamExchange exchange = new UpstreamExchange(listener, probe, connectionRefusedListener);
         SourceAdapters.toSource(client.request(toHttpRequest(handOver))).subscribe(exchange);
         return exchange;
     }
@@ -114,12 +121,14 @@
 
         private final Listener listener;
         private final ServerProbe probe;
+        private final Runnable connectionRefusedListener;
         private final AtomicReference<Cancellable> current = new AtomicReference<>();
         private volatile PublisherSource.Subscription body;
 
-        private UpstreamExchange(Listener listener, ServerProbe presence) {
+        private UpstreamExchange(Listener listener, ServerProbe presence, Runnable connectionRefusedListener) {
             this.listener = listener;
             this.probe = presence;
+            this.connectionRefusedListener = connectionRefusedListener;
         }
 
         @Override
@@ -167,6 +176,9 @@
 
         @Override
         public void onError(Throwable failure) {
+            if (!(failure instanceof ConnectTimeoutException) && ServerProbe.isConnectionRefused(failure)) {
+                connectionRefusedListener.run();
+            }
             if (failure instanceof ConnectException || failure instanceof NoAvailableHostException) {
                 listener.unreachable();
                 return;
--- a/node/src/test/java/org/verbenadyke/node/ServerCrashTest.java
+++ b/node/src/test/java/org/verbenadyke/node/ServerCrashTest.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.verbenadyke.kernel.call.HeaderField;
@@ -49,7 +48,8 @@
             EventLoopTimerService.on(loops.group().next()),
             PoolSettings.standard());
     private final PooledUpstream pooled = PooledUpstream.over(pool, new PlainHttpDialect());
-    private final HttpUpstream simple = HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io);
+    private final HttpUpstream simple =
+            HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io, () -> events.add("absent"));
 
     @AfterEach
     void stop() throws IOException {
@@ -71,6 +71,9 @@
             reset(first);
             reset(second);
         }
+        if (!overPool) {
+            assertEquals("absent", nextEvent());
+        }
         assertEquals("ended", nextEvent());
         assertEquals("ended", nextEvent());
     }
@@ -85,11 +88,12 @@
         assertEquals("broken", nextEvent());
     }
 
-    @Test
-    void notifiesTheListenerWhenAConnectionIsRefused() throws Exception {
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void notifiesTheListenerWhenAConnectionIsRefused(boolean overPool) throws Exception {
         pool.onConnectionRefused(() -> events.add("absent"));
         server.close();
-        send(pooled);
+        send(overPool ? pooled : simple);
         assertEquals("absent", nextEvent());
         assertEquals("unreachable", nextEvent());
     }
--- a/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamNoticeTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamNoticeTest.java
@@ -40,7 +40,7 @@
                         .addHeader("verbenadyke-leaving", "1")
                         .addHeader("x-own", "kept")))) {
             int port = ((InetSocketAddress) server.listenAddress()).getPort();
-            try (HttpUpstream upstream = HttpUpstream.to(new Endpoint("127.0.0.1", port), io)) {
+            try (HttpUpstream upstream = HttpUpstream.to(new Endpoint("127.0.0.1", port), io, () -> {})) {
                 HeadListener listener = new HeadListener();
                 upstream.start(handOver(), listener);
                 List<HeaderField> fields = listener.heads.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamTest.java
@@ -42,7 +42,7 @@
 
     @RepeatedTest(20)
     void sendsRequestsStartedRightAfterCreation() throws IOException {
-        HttpUpstream upstream = HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io);
+        HttpUpstream upstream = HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io, () -> {});
         send(upstream);
         send(upstream);
         assertEquals('G', firstByteOfNextConnection());
