--- a/bench/src/main/java/org/verbenadyke/bench/real/CrashProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/CrashProcessSoak.java
@@ -27,7 +27,8 @@
 public final class CrashProcessSoak {
     private static final String SERVICE = "records";
     private static final String HOST = "read.example";
-    private static final int NODES = 6;
+    private static final String CHAIN_SERVICE = "chained";
+    private static final int[] NODES = {3, 6, 12};
     private static final int DATA_CENTRES = 3;
     private static final String HEARTBEAT = "1500ms";
     private static final int CRASHES = 3;
@@ -45,6 +46,7 @@
     private static final int MAX_DOWN_MILLIS = 2_000;
     private static final int MIN_FAULT_GAP_MILLIS = 500;
     private static final int MAX_FAULT_GAP_MILLIS = 4_000;
+    private static final int CHAINED_ONE_IN = 4;
     private static final int OK = 200;
 
     private final List<NodeProcess> nodes = new ArrayList<>();
@@ -58,7 +60,9 @@
     private final Random random;
     private final CrashingServer.Behaviour behaviour;
     private final long patienceMillis;
+    private final boolean chained;
     private final boolean nodeFaults;
+    private final int nodeCount;
     private volatile boolean running = true;
 
     private CrashProcessSoak(StoreStandIn store, long seed) {
@@ -72,7 +76,10 @@
                 crashMillis,
                 draw(MIN_DOWN_MILLIS, MAX_DOWN_MILLIS));
         this.patienceMillis = random.nextBoolean() ? DEADLINE_MILLIS : draw(crashMillis / 2, crashMillis);
-        this.nodeFaults = random.nextBoolean();
+        this.chained = random.nextInt(CHAINED_ONE_IN) == 0;
+        // A chained call begins at a node that its id doesn't tell, so that no fault of a node excuses it.
+        this.nodeFaults = !chained && random.nextBoolean();
+        this.nodeCount = NODES[random.nextInt(NODES.length)];
     }
 
     /**
@@ -85,7 +92,7 @@
      * @throws Exception when the processes can't be started
      */
     public static List<String> run(Path home, long seed, int seconds) throws Exception {
-        try (SoakSurroundings around = SoakSurroundings.start("crash-soak", Documents.configuration(1, SERVICE))) {
+        try (SoakSurroundings around = SoakSurroundings.start("crash-soak", configuration())) {
             CrashProcessSoak soak = new CrashProcessSoak(around.store(), seed);
             try {
                 soak.start(home, around.folder());
@@ -94,7 +101,8 @@
                 soak.stop();
             }
             soak.check();
-            System.out.println("soak: seed " + seed + ", " + soak.behaviour + ", callers wait " + soak.patienceMillis
+            System.out.println("soak: seed " + seed + ", " + soak.nodeCount + " nodes, chained " + soak.chained + ", "
+                    + soak.behaviour + ", callers wait " + soak.patienceMillis
                     + " ms, faults of nodes " + soak.nodeFaults + ", " + soak.served + " of " + soak.harmless
                     + " harmless requests served, " + soak.violations.size() + " violations; logs in "
                     + around.folder());
@@ -102,10 +110,25 @@
         }
     }
 
+    private static String configuration() {
+        String chainedRoute = """
+                {"name":"chained","host":"read.example","path-prefix":"/chained/","kind":"idempotent",\
+                "timeout":"3000ms","target-latency":"500ms","priority":1,"service":"chained","max-attempts":2},""";
+        String chainedService = """
+                {"name":"chained","health-path":"/health","max-connections":200},""";
+        return Documents.configuration(1, SERVICE)
+                .replace("\"routes\":[", "\"routes\":[" + chainedRoute)
+                .replace("\"services\":[", "\"services\":[" + chainedService);
+    }
+
+    private String service(int node) {
+        return chained && node % 2 == 0 ? CHAIN_SERVICE : SERVICE;
+    }
+
     private void start(Path home, Path folder) throws IOException {
-        for (int i = 0; i < NODES; i++) {
-            NodeProcess node =
-                    NodeProcess.create("node-" + i, "dc-" + i % DATA_CENTRES, home, folder, store, SERVICE, HEARTBEAT);
+        for (int i = 0; i < nodeCount; i++) {
+            NodeProcess node = NodeProcess.create(
+                    "node-" + i, "dc-" + i % DATA_CENTRES, home, folder, store, service(i), HEARTBEAT);
             nodes.add(node);
             node.start();
         }
@@ -113,7 +136,7 @@
             if (!node.client().awaitReady()) {
                 throw new IllegalStateException(node.id() + " did not become ready; see " + folder);
             }
-            servers.add(CrashingServer.start("server-" + node.id(), SERVICE, node.client(), behaviour));
+            servers.add(CrashingServer.start("server-" + node.id(), service(servers.size()), node.client(), behaviour));
         }
     }
 
@@ -130,7 +153,7 @@
         callers.add(Thread.startVirtualThread(this::sendHarmless));
         int badPaths = 1 + random.nextInt(MAX_BAD_PATHS);
         for (int i = 0; i < badPaths; i++) {
-            String path = "/r/" + CrashingServer.BAD + i;
+            String path = (chained ? CrashingServer.CHAINED : "/r") + "/" + CrashingServer.BAD + i;
             long seed = random.nextLong();
             callers.add(Thread.startVirtualThread(() -> sendBad(path, new Random(seed))));
         }
@@ -156,7 +179,7 @@
         List<Thread> calls = new ArrayList<>();
         try {
             for (int i = 0; running; i++) {
-                NodeProcess node = nodes.get(i % NODES);
+                NodeProcess node = nodes.get(i % nodeCount);
                 int number = i % HARMLESS_PATHS;
                 calls.add(Thread.startVirtualThread(() -> {
                     harmless.incrementAndGet();
@@ -177,7 +200,7 @@
     private void sendBad(String path, Random gaps) {
         try {
             while (running) {
-                NodeProcess node = nodes.get(gaps.nextInt(NODES));
+                NodeProcess node = nodes.get(gaps.nextInt(nodeCount));
                 Thread.startVirtualThread(() -> {
                     if (patienceMillis < DEADLINE_MILLIS) {
                         leave(node, path);
--- a/standins/src/main/java/org/verbenadyke/standins/platform/CrashingServer.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/CrashingServer.java
@@ -22,12 +22,19 @@
 
 /**
  * Stand-in for a server that crashes under requests whose path contains {@link #BAD}, even if their callers have left,
- * and that starts again under another id. Understands requests without a body only.
+ * and that starts again under another id. A request whose path begins with {@link #CHAINED} calls another service in
+ * turn. Understands requests without a body only.
  */
 public final class CrashingServer implements AutoCloseable {
     /** Path segment of the requests that crash the server. */
     public static final String BAD = "bad";
 
+    /** The beginning of the paths of requests that call the path after it, at {@code read.example} below {@code /r}. */
+    public static final String CHAINED = "/chained";
+
+    private static final String CALLED_PREFIX = "/r";
+    private static final long CALL_DEADLINE_MILLIS = 900;
+    private static final int OK = 200;
     private static final Logger LOG = LogManager.getLogger("crashing-server");
     private static final Pattern FIELD = Pattern.compile("(?m)^(x-request-id|x-expected-instance):\\s*(\\S+)");
     private static final String END_OF_HEAD = "\r\n\r\n";
@@ -206,6 +213,15 @@
                 return;
             }
             String path = head.split(" ", 3)[1];
+            if (path.startsWith(CHAINED)) {
+                boolean answered = call(CALLED_PREFIX + path.substring(CHAINED.length()), requestId);
+                write(
+                        socket,
+                        answered ? "200 OK" : "500 Internal Server Error",
+                        requestId,
+                        "X-Server-Signature: signed\r\n");
+                return;
+            }
             if (!path.contains(BAD)) {
                 sleep(WORK_MILLIS);
                 write(socket, "200 OK", requestId, "X-Server-Signature: signed\r\n");
@@ -220,6 +236,17 @@
             begin(socket, requestId);
         }
 
+        private boolean call(String path, String requestId) {
+            try {
+                return node.send("GET", "read.example", path, requestId + ".1", CALL_DEADLINE_MILLIS)
+                                .statusCode()
+                        == OK;
+            } catch (IOException e) {
+                LOG.debug("A call of {} failed: {}.", id, e.getMessage());
+                return false;
+            }
+        }
+
         private void begin(Socket socket, String requestId) throws IOException {
             if (behaviour.crash == Crash.HEAD_FIRST) {
                 socket.getOutputStream()
