Call out of no lock when an upstream is attached, detached or drained

The monitors that guard which start is attached, and for which causes it gets no calls, were held while waiting calls were refused and crashes were reported, which reach links, timers and gossip. The order stays: a start that is replaced is drained, then its crash is recorded.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
@@ -26,27 +26,35 @@
         return Optional.ofNullable(upstream);
     }
 
-    synchronized void attach(LocalUpstream local) {
-        get().filter(u -> u.gate() != local.gate()).ifPresent(u -> u.drain(DrainCause.DETACHED));
-        LocalUpstream before = lastAttached;
-        if (before != null && !before.mayBeSameStart(local)) {
+    void attach(LocalUpstream local) {
+        LocalUpstream before = exchange(local);
+        if (before == null || before.gate() == local.gate()) {
+            return;
+        }
+        before.drain(DrainCause.DETACHED);
+        if (!before.mayBeSameStart(local)) {
             crashes.ended(before, CrashFinding.REPLACED);
         }
-        lastAttached = local;
-        upstream = local;
     }
 
-    synchronized void detach() {
+    void detach() {
         get().ifPresent(u -> u.drain(DrainCause.DETACHED));
         upstream = null;
     }
 
     /** Detaches the upstream, which refuses connections. Calls that wait for it are refused. */
-    public synchronized void detachCrashed() {
+    public void detachCrashed() {
         get().ifPresent(u -> crashes.ended(u, CrashFinding.CONNECTION_REFUSED));
         detach();
     }
 
+    private synchronized LocalUpstream exchange(LocalUpstream local) {
+        LocalUpstream before = lastAttached;
+        lastAttached = local;
+        upstream = local;
+        return before;
+    }
+
     /**
      * Called when an upstream refuses connections that is not detached for that, as it may start again at its address:
      * unless it announced that it leaves, it has crashed.
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/LocalUpstream.java
@@ -157,7 +157,13 @@
      *
      * @param cause why it gets no new calls
      */
-    public synchronized void drain(DrainCause cause) {
+    public void drain(DrainCause cause) {
+        if (begin(cause)) {
+            gate.flush();
+        }
+    }
+
+    private synchronized boolean begin(DrainCause cause) {
         boolean begins = !draining();
         if (begins) {
             drainingSinceNanos = timers.nanos();
@@ -165,9 +171,7 @@
         EnumSet<DrainCause> causes = EnumSet.of(cause);
         causes.addAll(drainCauses);
         drainCauses = Set.copyOf(causes);
-        if (begins) {
-            gate.flush();
-        }
+        return begins;
     }
 
     /**
