Clear no crash by an answer that only tells of the deadline

Cause: an answer of any status cleared a request. 504 says that the upstream stopped, not that it can run the request to its end.

Fix: 504 clears nothing. Any other answer still does.

UpstreamCrashTest.isNotFreedByAnUpstreamThatStopsAtTheDeadline failed before. By reading; no run of processes showed it.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
@@ -17,6 +17,8 @@
  * or a call that waited at the gate, for its key, or behind a suspect.
  */
 final class HandOverCheck {
+    private static final int GATEWAY_TIMEOUT = 504;
+
     private final CallServer server;
     private final LocalUpstream local;
     private final SuspectQueue.SuspectedCall suspect;
@@ -111,8 +113,14 @@
         return digest.orElseGet(() -> RequestDigest.of(call.content()));
     }
 
-    /** Called when the upstream has answered the call. */
-    void answered() {
+    /**
+     * Called when the upstream has answered the call, which shows that the call crashes no upstream. An upstream that
+     * stopped at the deadline has not run the call to its end.
+     */
+    void answered(int status) {
+        if (status == GATEWAY_TIMEOUT) {
+            return;
+        }
         if (digest.isPresent()) {
             server.parts().quarantine().recordAnswer(digest.get());
         } else {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -231,7 +231,7 @@
     public void end() {
         ifHandedOver(() -> {
             answer.end(link);
-            handOverCheck.answered();
+            handOverCheck.answered(status);
             finish(status == UNAVAILABLE ? ConcurrencyLimit.Outcome.SHED : ConcurrencyLimit.Outcome.ANSWERED);
         });
     }
--- a/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamCrashTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/engine/UpstreamCrashTest.java
@@ -95,6 +95,17 @@
         assertEquals(1, runs.size());
     }
 
+    @Test
+    void isNotFreedByAnUpstreamThatStopsAtTheDeadline() {
+        Message.Content nonIdempotent = content("POST", "/bad");
+        quarantine.recordCrash(nonIdempotent, "gone-1");
+        quarantine.recordCrash(nonIdempotent, "gone-2");
+        send(nonIdempotent);
+        running.get(runs.getFirst()).head(504, List.of());
+        running.get(runs.getFirst()).end();
+        assertEquals(QuarantineStatus.SOLE_SUSPECT, quarantine.statusAtUpstream(nonIdempotent));
+    }
+
     @Test
     void aTrialThatIsAnsweredLiftsTheQuarantine() {
         SERVERS.subList(0, 3).forEach(s -> quarantine.recordCrash(BAD, s.host()));
