--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
@@ -48,13 +48,6 @@
         detach();
     }
 
-    private synchronized LocalUpstream exchange(LocalUpstream local) {
-        LocalUpstream before = lastAttached;
-        lastAttached = local;
-        upstream = local;
-        return before;
-    }
-
     /**
      * Called when an upstream refuses connections that is not detached for that, as it may start again at its address:
      * unless it announced that it leaves, it has crashed.
@@ -67,4 +60,12 @@
     public void reported() {
         get().ifPresent(u -> u.crashEvidence().reported());
     }
+
+    /** Makes another upstream the attached one, and returns the one that was attached last. */
+    private synchronized LocalUpstream exchange(LocalUpstream local) {
+        LocalUpstream before = lastAttached;
+        lastAttached = local;
+        upstream = local;
+        return before;
+    }
 }
