Count no reports that waited together as a sign of survival

A crash whose connections were seen to end was forgotten where the node was stopped meanwhile: reports that the server had sent before waited at the node and were read after the broken connections, two of them at once.

Fix: reports count as further ones only if 0.4 s lie between them.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
@@ -58,7 +58,7 @@
 
     /** Called when the upstream has reported once more. */
     public void reported() {
-        get().ifPresent(u -> u.crashEvidence().reported());
+        get().ifPresent(u -> u.crashEvidence().reported(u.now()));
     }
 
     /** Makes another upstream the attached one, and returns the one that was attached last. */
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashEvidence.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashEvidence.java
@@ -27,8 +27,15 @@
     /** The number of reports after a call that show that the upstream survived; the first may have been delayed. */
     private static final int REPORTS_TO_SURVIVE = 2;
 
+    /**
+     * The minimum time between two reports that count, in nanoseconds: less than upstreams take from one to the next,
+     * and more than passes between reports that waited together, as after a pause of the node.
+     */
+    private static final long MIN_REPORT_GAP_NANOS = 400_000_000L;
+
     private final Deque<LostCall> lost = new ArrayDeque<>();
     private long reports;
+    private long lastReportNanos;
     private Optional<CrashFinding> ended = Optional.empty();
 
     private CrashEvidence() {}
@@ -76,8 +83,16 @@
         ended = Optional.of(finding);
     }
 
-    /** Records that the upstream has reported: it survived the loss of earlier connections. */
-    synchronized void reported() {
+    /**
+     * Records that the upstream has reported: in the end it survived the loss of earlier connections.
+     *
+     * @param nowNanos the time
+     */
+    synchronized void reported(long nowNanos) {
+        if (reports > 0 && nowNanos - lastReportNanos < MIN_REPORT_GAP_NANOS) {
+            return;
+        }
+        lastReportNanos = nowNanos;
         reports++;
         lost.removeIf(c -> !c.mayStillRun() && c.survivalReport() <= reports);
     }
