--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/HandOverCheck.java
@@ -15,6 +15,7 @@
  * not once the upstream is leaving, and only as the known crashes of upstreams with the same request in flight allow.
  * Runs right before the hand-over, so that no call bypasses the check: a first attempt, a retry, a non-idempotent call,
  * or a call that waited at the gate, for its key, or behind a suspect.
+ * Afterwards it reports what became of the call at the upstream, as far as that tells of the upstream's crashes.
  */
 final class HandOverCheck {
     private static final int GATEWAY_TIMEOUT = 504;
