Keep the bookkeeping of lost calls inside the crash evidence

A lost call carried a number and a time that its creator filled with 0 and the evidence replaced in a copy. The call is now only what it is counted by; when it is dropped is known to the evidence alone.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashEvidence.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashEvidence.java
@@ -33,7 +33,7 @@
      */
     private static final long MIN_REPORT_GAP_NANOS = 400_000_000L;
 
-    private final Deque<LostCall> lost = new ArrayDeque<>();
+    private final Deque<Kept> lost = new ArrayDeque<>();
     private long reports;
     private long lastReportNanos;
     private Optional<CrashFinding> ended = Optional.empty();
@@ -48,16 +48,18 @@
      * Adds a call that ended without an answer.
      *
      * @param call the call
+     * @param mayStillRun whether the upstream may go on running the call, as it was cancelled
+     * @param untilNanos until when the call is kept, in nanoseconds
      * @return how this start is known to have crashed, so that the call counts at once; empty if the call is kept
      */
-    synchronized Optional<CrashFinding> add(LostCall call) {
+    synchronized Optional<CrashFinding> add(LostCall call, boolean mayStillRun, long untilNanos) {
         if (ended.isPresent()) {
             return ended;
         }
         if (lost.size() >= MAX_CALLS) {
             lost.removeFirst();
         }
-        lost.addLast(call.withSurvivalReport(reports + REPORTS_TO_SURVIVE));
+        lost.addLast(new Kept(call, mayStillRun, untilNanos, reports + REPORTS_TO_SURVIVE));
         return Optional.empty();
     }
 
@@ -68,8 +70,10 @@
      * @return the calls
      */
     synchronized List<LostCall> take(long nowNanos) {
-        List<LostCall> taken =
-                lost.stream().filter(c -> c.keptUntilNanos() - nowNanos >= 0).toList();
+        List<LostCall> taken = lost.stream()
+                .filter(c -> c.untilNanos() - nowNanos >= 0)
+                .map(Kept::call)
+                .toList();
         lost.clear();
         return taken;
     }
@@ -103,19 +107,9 @@
      * @param request the request that the call belongs to
      * @param upstream the id of the upstream
      * @param digest the digest of the call
-     * @param mayStillRun whether the upstream may go on running the call, as it was cancelled
-     * @param keptUntilNanos until when the call is kept, in nanoseconds
-     * @param survivalReport the number of the report by which the upstream has survived the end of the call
      */
-    record LostCall(
-            RequestId request,
-            String upstream,
-            RequestDigest digest,
-            boolean mayStillRun,
-            long keptUntilNanos,
-            long survivalReport) {
-        private LostCall withSurvivalReport(long number) {
-            return new LostCall(request, upstream, digest, mayStillRun, keptUntilNanos, number);
-        }
-    }
+    record LostCall(RequestId request, String upstream, RequestDigest digest) {}
+
+    /** A call that is kept, and the number of the report by which the upstream has survived the end of the call. */
+    private record Kept(LostCall call, boolean mayStillRun, long untilNanos, long survivalReport) {}
 }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashRecorder.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CrashRecorder.java
@@ -39,24 +39,25 @@
 
     /** Records that an upstream refused connections with a call in flight; returns the reason for the refusal. */
     RefusalReason connectionRefused(Message.Call call, RequestDigest digest, LocalUpstream local) {
+        CrashEvidence.LostCall lost = lostCall(call, digest);
         if (local.plannedToEnd()) {
-            return note(call, digest, CrashFinding.PLANNED_END);
+            return note(lost, CrashFinding.PLANNED_END);
         }
-        countLost(local, CrashFinding.CONNECTION_REFUSED);
-        count(lostCall(call, digest, 0, false), CrashFinding.CONNECTION_REFUSED);
+        crashed(local);
+        count(lost, CrashFinding.CONNECTION_REFUSED);
         return RefusalReason.UPSTREAM_ENDED;
     }
 
     /** Records that the connection of a call ended without an answer; returns the reason for the refusal. */
     RefusalReason connectionLost(Message.Call call, RequestDigest digest, LocalUpstream local) {
         long until = timers.nanos() + CrashEvidence.LOST_RETENTION_NANOS;
-        return keep(call, local, lostCall(call, digest, until, false), CrashFinding.CONNECTION_LOST);
+        return keep(lostCall(call, digest), local, until, CrashFinding.CONNECTION_LOST);
     }
 
     /** Records that a call was cancelled which the upstream may go on running. */
     void cancelled(Message.Call call, RequestDigest digest, LocalUpstream local, long deadlineNanos) {
         long until = Math.max(timers.nanos(), deadlineNanos) + OVERRUN_NANOS;
-        keep(call, local, lostCall(call, digest, until, true), CrashFinding.CANCELLED);
+        keep(lostCall(call, digest), local, until, CrashFinding.CANCELLED);
     }
 
     /** Records that an upstream refuses connections; a later start of it may be the same upstream to this node. */
@@ -76,16 +77,16 @@
     }
 
     private RefusalReason keep(
-            Message.Call call, LocalUpstream local, CrashEvidence.LostCall lost, CrashFinding finding) {
+            CrashEvidence.LostCall lost, LocalUpstream local, long untilNanos, CrashFinding finding) {
         if (local.plannedToEnd()) {
-            return note(call, lost.digest(), CrashFinding.PLANNED_END);
+            return note(lost, CrashFinding.PLANNED_END);
         }
-        Optional<CrashFinding> ended = local.crashEvidence().add(lost);
+        Optional<CrashFinding> ended = local.crashEvidence().add(lost, finding == CrashFinding.CANCELLED, untilNanos);
         if (ended.isPresent()) {
             count(lost, ended.get());
             return RefusalReason.UPSTREAM_ENDED;
         }
-        return note(call, lost.digest(), finding);
+        return note(lost, finding);
     }
 
     private void countLost(LocalUpstream local, CrashFinding finding) {
@@ -97,13 +98,12 @@
         quarantine.recordCrash(lost.digest(), lost.upstream());
     }
 
-    private RefusalReason note(Message.Call call, RequestDigest digest, CrashFinding finding) {
-        decisions.note(new Decision.CallLost(call.request(), call.target().upstream(), digest, finding));
+    private RefusalReason note(CrashEvidence.LostCall lost, CrashFinding finding) {
+        decisions.note(new Decision.CallLost(lost.request(), lost.upstream(), lost.digest(), finding));
         return RefusalReason.UPSTREAM_BROKEN;
     }
 
-    private static CrashEvidence.LostCall lostCall(
-            Message.Call call, RequestDigest digest, long untilNanos, boolean mayStillRun) {
-        return new CrashEvidence.LostCall(call.request(), call.target().upstream(), digest, mayStillRun, untilNanos, 0);
+    private static CrashEvidence.LostCall lostCall(Message.Call call, RequestDigest digest) {
+        return new CrashEvidence.LostCall(call.request(), call.target().upstream(), digest);
     }
 }
