Read the attached upstream without an Optional for each call and report

Since the attached upstream has a class of its own, each received call and each report made an Optional in passing, which the nodes' compiler doesn't remove. By reading; no figure shows the cost.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AttachedUpstream.java
@@ -26,6 +26,11 @@
         return Optional.ofNullable(upstream);
     }
 
+    /** Returns the upstream, null if none is attached; for each call and report, where an Optional would be garbage. */
+    LocalUpstream getOrNull() {
+        return upstream;
+    }
+
     void attach(LocalUpstream local) {
         LocalUpstream before = exchange(local);
         if (before == null || before.gate() == local.gate()) {
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/CallServer.java
@@ -250,7 +250,7 @@
                 .orElse(Message.DeeperLevel.NONE);
         Usage usage = context.map(CallContext::usage).orElse(Usage.NONE);
         CallCounts calls = context.map(CallContext::calls).orElse(CallCounts.NONE);
-        LocalUpstream local = upstream().orElse(null);
+        LocalUpstream local = attached.getOrNull();
         if (local == null) {
             return new Message.Report(0, 0, 0, 0, false, Message.Stated.NOTHING, deeperLevel, usage, calls);
         }
@@ -305,7 +305,7 @@
             parts.counters.count(Event.CALL_REPEATED);
             return;
         }
-        LocalUpstream local = upstream().orElse(null);
+        LocalUpstream local = attached.getOrNull();
         if (local == null || !local.id().equals(call.target().upstream())) {
             refuseUntracked(link, call, RefusalReason.UPSTREAM_UNREACHABLE);
             return;
