Report refused connections in one place

The check whether a connection was refused, and the call of the listener, stood in the probe, the pool and HttpUpstream; the latter passed the listener on twice for it. The probe does both now, which each port to an upstream has already. No behaviour changes; ServerCrashTest and HttpUpstreamTest as they were.

--- a/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http/HttpUpstream.java
@@ -41,12 +41,10 @@
 
     private final StreamingHttpClient client;
     private final ServerProbe probe;
-    private final Runnable connectionRefusedListener;
 
-    private HttpUpstream(StreamingHttpClient client, ServerProbe presence, Runnable connectionRefusedListener) {
+    private HttpUpstream(StreamingHttpClient client, ServerProbe presence) {
         this.client = client;
         this.probe = presence;
-        this.connectionRefusedListener = connectionRefusedListener;
     }
 
     /**
@@ -66,14 +64,12 @@
                 .appendClientFilter(RetryingHttpRequesterFilter.disableAllRetries())
                 .buildStreaming();
         return new HttpUpstream(
-                client,
-                ServerProbe.of(address, ServiceTalkEventLoops.of(executor), connectionRefusedListener),
-                connectionRefusedListener);
+                client, ServerProbe.of(address, ServiceTalkEventLoops.of(executor), connectionRefusedListener));
     }
 
     @Override
     public Exchange start(HandOver handOver, Listener listener) {
-        UpstreamExchange exchange = new UpstreamExchange(listener, probe, connectionRefusedListener);
+        UpstreamExchange exchange = new UpstreamExchange(listener, probe);
         SourceAdapters.toSource(client.request(toHttpRequest(handOver))).subscribe(exchange);
         return exchange;
     }
@@ -121,14 +117,12 @@
 
         private final Listener listener;
         private final ServerProbe probe;
-        private final Runnable connectionRefusedListener;
         private final AtomicReference<Cancellable> current = new AtomicReference<>();
         private volatile PublisherSource.Subscription body;
 
-        private UpstreamExchange(Listener listener, ServerProbe presence, Runnable connectionRefusedListener) {
+        private UpstreamExchange(Listener listener, ServerProbe presence) {
             this.listener = listener;
             this.probe = presence;
-            this.connectionRefusedListener = connectionRefusedListener;
         }
 
         @Override
@@ -176,8 +170,8 @@
 
         @Override
         public void onError(Throwable failure) {
-            if (!(failure instanceof ConnectTimeoutException) && ServerProbe.isConnectionRefused(failure)) {
-                connectionRefusedListener.run();
+            if (!(failure instanceof ConnectTimeoutException)) {
+                probe.reportIfRefused(failure);
             }
             if (failure instanceof ConnectException || failure instanceof NoAvailableHostException) {
                 listener.unreachable();
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -198,9 +198,7 @@
                 })
                 .connect(new InetSocketAddress(server.host(), server.port()))
                 .addListener(f -> {
-                    if (ServerProbe.isConnectionRefused(f.cause())) {
-                        connectionRefusedListener.run();
-                    }
+                    probe.reportIfRefused(f.cause());
                     if (!f.isSuccess()) {
                         call.unreachable();
                     }
--- a/node/src/main/java/org/verbenadyke/node/transport/ServerProbe.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/ServerProbe.java
@@ -69,13 +69,24 @@
                 .addListener((ChannelFuture f) -> {
                     Channel channel = f.channel();
                     channel.close();
-                    if (isConnectionRefused(f.cause())) {
-                        connectionRefusedListener.run();
-                    }
-                    notifyWaiting(!isConnectionRefused(f.cause()));
+                    notifyWaiting(!reportIfRefused(f.cause()));
                 });
     }
 
+    /**
+     * Notifies the listener for refused connections if a connection attempt to the server was refused.
+     *
+     * @param cause the cause of the failure, null if the connection succeeded
+     * @return whether the connection was refused
+     */
+    public boolean reportIfRefused(Throwable cause) {
+        boolean refused = isConnectionRefused(cause);
+        if (refused) {
+            connectionRefusedListener.run();
+        }
+        return refused;
+    }
+
     private void notifyWaiting(boolean listens) {
         List<UpstreamPort.Listener> listeners;
         synchronized (waiting) {
@@ -85,13 +96,8 @@
         listeners.forEach(listens ? UpstreamPort.Listener::broken : UpstreamPort.Listener::upstreamCrashed);
     }
 
-    /**
-     * Returns whether a connection failed because nothing listens at its address.
-     *
-     * @param cause the cause of the failure, null if the connection succeeded
-     * @return whether the connection was refused
-     */
-    public static boolean isConnectionRefused(Throwable cause) {
+    /** Returns whether a connection failed because nothing listens at its address. */
+    private static boolean isConnectionRefused(Throwable cause) {
         return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
     }
 }
