--- a/bench/src/main/java/org/verbenadyke/bench/real/CrashProcessSoak.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/CrashProcessSoak.java
@@ -1,10 +1,9 @@
 package org.verbenadyke.bench.real;
 
 import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
@@ -183,7 +182,7 @@
                 int number = i % HARMLESS_PATHS;
                 calls.add(Thread.startVirtualThread(() -> {
                     harmless.incrementAndGet();
-                    if (get(node, "/r/fine" + number, DEADLINE_MILLIS)) {
+                    if (get(node, "/r/fine" + number)) {
                         served.incrementAndGet();
                     }
                 }));
@@ -205,7 +204,7 @@
                     if (patienceMillis < DEADLINE_MILLIS) {
                         leave(node, path);
                     } else {
-                        get(node, path, DEADLINE_MILLIS);
+                        get(node, path);
                     }
                 });
                 Thread.sleep(MIN_BAD_GAP_MILLIS + gaps.nextInt(MAX_BAD_GAP_MILLIS - MIN_BAD_GAP_MILLIS));
@@ -223,10 +222,10 @@
         return id;
     }
 
-    private boolean get(NodeProcess node, String path, long deadlineMillis) {
+    private boolean get(NodeProcess node, String path) {
         try {
             return node.client()
-                            .send("GET", HOST, path, nextId(node), deadlineMillis)
+                            .send("GET", HOST, path, nextId(node), DEADLINE_MILLIS)
                             .statusCode()
                     == OK;
         } catch (IOException e) {
@@ -235,20 +234,12 @@
         }
     }
 
-    /** Sends a request and closes the connection before the answer. */
     private void leave(NodeProcess node, String path) {
-        var entry = node.entry();
-        try (Socket socket = new Socket(entry.host(), entry.port())) {
-            socket.getOutputStream()
-                    .write(("GET " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Request-Id: " + nextId(node)
-                                    + "\r\nX-Deadline-Ms: " + DEADLINE_MILLIS + "\r\n\r\n")
-                            .getBytes(StandardCharsets.US_ASCII));
-            Thread.sleep(patienceMillis);
+        try {
+            node.client().sendAndLeave(path, nextId(node), DEADLINE_MILLIS, patienceMillis);
         } catch (IOException e) {
             // The node is being killed or started.
             return;
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
         }
     }
 
@@ -281,7 +272,7 @@
         return servers.stream()
                 .flatMap(s -> requestsOf.apply(s).stream())
                 .filter(r -> r.path().equals(path))
-                .sorted((a, b) -> Long.compare(a.nanos(), b.nanos()))
+                .sorted(Comparator.comparingLong(CrashingServer.BadRequest::nanos))
                 .toList();
     }
 
--- a/bench/src/main/java/org/verbenadyke/bench/real/NodeProcess.java
+++ b/bench/src/main/java/org/verbenadyke/bench/real/NodeProcess.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 
-import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.standins.platform.Client;
 import org.verbenadyke.standins.platform.Documents;
 import org.verbenadyke.standins.platform.NodePorts;
@@ -126,11 +125,6 @@
         return id;
     }
 
-    /** Returns where the node listens for callers. */
-    Endpoint entry() {
-        return ports.entry();
-    }
-
     /** Returns the client of the node's addresses. */
     Client client() {
         return client;
--- a/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/Client.java
@@ -111,10 +111,7 @@
     public byte[] download(String path, String id, long deadlineMillis, long pauseMillis) throws IOException {
         try (Socket socket = new Socket(ports.entry().host(), ports.entry().port())) {
             socket.setSoTimeout((int) TIMEOUT.toMillis());
-            socket.getOutputStream()
-                    .write(("GET " + path + " HTTP/1.1\r\nHost: read.example\r\nX-Request-Id: " + id
-                                    + "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\nConnection: close\r\n\r\n")
-                            .getBytes(StandardCharsets.US_ASCII));
+            write(socket, path, id, deadlineMillis);
             ByteArrayOutputStream all = new ByteArrayOutputStream();
             byte[] part = new byte[DOWNLOAD_PART_BYTES];
             for (int n = socket.getInputStream().read(part);
@@ -131,6 +128,25 @@
         }
     }
 
+    /**
+     * Sends a request at {@code read.example}, and closes the connection without reading the answer.
+     *
+     * @param path the path
+     * @param id the request id
+     * @param deadlineMillis the deadline that the request declares, in milliseconds
+     * @param patienceMillis the time until the connection is closed, in milliseconds
+     * @throws IOException if the node aborts the connection
+     */
+    public void sendAndLeave(String path, String id, long deadlineMillis, long patienceMillis) throws IOException {
+        try (Socket socket = new Socket(ports.entry().host(), ports.entry().port())) {
+            write(socket, path, id, deadlineMillis);
+            Thread.sleep(patienceMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     /**
      * Sends a report on behalf of a server.
      *
@@ -196,6 +212,13 @@
         return false;
     }
 
+    private static void write(Socket socket, String path, String id, long deadlineMillis) throws IOException {
+        socket.getOutputStream()
+                .write(("GET " + path + " HTTP/1.1\r\nHost: read.example\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: "
+                                + deadlineMillis + "\r\nConnection: close\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+    }
+
     private HttpRequest.Builder request(String host, String path, String id, long deadlineMillis) {
         return HttpRequest.newBuilder(uri(ports.entry(), path))
                 .header("Host", host)
