Take no bytes for an answer that aren't one in HTTP/1

Callers got status 000 as a signed answer with the server's body, and the same of 00, 0, 001, 099, 600, 999, 1000, 0200 and +200, of HTTP/2.0, of a control byte, tabs or two blanks in the status line. A field name with a blank was passed on under a shorter name; "Content-Length : 4" cut the body. A filing whose answer had status 099 and X-Not-Executed ran twice, as the promise of bytes that were no answer was believed.

Cause: the library's decoder is lenient in what it reads. It skips control bytes before the status line, splits the line at any white space, parses the code with Integer.parseInt, and ends a name at a blank. With a length and a transfer coding it drops the length. Its strict mode concerns line ends only.

AnswerDecoder, through which the upstreams' pool and the store's client read all answers, now decides on the bytes themselves before anything of a head is used: StatusLineValidator checks the consumed bytes of the status line, FieldSyntax each name in heads and trailers and the framing. What fails is a decoding failure, which was already handled: the connection closes, the call is lost (502, may have run; an idempotent one may be retried), the failure counts for the upstream, one line names the reason. Lenient where RFC 9112 allows it: a missing reason phrase, folded values.

--- a/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
@@ -16,11 +17,13 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 
 /**
  * Decodes the answers on one connection, and knows what a decoder of whole messages hides: whether bytes beyond the
  * last answer have arrived, whether a head was joined from two answers, and whether the peer has ended its answers in
- * order.
+ * order. The decoder of the library skips, trims and shortens what isn't in the protocol; here such a head or trailer
+ * is delivered as a decoding failure, before anything of it is believed.
  *
  * <p>A head that begins is held in the decoder, and the next answer on the connection would continue it. Each answer
  * begins with a status line, so that a joined head has a second one, in its reason phrase or in a field.
@@ -29,6 +32,7 @@
     private static final String PROTOCOL = "HTTP";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
+    private final StatusLineValidator statusLine = new StatusLineValidator();
     private HttpMethod method = HttpMethod.GET;
     private boolean withinAnswer;
     private boolean inputFailed;
@@ -62,14 +66,34 @@
         int start = buffer.readerIndex();
         super.decode(context, buffer, out);
         withinAnswer |= buffer.readerIndex() != start;
+        if (!statusLine.complete()) {
+            buffer.forEachByte(start, buffer.readerIndex() - start, statusLine);
+        }
         for (Object message : out) {
-            withinAnswer &= !(message instanceof LastHttpContent);
-            if (message instanceof HttpResponse head && joinsTwoAnswers(head)) {
-                head.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("head of two answers")));
+            if (message instanceof HttpResponse head && head.decoderResult().isSuccess()) {
+                fault(head)
+                        .map(CorruptedFrameException::new)
+                        .map(DecoderResult::failure)
+                        .ifPresent(head::setDecoderResult);
+            }
+            if (message instanceof LastHttpContent) {
+                withinAnswer = false;
+                statusLine.reset();
             }
         }
     }
 
+    @Override
+    protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+        FieldSyntax.checkName(line, start, length);
+        return super.splitHeaderName(line, start, length);
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw FieldSyntax.twoFramings();
+    }
+
     /**
      * Ends an answer without a length only if the peer has closed its side of the connection. A reset may be met by a
      * write, after which the connection closes without a failed read.
@@ -103,6 +127,13 @@
                         && head.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
+    private Optional<String> fault(HttpResponse head) {
+        if (!statusLine.valid()) {
+            return Optional.of("no status line of HTTP/1");
+        }
+        return joinsTwoAnswers(head) ? Optional.of("head of two answers") : FieldSyntax.framingFault(head);
+    }
+
     private static boolean joinsTwoAnswers(HttpResponse head) {
         if (!head.protocolVersion().protocolName().equals(PROTOCOL)
                 || hasStatusLine(head.status().reasonPhrase())) {
