Reject requests whose bounds could be read in two ways

A request with both a length and a transfer coding, with another coding than the chunked one, of version 1.2, 2.0, 9.9 or in lower case, or with a control character in its target was passed on to a server. Names with blanks, two lengths that differ and signs in lengths were rejected with 400 already; their tests stay.

Cause: the library's codec drops the length where both are there, treats any list that ends in chunked as chunked, and reads any version in any case. Its decoder can't be extended inside HttpServerCodec, so RequestDecoder and AnswerEncoder take its place.

Repeated blanks and tabs between the parts of a request line stay allowed, as RFC 9112, section 3, lets a recipient do.

--- a/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
@@ -20,8 +20,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
 
 /**
  * An HTTP/1.1 server on Netty's codec. Used where ServiceTalk's server doesn't expose enough: when a caller
@@ -162,14 +160,12 @@
             @Override
             protected void initChannel(Channel channel) {
                 ServerLimits l = limits.get();
-                HttpDecoderConfig decoder = new HttpDecoderConfig()
-                        .setMaxInitialLineLength(INITIAL_LINE_BYTES)
-                        .setMaxHeaderSize(l.headerBytes())
-                        .setValidateHeaders(true);
+                RequestDecoder decoder = RequestDecoder.limitedTo(INITIAL_LINE_BYTES, l.headerBytes());
                 channel.pipeline()
                         .addLast(
                                 QuickAckHandler.create(),
-                                new HttpServerCodec(decoder),
+                                decoder,
+                                AnswerEncoder.answering(decoder),
                                 new ServerConnection(HttpServer.this, l));
             }
         };
