Log the failure of a connection between nodes once

A link that closed while 100,000 messages waited on it wrote a line for each: "Connection from ... closed: null." Cause: each waiting message is written with a void promise, whose failure is reported as an exception of the connection. The first is logged with its type, the number of the others when the connection has ended.

--- a/node/src/main/java/org/verbenadyke/node/transport/PeerHandler.java
+++ b/node/src/main/java/org/verbenadyke/node/transport/PeerHandler.java
@@ -19,6 +19,7 @@
 
     private final Transport.Handler handler;
     private final Counters counters;
+    private int failures;
 
     PeerHandler(Transport.Handler handler, Counters counters) {
         this.handler = handler;
@@ -37,6 +38,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (failures > 1) {
+            LOG.warn("Connection from {}: {} more failures.", context.channel().remoteAddress(), failures - 1);
+        }
         handler.connectionClosed();
     }
 
@@ -45,7 +49,11 @@
         if (cause instanceof DecoderException) {
             counters.count(Event.FRAME_REJECTED);
         }
-        LOG.warn("Connection from {} closed: {}.", context.channel().remoteAddress(), cause.getMessage());
+        // Each message that waits to be written fails on its own when the connection closes.
+        failures++;
+        if (failures == 1) {
+            LOG.warn("Connection from {} closed: {}.", context.channel().remoteAddress(), cause.toString());
+        }
         context.close();
     }
 }
