Let small pieces of an answer cost no more than their bytes

A server that answered in chunks of one byte without end took down the other requests at both nodes: of 1,197 requests beside 40 such answers 513 were served, 678 got 502 and 6 nothing.

Cause: each chunk was a part of its own on the whole way. Flow control counts bytes of the body, while one byte cost a message, a frame and a buffer of 256 bytes of direct memory, so that the credit of one call, 128 KB, could hold 32 MB: "Cannot reserve 65536 bytes of direct buffer memory" closed the links between nodes, and with them all calls. Besides, one connection could keep the event loop with up to 16 reads of 64 KB, some 170,000 decoded chunks, in a row.

SmallParts joins parts below 1 KB when they follow within 20 ms, whichever port they come through: the first small part goes at once, so that ordinary answers wait for nothing. So a call holds at most its credit and one part, in messages of 1 KB or more, or 50 small ones a second. ReadPace stops the reading of a connection that brought over 256 decoded parts in a row, for longer the more connections of the pool do; a long answer in chunks of 4 KB stays below that.

The sum over all calls of a link stays bounded by the slots of the upstream times 128 KB and a part of 64 KB; it has no bound of its own.

--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
@@ -8,6 +8,7 @@
 import org.verbenadyke.kernel.call.Refusal;
 import org.verbenadyke.kernel.call.RefusalReason;
 import org.verbenadyke.kernel.call.RunState;
+import org.verbenadyke.kernel.concurrent.SerialExecutor;
 import org.verbenadyke.kernel.message.Link;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.once.StoredOutcome;
@@ -21,6 +22,7 @@
     private final CallId id;
     private final int maxStoredBytes;
     private final AnswerMemory memory;
+    private final SmallParts smallParts;
     private boolean storing;
     private boolean complete;
     private boolean abandoned;
@@ -30,14 +32,21 @@
     private ByteArrayOutputStream stored = new ByteArrayOutputStream(0);
     private StoredAnswer whole;
 
-    AnswerWriter(CallId id, ServeSettings settings, AnswerMemory memory, boolean storing) {
+    AnswerWriter(CallId id, ServeSettings settings, AnswerMemory memory, SmallParts smallParts, boolean storing) {
         this.id = id;
         this.memory = memory;
+        this.smallParts = smallParts;
         this.maxStoredBytes = settings.maxStoredBytes();
         this.credit = settings.initialCreditBytes();
         this.storing = storing;
     }
 
+    /** Creates the writer of the answer to a call, which runs inside a serial executor. */
+    static AnswerWriter of(Message.Call call, CallServer server, SerialExecutor serial) {
+        SmallParts smallParts = new SmallParts(server.parts().timers(), serial);
+        return new AnswerWriter(call.id(), server.settings(), server.answerMemory(), smallParts, !call.idempotent());
+    }
+
     /** Adds credit and returns whether that unblocks sending. */
     boolean credit(int bytes) {
         boolean blocked = !wantsMore();
@@ -61,19 +70,20 @@
     boolean abandon() {
         boolean blocked = !wantsMore();
         abandoned = true;
+        smallParts.drop();
         return blocked;
     }
 
-    void head(Message.Head newHead, Link link) {
+    void head(Message.Head newHead, Link to) {
         head = newHead;
         if (!storing && !abandoned) {
-            link.send(newHead);
+            to.send(newHead);
         }
     }
 
-    void data(byte[] bytes, Link link) {
+    void data(byte[] bytes, Link to) {
         if (!storing) {
-            stream(bytes, link);
+            stream(bytes, to);
             return;
         }
         if (stored.size() + bytes.length <= maxStoredBytes && memory.reserve(bytes.length)) {
@@ -82,38 +92,40 @@
         }
         storing = false;
         if (!abandoned) {
-            link.send(head);
+            to.send(head);
         }
         if (stored.size() > 0) {
-            stream(stored.toByteArray(), link);
+            stream(stored.toByteArray(), to);
         }
-        stream(bytes, link);
+        stream(bytes, to);
         discard();
     }
 
-    void end(Link link) {
+    void end(Link to) {
         complete = true;
         if (storing) {
             byte[] body = stored.toByteArray();
             whole = StoredAnswer.of(body);
             stored = new ByteArrayOutputStream(0);
             memory.add(whole);
-            sendStored(body, link);
+            sendStored(body, to);
         } else if (!abandoned) {
-            link.send(new Message.End(id, sent));
+            smallParts.flush();
+            to.send(new Message.End(id, sent));
         }
     }
 
     /** Sends the stored answer of an earlier attempt as the answer. */
-    void writeWhole(StoredOutcome.CompleteAnswer earlier, Link link, Message.Report report) {
+    void writeWhole(StoredOutcome.CompleteAnswer earlier, Link to, Message.Report report) {
         head = new Message.Head(id, earlier.status(), earlier.headers(), true, report);
         complete = true;
-        sendStored(earlier.body(), link);
+        sendStored(earlier.body(), to);
     }
 
     /** Drops what is stored of an answer that will not be complete. */
     void discardIncomplete() {
         if (!complete) {
+            smallParts.drop();
             discard();
         }
     }
@@ -134,13 +146,13 @@
     }
 
     /** Sends the stored answer again over another link; returns false when no complete answer is stored. */
-    boolean replay(Link link, Supplier<Message.Report> report) {
+    boolean replay(Link to, Supplier<Message.Report> report) {
         Optional<byte[]> body = storedBody();
         if (body.isEmpty()) {
             return false;
         }
         head = new Message.Head(id, head.status(), head.headers(), head.retriesExhausted(), report.get());
-        sendStored(body.get(), link);
+        sendStored(body.get(), to);
         return true;
     }
 
@@ -151,23 +163,23 @@
                         new StoredOutcome.NoAnswer(new Refusal(RunState.RAN, RefusalReason.KEY_OUTCOME_UNKNOWN, 0)));
     }
 
-    private void sendStored(byte[] body, Link link) {
+    private void sendStored(byte[] body, Link to) {
         sent = 0;
-        link.send(head);
+        to.send(head);
         if (body.length > 0) {
-            sendData(body, link);
+            sendData(body, to);
         }
-        link.send(new Message.End(id, sent));
+        to.send(new Message.End(id, sent));
     }
 
-    private void stream(byte[] bytes, Link link) {
+    private void stream(byte[] bytes, Link to) {
         if (!abandoned) {
-            sendData(bytes, link);
+            smallParts.add(bytes, part -> sendData(part, to));
         }
     }
 
-    private void sendData(byte[] bytes, Link link) {
-        link.send(new Message.Data(id, sent, bytes));
+    private void sendData(byte[] bytes, Link to) {
+        to.send(new Message.Data(id, sent, bytes));
         sent += bytes.length;
         credit -= bytes.length;
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -56,7 +56,7 @@
         this.times = CallTimes.receivedNow(call.withoutBody(), server.parts().timers(), server.settings());
         this.key = new KeyHold(local.keys(), server.parts().ledger(), call.key());
         this.handOverCheck = new HandOverCheck(server, local, call, this);
-        this.answer = new AnswerWriter(call.id(), server.settings(), server.answerMemory(), !call.idempotent());
+        this.answer = AnswerWriter.of(call, server, serial);
     }
 
     CallId id() {
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/AnswerMemoryTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/AnswerMemoryTest.java
@@ -5,10 +5,12 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.call.CallId;
+import org.verbenadyke.kernel.concurrent.SerialExecutor;
 import org.verbenadyke.kernel.cost.CallCounts;
 import org.verbenadyke.kernel.cost.Usage;
 import org.verbenadyke.kernel.message.Message;
 import org.verbenadyke.kernel.message.RecordingLink;
+import org.verbenadyke.kernel.time.VirtualTimerService;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -49,7 +51,7 @@
     @Test
     void releasesTheMemoryOfDiscardedAnswersOnce() {
         answer(1);
-        AnswerWriter unfinished = new AnswerWriter(new CallId(1, 2), settings, memory, true);
+        AnswerWriter unfinished = writer(2, memory);
         unfinished.head(head(2), new RecordingLink());
         unfinished.data(new byte[ANSWER_BYTES], new RecordingLink());
         assertEquals(2 * ANSWER_BYTES, memory.heldBytes());
@@ -65,13 +67,18 @@
     }
 
     private AnswerWriter answer(int number, AnswerMemory answers, RecordingLink link) {
-        AnswerWriter writer = new AnswerWriter(new CallId(1, number), settings, answers, true);
+        AnswerWriter writer = writer(number, answers);
         writer.head(head(number), link);
         writer.data(new byte[ANSWER_BYTES], link);
         writer.end(link);
         return writer;
     }
 
+    private AnswerWriter writer(int number, AnswerMemory answers) {
+        SmallParts smallParts = new SmallParts(VirtualTimerService.startingAt(0), SerialExecutor.create());
+        return new AnswerWriter(new CallId(1, number), settings, answers, smallParts, true);
+    }
+
     private boolean replays(int index) {
         return writers.get(index).replay(new RecordingLink(), AnswerMemoryTest::report);
     }
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -54,6 +54,8 @@
 
     private final HttpPool pool;
     private final AnswerDecoder decoder = AnswerDecoder.limitedTo(MAX_HEAD_BYTES);
+    private final PartCollector parts = new PartCollector();
+    private final ReadPace pace;
     /** The correlation ids of recent requests. */
     private final Deque<String> recentIds = new ConcurrentLinkedDeque<>();
 
@@ -73,6 +75,7 @@
         this.pool = pool;
         this.call = first;
         this.idleNanos = pool.settings().idleNanos();
+        this.pace = pool.newReadPace();
     }
 
     /** Returns the decoder, which comes before this handler in the pipeline. */
@@ -96,6 +99,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ignored, Object message) {
+        pace.partDecoded(context.channel());
         try {
             process((HttpObject) message);
         } finally {
@@ -105,7 +109,9 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ignored) {
+        deliverParts();
         completeAnsweredCall();
+        pace.readComplete(context.channel());
         if (call == null && !closed && !decoder.readyForNextAnswer()) {
             closeUnrequested();
         }
@@ -167,7 +173,7 @@
     }
 
     void setAutoRead(boolean autoRead) {
-        context.channel().config().setAutoRead(autoRead);
+        pace.setWanted(context.channel(), autoRead);
     }
 
     void close() {
@@ -187,6 +193,7 @@
         skipping = false;
         headReceived = false;
         written = false;
+        parts.clear();
         next.bind(this);
         recordId(next.correlationId());
         HttpRequestMessage m = next.takeMessage();
@@ -328,17 +335,21 @@
             skipping = skipping && !ends;
             return;
         }
-        int length = content.content().readableBytes();
-        if (length > 0) {
-            byte[] bytes = new byte[length];
-            content.content().readBytes(bytes);
-            call.data(bytes);
+        parts.add(content.content());
+        if (ends || parts.full()) {
+            deliverParts();
         }
         if (ends && call != null) {
             answeredCall = detachCall();
         }
     }
 
+    private void deliverParts() {
+        if (call != null) {
+            parts.take().ifPresent(call::data);
+        }
+    }
+
     /** Completes an answered request, once all data that arrived with the answer has been processed. */
     private void completeAnsweredCall() {
         if (answeredCall == null) {
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -38,6 +38,7 @@
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private final ServerProbe probe;
     private final AtomicInteger unreadRequests = new AtomicInteger();
+    private final AtomicInteger pausedConnections = new AtomicInteger();
     private volatile Runnable connectionRefusedListener = () -> {};
     private volatile boolean closed;
 
@@ -135,6 +136,11 @@
         return probe;
     }
 
+    /** Creates the pace at which a new connection is read. */
+    ReadPace newReadPace() {
+        return ReadPace.of(timers, pausedConnections);
+    }
+
     void opened(ClientConnection connection) {
         open.add(connection);
     }
--- a/node/src/test/java/org/verbenadyke/node/http1/RecordedAnswer.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/RecordedAnswer.java
@@ -15,6 +15,7 @@
     private final CompletableFuture<String> result = new CompletableFuture<>();
     private final CountDownLatch firstData = new CountDownLatch(1);
     private final AtomicLong bytes = new AtomicLong();
+    private final AtomicLong parts = new AtomicLong();
     private final boolean matches;
 
     private RecordedAnswer(boolean matches) {
@@ -51,6 +52,11 @@
         return bytes.get();
     }
 
+    /** Returns the number of parts that the body came in. */
+    long parts() {
+        return parts.get();
+    }
+
     @Override
     public void unreachable() {
         result.complete("unreachable");
@@ -69,6 +75,7 @@
     @Override
     public void data(byte[] part) {
         bytes.addAndGet(part.length);
+        parts.incrementAndGet();
         firstData.countDown();
     }
 
--- a/node/src/test/java/org/verbenadyke/node/http1/UnendingAnswerTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/UnendingAnswerTest.java
@@ -28,6 +28,11 @@
     private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String CHUNK = "1\r\nx\r\n";
+    private static final int CHUNKS = 60_000;
+
+    /** A few times what a message costs besides its bytes would be; a read brings several hundred such chunks. */
+    private static final int MIN_BYTES_PER_PART = 100;
+
     private static final int TIMEOUT_MILLIS = 20_000;
     private static final int REPEATS_PER_WRITE = 1_000;
 
@@ -103,6 +108,30 @@
         assertTrue(written.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) < PASSED_BYTES);
     }
 
+    /** A part for each byte would cost a message, a frame and a buffer for each. */
+    @Test
+    void passesChunksOfOneByteOnInPartsOfManyBytes() throws Exception {
+        RecordedAnswer listener = RecordedAnswer.ofCall();
+        serveOnce(CHUNKED_HEAD + CHUNK.repeat(CHUNKS) + "0\r\n\r\n");
+        pool.send(request(), listener);
+        assertEquals("end", listener.outcome());
+        assertEquals(CHUNKS, listener.bytes());
+        assertTrue(listener.parts() <= CHUNKS / MIN_BYTES_PER_PART, listener.parts() + " parts");
+    }
+
+    private void serveOnce(String answer) {
+        Thread.startVirtualThread(() -> {
+            try (Socket socket = server.accept()) {
+                socket.getInputStream().read();
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                // A close with unread bytes would reset the connection.
+                socket.getInputStream().readAllBytes();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
     /** Answers one request with a prefix and then repeats some bytes; completes with the bytes that were accepted. */
     private CompletableFuture<Long> serve(String prefix, String repeated) {
         CompletableFuture<Long> written = new CompletableFuture<>();
