Give the reading of every answer an end

Cause: the deadline's timer of a call ends with the head of its answer, and from then on only an answer that makes no progress was ended. Before the head, what is skipped counted nowhere, and a refusal's body was read to its end so that its connection could be used again.

OneSlotFixture still fails a test whose filing is cancelled unless the test expects it.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Attempt.java
@@ -19,6 +19,9 @@
     /** How often an answer that is still coming after its deadline is checked, in nanoseconds. */
     static final long PROGRESS_CHECK_NANOS = 200_000_000L;
 
+    /** How long an answer may still be coming after its deadline, in nanoseconds: a long one to a slow reader. */
+    static final long MAX_LATE_NANOS = 60_000_000_000L;
+
     private final CallId id;
     private final Dispatch dispatch;
     private final Candidate candidate;
@@ -123,11 +126,14 @@
         receivedBytes += bytes;
     }
 
-    /** Returns whether more of the answer has come since the last call; the first call returns true. */
-    boolean progressed() {
+    /**
+     * Returns whether an answer whose deadline has passed may go on: more of it has come since the last call, and it
+     * isn't late for too long. The first call returns true.
+     */
+    boolean mayBeLate(long lateNanos) {
         boolean more = receivedBytes != checkedBytes;
         checkedBytes = receivedBytes;
-        return more;
+        return more && lateNanos < MAX_LATE_NANOS;
     }
 
     List<Message> deferredMessages() {
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -354,7 +354,7 @@
             return;
         }
         if (committed) {
-            if (current.progressed()) {
+            if (current.mayBeLate(parts.timers().nanos() - request.deadlineNanos())) {
                 deadline = parts.timers().after(Attempt.PROGRESS_CHECK_NANOS, () -> serial.run(this::deadlinePassed));
             } else {
                 abort(current);
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
@@ -63,6 +63,11 @@
         return head != null && !storing && !complete;
     }
 
+    /** Returns whether nobody waits for the answer any more. */
+    boolean abandoned() {
+        return abandoned;
+    }
+
     /**
      * Sends no more of a streamed answer, and returns whether that unblocks receiving. The rest is still received, so
      * that the upstream can end the answer and its slot becomes free.
--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/IncomingCall.java
@@ -45,7 +45,7 @@
     private boolean deadlinePassed;
     private Refusal lastRefusal;
     private Subscription timer;
-    private StallTimeout stallTimeout;
+    private ReadTimeout readTimeout;
 
     IncomingCall(CallServer server, LocalUpstream local, Message.Call call, Link link, BodyReservation memory) {
         this.server = server;
@@ -209,9 +209,8 @@
             status = newStatus;
             times.recordHead();
             timer.cancel();
-            stallTimeout = StallTimeout.start(
-                    server.parts().timers(), server.settings().stallNanos(), serial, answer::wantsMore, this::onStall);
-            timer = stallTimeout;
+            readTimeout = ReadTimeout.start(server, serial, times, answer, this::onReadTimeout);
+            timer = readTimeout;
             Message.Head head = new Message.Head(call.id(), newStatus, headers, context.hasFailedChild(), report());
             answer.head(head, link);
             requestIf(answer.wantsMore());
@@ -221,9 +220,9 @@
     @Override
     public void data(byte[] bytes) {
         ifHandedOver(() -> {
-            stallTimeout.progressed();
             answer.data(bytes, link);
             requestIf(answer.wantsMore());
+            readTimeout.progressed(bytes.length);
         });
     }
 
@@ -324,7 +323,7 @@
         }
     }
 
-    private void onStall() {
+    private void onReadTimeout() {
         handOverCheck.cancelled(times.deadline());
         exchange.cancel();
         failLost(RefusalReason.UPSTREAM_BROKEN);
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -134,6 +134,22 @@
         assertTrue(!got.getFirst().endsWith(" 0"), got.toString());
     }
 
+    /** A caller that goes on reading would otherwise be sent an answer without an end for ever. */
+    @Test
+    void abortsAnAnswerThatGoesOnLongAfterItsDeadline() {
+        send(false, 2);
+        CallId id = calls().getFirst().id();
+        dispatcher.received(link, new Message.Head(id, 200, List.of(), false, CALM));
+        long bytes = 0;
+        for (; !got.contains("aborted") && bytes < 10 * Attempt.MAX_LATE_NANOS / (100 * MILLI); bytes++) {
+            dispatcher.received(link, new Message.Data(id, bytes, new byte[1]));
+            clock.advance(100 * MILLI);
+        }
+        long tookMillis = bytes * 100;
+        assertTrue(tookMillis >= Attempt.MAX_LATE_NANOS / MILLI, tookMillis + " ms");
+        assertTrue(tookMillis <= Attempt.MAX_LATE_NANOS / MILLI + 2_000, tookMillis + " ms");
+    }
+
     /** An answer whose rest never comes must not keep its caller waiting half a second beyond the deadline. */
     @Test
     void abortsAfterTheDeadlineAnAnswerThatHasBegunAndDoesNotGoOn() {
--- a/kernel/src/test/java/org/verbenadyke/kernel/serve/OneSlotFixture.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/serve/OneSlotFixture.java
@@ -47,6 +47,11 @@
     /** The parts of answers that were requested. */
     int requestedParts;
 
+    /** Whether a test expects that a filing is cancelled, as its answer has no end. */
+    boolean expectingCancellation;
+
+    int cancelledFilings;
+
     OneSlotFixture() {
         clock.advance(MILLI);
         server.attach(upstream());
@@ -90,7 +95,7 @@
                 new Message.Content("POST", "/p", List.of(), new byte[0]));
     }
 
-    /** Counts the requested parts; a filing is never cancelled. */
+    /** Counts the requested parts; a filing whose answer may still end is never cancelled. */
     private final class CountingExchange implements UpstreamPort.Exchange {
         @Override
         public void request() {
@@ -99,7 +104,10 @@
 
         @Override
         public void cancel() {
-            throw new IllegalStateException("the filing is cancelled");
+            if (!expectingCancellation) {
+                throw new IllegalStateException("the filing is cancelled");
+            }
+            cancelledFilings++;
         }
     }
 }
--- a/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
@@ -10,9 +10,11 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -29,11 +31,16 @@
  * begins with a status line, so that a joined head has a second one, in its reason phrase or in a field.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
+    /** How much may come before the answer to a request, as interim answers and answers to others, in bytes. */
+    private static final long MAX_SKIPPED_BYTES = 4L * 1024 * 1024;
+
     private static final String PROTOCOL = "HTTP";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
     private final StatusLineValidator statusLine = new StatusLineValidator();
     private HttpMethod method = HttpMethod.GET;
+    private long skippedBytes;
+    private boolean answerBegun;
     private boolean withinAnswer;
     private boolean inputFailed;
     private boolean inputEnded;
@@ -54,6 +61,13 @@
     /** Sets the method of the request whose answer is due, which tells whether the answer has a body. */
     void expectAnswerTo(HttpMethod newMethod) {
         method = newMethod;
+        skippedBytes = 0;
+        answerBegun = false;
+    }
+
+    /** Called when the head that was decoded last is that of the answer to the request. */
+    void answerBegun() {
+        answerBegun = true;
     }
 
     /** Returns whether all received bytes belong to answers that have ended, and more answers may come. */
@@ -65,11 +79,16 @@
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
         int start = buffer.readerIndex();
         super.decode(context, buffer, out);
+        skippedBytes += buffer.readerIndex() - start;
         withinAnswer |= buffer.readerIndex() != start;
         if (!statusLine.complete()) {
             buffer.forEachByte(start, buffer.readerIndex() - start, statusLine);
         }
         for (Object message : out) {
+            boolean unending = !answerBegun && skippedBytes > MAX_SKIPPED_BYTES;
+            if (unending && message instanceof HttpObject other && other != LastHttpContent.EMPTY_LAST_CONTENT) {
+                other.setDecoderResult(DecoderResult.failure(new TooLongFrameException("no answer to the request")));
+            }
             if (message instanceof HttpResponse head && head.decoderResult().isSuccess()) {
                 fault(head)
                         .map(CorruptedFrameException::new)
--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -322,6 +322,7 @@
             return;
         }
         headReceived = true;
+        decoder.answerBegun();
         reusable = HttpUtil.isKeepAlive(response);
         HttpFields.find(fields, HttpFields.KEEP_ALIVE)
                 .flatMap(ClientConnection::timeout)
--- a/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/PooledUpstream.java
@@ -58,6 +58,7 @@
         private int status;
         private List<HeaderField> fields;
         private ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+        private int ignoredBytes;
 
         private PooledExchange(HandOver handOver, Listener listener) {
             this.handOver = handOver.withoutBody();
@@ -110,6 +111,7 @@
         @Override
         public void data(byte[] bytes) {
             if (answerKind != UpstreamDialect.AnswerKind.ANSWER) {
+                ignore(bytes.length);
                 return;
             }
             if (buffer == null) {
@@ -158,6 +160,15 @@
             pool.probe().reportBreakCause(listener);
         }
 
+        /** Reads the body of a refusal, so that the connection can be reused, unless the body is too long. */
+        private void ignore(int bytes) {
+            ignoredBytes += bytes;
+            if (ignoredBytes > MAX_BUFFERED_BYTES) {
+                call.cancel();
+                broken();
+            }
+        }
+
         private void deliverAnswer() {
             if (buffer != null) {
                 listener.head(status, fields);
--- a/node/src/test/java/org/verbenadyke/node/http1/UnendingAnswerTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/UnendingAnswerTest.java
@@ -88,6 +88,26 @@
         assertEndsWhenCancelled(written);
     }
 
+    /** Nobody may be there any more who gives up. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 P\r\nX-A: b\r\n\r\n"})
+    void endsTheCallWhenInterimAnswersHaveNoEnd(String interim) throws Exception {
+        RecordedAnswer listener = RecordedAnswer.ofCall();
+        CompletableFuture<Long> written = serve("", interim);
+        pool.send(request(), listener);
+        assertEquals("broken", listener.outcome());
+        assertTrue(written.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) < PASSED_BYTES);
+    }
+
+    @Test
+    void endsTheCallWhenTheAnswerToAnotherRequestHasNoEnd() throws Exception {
+        RecordedAnswer listener = RecordedAnswer.matchingNone();
+        CompletableFuture<Long> written = serve(CHUNKED_HEAD, CHUNK);
+        pool.send(request(), listener);
+        assertEquals("broken", listener.outcome());
+        assertTrue(written.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS) < PASSED_BYTES);
+    }
+
     private void assertEndsWhenCancelled(CompletableFuture<Long> written) throws Exception {
         HttpCall call = pool.send(request(), RecordedAnswer.matchingNone());
         assertTrue(answering.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
