Refuse late in a stop what its answer can't be in time for

In a planned stop with a grace of 6 s, requests whose body ended 3 to 5.4 s after the SIGTERM were passed on and cut with no answer when the process left, filings among them.

Cause: a stopping node refused calls of other nodes from the SIGTERM on, and closed its idle connections after 2.3 s, but sent whatever its own clients ended meanwhile, with the deadlines that they named, to other nodes until it left.

StopSchedule decides for each sending, at the one place through which first attempts, retries and rerouted calls go (Dispatcher.route). In the first half of the stop everything is sent, with a deadline that ends 100 ms before the stop does; in the second half only what ends in time by its own deadline, and calls inside chains that are due in time, as their parents are nearly done. The rest gets 503 with Retry-After, and has not run; a failure that its server answered is passed on instead of being retried. A connection whose head isn't whole is closed, as before. The stop still lasts as long as its work does.

Price: a request with a long deadline that would have been served in the second half is refused. Its client is told to return, and the node isn't ready then.

--- a/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/NodeCore.java
@@ -179,9 +179,13 @@
         lifecycle.drain();
     }
 
-    /** Called when the node begins to stop as planned; no upstream gets work from now on. */
-    public void beginShutdown() {
-        lifecycle.shutDown();
+    /**
+     * Called when the node begins to stop as planned; no upstream gets work from now on.
+     *
+     * @param endNanos when the process exits, on the local clock
+     */
+    public void beginShutdown(long endNanos) {
+        lifecycle.shutDown(endNanos);
     }
 
     /** Transfers the keys and announces that the node stops as planned; called when nothing is in flight any more. */
@@ -285,11 +289,7 @@
      * @return the calls in flight and waiting
      */
     public int unfinishedUpstreamCalls() {
-        return engine.server()
-                .upstream()
-                .map(LocalUpstream::gate)
-                .map(g -> g.inFlight() + g.queued())
-                .orElse(0);
+        return upstream().map(u -> u.gate().inFlight() + u.gate().queued()).orElse(0);
     }
 
     /**
--- a/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/core/UpstreamLifecycle.java
@@ -72,8 +72,9 @@
     }
 
     /** Drains the node, which stops: an upstream that registers from now on gets no work either. */
-    void shutDown() {
+    void shutDown(long endNanos) {
         shuttingDown = true;
+        engine.dispatcher().stopBy(endNanos);
         drain(DrainCause.NODE_STOPPING);
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatch.java
@@ -123,6 +123,7 @@
                 refuse(RefusalReason.SHED_EARLY);
             }
             case Choice.NoCandidate n -> refuse(RefusalReason.NO_UPSTREAM);
+            case Choice.TooLate t -> refuse(RefusalReason.STOPPING);
         }
     }
 
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Dispatcher.java
@@ -50,8 +50,10 @@
     private final Map<Pair, RatioBudget> retryRatios = new ConcurrentHashMap<>();
     private final CallerRetryPolicy callerRetries;
     private final RunCosts runCosts = RunCosts.empty();
+    private final StopSchedule stop;
 
     private Dispatcher(Parts parts, DispatchSettings settings) {
+        this.stop = StopSchedule.none(parts.timers);
         this.parts = parts;
         this.settings = settings;
         this.callerRetries = CallerRetryPolicy.with(parts.random);
@@ -76,11 +78,21 @@
      * @return the handle that controls the request
      */
     public CallHandle dispatch(Request request, AnswerSink sink) {
-        Dispatch dispatch = new Dispatch(this, request, sink);
+        Dispatch dispatch = new Dispatch(this, stop.limited(request), sink);
         dispatch.start();
         return dispatch;
     }
 
+    /**
+     * Called when the node begins to stop as planned. Requests whose answers could come too late are refused from now
+     * on as not run.
+     *
+     * @param endNanos when the process exits, on the local clock
+     */
+    public void stopBy(long endNanos) {
+        stop.begin(endNanos);
+    }
+
     /**
      * Handles a message that belongs to an attempt.
      *
@@ -188,7 +200,15 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Returns whether a request may be sent, or sent again, although the node may be stopping. */
+    boolean mayBeSent(Request request) {
+        return stop.mayBeSent(request);
+    }
+
     Choice route(Request request, String pathClass, Set<String> tried) {
+        if (!mayBeSent(request)) {
+            return new Choice.TooLate();
+        }
         long now = parts.timers.nanos();
         return parts.router.route(query(request, pathClass, tried, now), now);
     }
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
@@ -62,6 +62,30 @@
                 other);
     }
 
+    /**
+     * Returns the same request with an earlier deadline.
+     *
+     * @param nanos the deadline, on the local clock
+     * @return the request
+     */
+    public Request withDeadline(long nanos) {
+        return new Request(
+                id,
+                caller,
+                service,
+                content,
+                importance,
+                depth,
+                nanos,
+                Math.min(dueNanos, nanos),
+                idempotent,
+                key,
+                returning,
+                surplus,
+                budget,
+                observer);
+    }
+
     /**
      * Returns the class of paths that admission levels are tracked by: method and first segment of the path.
      *
--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryPermit.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/RetryPermit.java
@@ -28,7 +28,9 @@
     /** Requests a retry. The callback receives the decision exactly once, possibly on another thread. */
     static void request(Dispatcher dispatcher, Request request, RetryReason reason, Consumer<Boolean> callback) {
         RetryPermit permit = new RetryPermit(dispatcher, request, reason, callback);
-        if (dispatcher.settings().allowanceCharged() && reason.reachedUpstream()) {
+        if (!dispatcher.mayBeSent(request)) {
+            permit.deny(RetryReason.DENIED_DEADLINE);
+        } else if (dispatcher.settings().allowanceCharged() && reason.reachedUpstream()) {
             permit.spendAllowance();
         } else {
             permit.spendWithinRatio();
--- a/kernel/src/main/java/org/verbenadyke/kernel/routing/Choice.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/routing/Choice.java
@@ -20,4 +20,7 @@
 
     /** No upstream is available for the call. */
     record NoCandidate() implements Choice {}
+
+    /** The node stops before the answer could be there. */
+    record TooLate() implements Choice {}
 }
--- a/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
+++ b/kernel/src/test/java/org/verbenadyke/kernel/dispatch/DispatcherTest.java
@@ -162,6 +162,55 @@
         assertEquals(0, dispatcher.inFlight());
     }
 
+    /** The answer has to be there before the process exits. */
+    @Test
+    void aRequestInTheFirstHalfOfAStopEndsWithIt() {
+        dispatcher.stopBy(clock.nanos() + 600 * MILLI);
+        send(false, 2);
+        long ttlMicros = calls().getFirst().ttlMicros();
+        assertTrue(ttlMicros > 0 && ttlMicros <= 500_000, ttlMicros + " us");
+        clock.advance(500 * MILLI);
+        assertTrue(got.getFirst().startsWith("refused MAY_HAVE_RUN DEADLINE"), got.toString());
+    }
+
+    @Test
+    void aRequestInTheSecondHalfOfAStopIsRefusedAsNotRun() {
+        dispatcher.stopBy(clock.nanos() + 600 * MILLI);
+        clock.advance(300 * MILLI);
+        send(false, 2);
+        assertEquals(List.of(), calls());
+        assertTrue(got.getFirst().startsWith("refused NOT_RUN STOPPING"), got.toString());
+    }
+
+    @Test
+    void aRequestWhoseDeadlineIsBeforeTheEndOfAStopIsSent() {
+        dispatcher.stopBy(clock.nanos() + 10_000 * MILLI);
+        clock.advance(8_000 * MILLI);
+        send(false, 2);
+        assertEquals(1, calls().size());
+    }
+
+    /** The upstream's answer is better than a retry that is cut. */
+    @Test
+    void nothingIsRetriedInTheSecondHalfOfAStop() {
+        send(true, 2);
+        dispatcher.stopBy(clock.nanos() + 600 * MILLI);
+        clock.advance(300 * MILLI);
+        answer(0, 500, "");
+        assertEquals(1, calls().size());
+        assertEquals(List.of("head 500", "end"), got);
+    }
+
+    @Test
+    void aRequestThatNoUpstreamTookIsRefusedInTheSecondHalfOfAStop() {
+        send(false, 2);
+        dispatcher.stopBy(clock.nanos() + 600 * MILLI);
+        clock.advance(300 * MILLI);
+        refuse(0, RunState.NOT_RUN, RefusalReason.DRAINING);
+        assertEquals(1, calls().size());
+        assertTrue(got.getFirst().startsWith("refused NOT_RUN STOPPING"), got.toString());
+    }
+
     /** A download that its caller is reading must not be cut at the deadline. */
     @Test
     void leavesAnAnswerThatGoesOnAfterTheDeadlineToItsCaller() {
--- a/node/src/main/java/org/verbenadyke/node/Node.java
+++ b/node/src/main/java/org/verbenadyke/node/Node.java
@@ -133,7 +133,7 @@
      */
     public void stop(Duration timeout) {
         LOG.info("Node {} is stopping.", settings.id());
-        core.beginShutdown();
+        core.beginShutdown(timers.nanos() + timeout.toNanos());
         awaitIdle(timeout);
         core.leave();
         sleep(LEAVE_SPREAD_MILLIS);
