--- a/standins/src/main/java/org/verbenadyke/standins/platform/KeyedTopic.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/KeyedTopic.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.TreeMap;
 
 /**
@@ -15,8 +14,13 @@
  * key. Safe for many threads.
  */
 final class KeyedTopic {
+    /** The longest page of records, in bytes, apart from a first record that is longer. */
+    static final int MAX_PAGE_BYTES = 1024 * 1024;
+
+    private static final int PREFIX_BYTES = 2 * Long.BYTES;
+
     private final List<Entry> records = new ArrayList<>();
-    private final Map<String, Entry> latestByKey = new TreeMap<>();
+    private final TreeMap<String, Entry> latestByKey = new TreeMap<>();
     private long firstOffset;
 
     synchronized long append(String key, byte[] value) {
@@ -57,7 +61,12 @@
         return List.copyOf(latestByKey.values());
     }
 
-    /** Returns the body of a read response: end offset, first offset, and the records from an offset on. */
+    /** Returns the latest records of the keys after another one, in the order of their keys. */
+    synchronized Collection<Entry> latestAfter(String key) {
+        return List.copyOf(latestByKey.tailMap(key, false).values());
+    }
+
+    /** Returns the body of a read response: end offset, first offset, and one page of the records from an offset on. */
     synchronized byte[] read(long from) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (DataOutputStream out = new DataOutputStream(bytes)) {
@@ -65,6 +74,9 @@
             out.writeLong(firstOffset);
             for (Entry e : records.subList((int) (from - firstOffset), records.size())) {
                 byte[] key = e.key().getBytes(StandardCharsets.UTF_8);
+                if (out.size() > PREFIX_BYTES && out.size() + key.length + e.value().length > MAX_PAGE_BYTES) {
+                    break;
+                }
                 out.writeInt(1 + key.length + e.value().length);
                 out.writeByte(key.length);
                 out.write(key);
--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -1,5 +1,6 @@
 package org.verbenadyke.standins.platform;
 
+import java.net.URLDecoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -38,6 +39,7 @@
     private static final ServerLimits LIMITS = new ServerLimits(16 * 1024, 4 * 1024 * 1024, 60_000_000_000L);
     private static final long POLL_INTERVAL_NANOS = 5_000_000L;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int MAX_PAGE_RECORDS = 500;
     private static final int OK = 200;
     private static final int GONE = 410;
     private static final int UNAVAILABLE = 503;
@@ -188,7 +190,7 @@
         if (target.startsWith("/-/log-append")) {
             append(exchange, topic, sendAnswer);
         } else if (sendAnswer && target.startsWith("/-/log-newest")) {
-            answer(exchange, OK, latestRecords(topic));
+            answer(exchange, OK, latestRecords(topic, query.getOrDefault("after", "")));
         } else if (sendAnswer) {
             long waitNanos = Long.parseLong(query.getOrDefault("wait-ms", "0")) * NANOS_PER_MILLI;
             long from = Long.parseLong(query.get("from"));
@@ -213,18 +215,26 @@
         }
     }
 
-    private static byte[] latestRecords(KeyedTopic topic) {
+    /** Returns one page of the newest records, whose keys come after another one. */
+    private static byte[] latestRecords(KeyedTopic topic, String after) {
         // The end is read before the records: a record appended in between is read twice rather than skipped.
         long end = topic.endOffset();
         ObjectNode root = JSON.createObjectNode();
         ArrayNode items = root.putArray("items");
-        for (KeyedTopic.Entry e : topic.latest()) {
+        boolean more = false;
+        int bytes = 0;
+        for (KeyedTopic.Entry e : topic.latestAfter(after)) {
+            more = items.size() == MAX_PAGE_RECORDS || bytes > 0 && bytes + e.value().length > KeyedTopic.MAX_PAGE_BYTES;
+            if (more) {
+                break;
+            }
+            bytes += e.value().length;
             items.addObject()
                     .put("key", e.key())
                     .put("value", Base64.getEncoder().encodeToString(e.value()))
                     .put("offset", e.offset());
         }
-        root.put("more", false).put("end", end);
+        root.put("more", more).put("end", end);
         return root.toString().getBytes(StandardCharsets.UTF_8);
     }
 
@@ -252,7 +262,8 @@
         for (String pair : target.substring(target.indexOf('?') + 1).split("&")) {
             int equals = pair.indexOf('=');
             if (equals > 0) {
-                query.put(pair.substring(0, equals), pair.substring(equals + 1));
+                String value = URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8);
+                query.put(pair.substring(0, equals), value);
             }
         }
         return query;
