--- a/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
+++ b/standins/src/main/java/org/verbenadyke/standins/platform/StoreStandIn.java
@@ -224,7 +224,8 @@
         boolean more = false;
         int bytes = 0;
         for (KeyedTopic.Entry e : topic.latestAfter(after)) {
-            more = items.size() == MAX_PAGE_RECORDS || bytes > 0 && bytes + e.value().length > KeyedTopic.MAX_PAGE_BYTES;
+            more = items.size() == MAX_PAGE_RECORDS
+                    || bytes > 0 && bytes + e.value().length > KeyedTopic.MAX_PAGE_BYTES;
             if (more) {
                 break;
             }
