Log the faults of a peer in full only a few times a second

A server that answers nothing but broken heads, and a caller that sends broken requests, wrote a line for each. FaultLog, one for each pool and each server, passes their lines through LineRateLimiter, which bounded the decisions' lines already: five of each kind a second, and then the number of those left out. ServiceTalk's path of the product's own interface still logs each.

The code before had no limit.

--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -235,7 +235,7 @@
         if (closed) {
             return;
         }
-        LOG.info("A request to {} could not be written: {}.", pool.server(), cause.toString());
+        pool.faults().report("A request to {} could not be written: {}.", pool.server(), cause.toString());
         if (!context.channel().isActive()) {
             return;
         }
@@ -264,7 +264,7 @@
      */
     private void releaseOnceWritten() {
         if (!pool.tryHoldUnread()) {
-            LOG.info("Too many requests that {} answered are not read to their end.", pool.server());
+            pool.faults().report("Too many requests that {} answered are not read to their end.", pool.server());
             close();
             return;
         }
@@ -273,7 +273,10 @@
                         Math.min(idleNanos, pool.settings().idleNanos()),
                         () -> onEventLoop(() -> {
                             if (!written) {
-                                LOG.info("{} has not read the rest of a request that it answered.", pool.server());
+                                pool.faults()
+                                        .report(
+                                                "{} has not read the rest of a request that it answered.",
+                                                pool.server());
                                 close();
                             }
                         }));
@@ -299,10 +302,11 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            LOG.info(
-                    "An answer of {} could not be decoded: {}.",
-                    pool.server(),
-                    message.decoderResult().cause().getMessage());
+            pool.faults()
+                    .report(
+                            "An answer of {} could not be decoded: {}.",
+                            pool.server(),
+                            message.decoderResult().cause().getMessage());
             failCall();
             return;
         }
@@ -370,7 +374,7 @@
     }
 
     private void closeUnrequested() {
-        LOG.info("{} sent bytes that belong to no request.", pool.server());
+        pool.faults().report("{} sent bytes that belong to no request.", pool.server());
         close();
     }
 
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -37,6 +37,7 @@
     private final Deque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private final ServerProbe probe;
+    private final FaultLog faults;
     private final AtomicInteger unreadRequests = new AtomicInteger();
     private final AtomicInteger pausedConnections = new AtomicInteger();
     private volatile Runnable connectionRefusedListener = () -> {};
@@ -47,6 +48,7 @@
         this.loops = loops;
         this.timers = timers;
         this.settings = settings;
+        this.faults = FaultLog.of(timers);
         this.probe = ServerProbe.of(server, loops, () -> connectionRefusedListener.run());
     }
 
@@ -132,6 +134,11 @@
         connectionRefusedListener = listener;
     }
 
+    /** Returns the log of the server's faults. */
+    FaultLog faults() {
+        return faults;
+    }
+
     ServerProbe probe() {
         return probe;
     }
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
@@ -38,12 +38,14 @@
     private final HttpHandler handler;
     private final TimerService timers;
     private final BodyMemory bodies;
+    private final FaultLog faults;
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean closing;
     private Channel listener;
     private Subscription sweeper;
 
     private HttpServer(Supplier<ServerLimits> limits, HttpHandler handler, TimerService timers, BodyMemory bodies) {
+        this.faults = FaultLog.of(timers);
         this.limits = limits;
         this.handler = handler;
         this.timers = timers;
@@ -130,6 +132,11 @@
         return closing;
     }
 
+    /** Returns the log of the callers' faults. */
+    FaultLog faults() {
+        return faults;
+    }
+
     HttpHandler handler() {
         return handler;
     }
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -380,7 +379,8 @@
         if (!discarding) {
             answer.addListener(f -> context.close());
         }
-        LOG.info("Request from {} rejected: {}.", context.channel().remoteAddress(), List.of(status));
+        server.faults()
+                .report("Request from {} rejected: {}.", context.channel().remoteAddress(), status);
     }
 
     /** The wait of one request for memory. The memory may be granted or refused on any thread. */
