--- a/node/src/main/java/org/verbenadyke/node/http1/FaultLog.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/FaultLog.java
@@ -6,8 +6,8 @@
 import org.verbenadyke.kernel.trace.LineRateLimiter;
 
 /**
- * Logs the faults of the peers of a pool or a server. A peer in trouble, whose every answer is broken, doesn't flood the
- * log. Thread-safe.
+ * Logs the faults of the peers of a pool or a server. A peer in trouble, whose every answer is broken, doesn't flood
+ * the log. Thread-safe.
  */
 final class FaultLog {
     /** The maximum number of lines of each kind per second. */
