--- a/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/AnswerDecoder.java
@@ -10,7 +10,6 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
@@ -85,17 +84,12 @@
             buffer.forEachByte(start, buffer.readerIndex() - start, statusLine);
         }
         for (Object message : out) {
-            boolean unending = !answerBegun && skippedBytes > MAX_SKIPPED_BYTES;
-            if (unending && message instanceof HttpObject other && other != LastHttpContent.EMPTY_LAST_CONTENT) {
-                other.setDecoderResult(DecoderResult.failure(new TooLongFrameException("no answer to the request")));
-            }
-            if (message instanceof HttpResponse head && head.decoderResult().isSuccess()) {
-                fault(head)
-                        .map(CorruptedFrameException::new)
-                        .map(DecoderResult::failure)
-                        .ifPresent(head::setDecoderResult);
-            }
-            if (message instanceof LastHttpContent) {
+            HttpObject part = (HttpObject) message;
+            fault(part)
+                    .map(CorruptedFrameException::new)
+                    .map(DecoderResult::failure)
+                    .ifPresent(part::setDecoderResult);
+            if (part instanceof LastHttpContent) {
                 withinAnswer = false;
                 statusLine.reset();
             }
@@ -146,7 +140,17 @@
                         && head.status().codeClass() == HttpStatusClass.SUCCESS;
     }
 
-    private Optional<String> fault(HttpResponse head) {
+    /** Finds what is wrong with a part that the library takes for valid. */
+    private Optional<String> fault(HttpObject part) {
+        if (part == LastHttpContent.EMPTY_LAST_CONTENT || part.decoderResult().isFailure()) {
+            return Optional.empty();
+        }
+        if (!answerBegun && skippedBytes > MAX_SKIPPED_BYTES) {
+            return Optional.of("no answer to the request, but other bytes without end");
+        }
+        if (!(part instanceof HttpResponse head)) {
+            return Optional.empty();
+        }
         if (!statusLine.valid()) {
             return Optional.of("no status line of HTTP/1");
         }
