--- a/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/serve/AnswerWriter.java
@@ -79,16 +79,16 @@
         return blocked;
     }
 
-    void head(Message.Head newHead, Link to) {
+    void head(Message.Head newHead, Link link) {
         head = newHead;
         if (!storing && !abandoned) {
-            to.send(newHead);
+            link.send(newHead);
         }
     }
 
-    void data(byte[] bytes, Link to) {
+    void data(byte[] bytes, Link link) {
         if (!storing) {
-            stream(bytes, to);
+            stream(bytes, link);
             return;
         }
         if (stored.size() + bytes.length <= maxStoredBytes && memory.reserve(bytes.length)) {
@@ -97,34 +97,34 @@
         }
         storing = false;
         if (!abandoned) {
-            to.send(head);
+            link.send(head);
         }
         if (stored.size() > 0) {
-            stream(stored.toByteArray(), to);
+            stream(stored.toByteArray(), link);
         }
-        stream(bytes, to);
+        stream(bytes, link);
         discard();
     }
 
-    void end(Link to) {
+    void end(Link link) {
         complete = true;
         if (storing) {
             byte[] body = stored.toByteArray();
             whole = StoredAnswer.of(body);
             stored = new ByteArrayOutputStream(0);
             memory.add(whole);
-            sendStored(body, to);
+            sendStored(body, link);
         } else if (!abandoned) {
             smallParts.flush();
-            to.send(new Message.End(id, sent));
+            link.send(new Message.End(id, sent));
         }
     }
 
     /** Sends the stored answer of an earlier attempt as the answer. */
-    void writeWhole(StoredOutcome.CompleteAnswer earlier, Link to, Message.Report report) {
+    void writeWhole(StoredOutcome.CompleteAnswer earlier, Link link, Message.Report report) {
         head = new Message.Head(id, earlier.status(), earlier.headers(), true, report);
         complete = true;
-        sendStored(earlier.body(), to);
+        sendStored(earlier.body(), link);
     }
 
     /** Drops what is stored of an answer that will not be complete. */
@@ -151,13 +151,13 @@
     }
 
     /** Sends the stored answer again over another link; returns false when no complete answer is stored. */
-    boolean replay(Link to, Supplier<Message.Report> report) {
+    boolean replay(Link link, Supplier<Message.Report> report) {
         Optional<byte[]> body = storedBody();
         if (body.isEmpty()) {
             return false;
         }
         head = new Message.Head(id, head.status(), head.headers(), head.retriesExhausted(), report.get());
-        sendStored(body.get(), to);
+        sendStored(body.get(), link);
         return true;
     }
 
@@ -168,23 +168,23 @@
                         new StoredOutcome.NoAnswer(new Refusal(RunState.RAN, RefusalReason.KEY_OUTCOME_UNKNOWN, 0)));
     }
 
-    private void sendStored(byte[] body, Link to) {
+    private void sendStored(byte[] body, Link link) {
         sent = 0;
-        to.send(head);
+        link.send(head);
         if (body.length > 0) {
-            sendData(body, to);
+            sendData(body, link);
         }
-        to.send(new Message.End(id, sent));
+        link.send(new Message.End(id, sent));
     }
 
-    private void stream(byte[] bytes, Link to) {
+    private void stream(byte[] bytes, Link link) {
         if (!abandoned) {
-            smallParts.add(bytes, part -> sendData(part, to));
+            smallParts.add(bytes, part -> sendData(part, link));
         }
     }
 
-    private void sendData(byte[] bytes, Link to) {
-        to.send(new Message.Data(id, sent, bytes));
+    private void sendData(byte[] bytes, Link link) {
+        link.send(new Message.Data(id, sent, bytes));
         sent += bytes.length;
         credit -= bytes.length;
     }
