--- a/review/9/Case9.java
+++ b/bench/rigs/EndlessAnswers.java
@@ -19,7 +19,7 @@
  * (many chunks a write), "segment" (a chunk a write) or "interim"; READ=0 for readers that read nothing; FILING=1 for
  * requests that may run once, whose clients leave after 3 s.
  */
-final class Case9 {
+final class EndlessAnswers {
     private static final int ENDLESS = Integer.parseInt(System.getenv().getOrDefault("ENDLESS", "40"));
     private static final String PIECE = System.getenv().getOrDefault("PIECE", "chunk");
     private static final boolean READ = !"0".equals(System.getenv("READ"));
@@ -30,10 +30,10 @@
     private static final int DEADLINE_MILLIS = 4000;
     private static final int LEAVE_MILLIS = 3000;
 
-    private Case9() {}
+    private EndlessAnswers() {}
 
     public static void main(String[] args) throws Exception {
-        Case.run(args, Case9::held);
+        Case.run(args, EndlessAnswers::held);
     }
 
     private static boolean held(Deployment deployment) throws Exception {
--- a/review/10/Case10.java
+++ b/bench/rigs/LateRequests.java
@@ -16,7 +16,7 @@
  * than 3 s is cut or broken off once a server has it, and that none that was refused as not run ran. WORK is the work
  * of a request in milliseconds.
  */
-final class Case10 {
+final class LateRequests {
     private static final int NODES = 6;
     private static final int SLOTS = 300;
     private static final int WORK_MILLIS = Integer.parseInt(System.getenv().getOrDefault("WORK", "1500"));
@@ -25,10 +25,10 @@
     private static final long EXCUSED_MILLIS = 3000;
     private static final long LAST_SIXTH_MILLIS = 5000;
 
-    private Case10() {}
+    private LateRequests() {}
 
     public static void main(String[] args) throws Exception {
-        Case.run(args, Case10::held);
+        Case.run(args, LateRequests::held);
     }
 
     private static boolean held(Deployment deployment) throws Exception {
