Copy a request in one place

The copies with another observer and with another deadline listed all fourteen parts each. DispatcherTest (26) and StopScheduleTest (4) pass.

--- a/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
+++ b/kernel/src/main/java/org/verbenadyke/kernel/dispatch/Request.java
@@ -45,21 +45,7 @@
      * @return the request
      */
     public Request observedBy(ChainObserver other) {
-        return new Request(
-                id,
-                caller,
-                service,
-                content,
-                importance,
-                depth,
-                deadlineNanos,
-                dueNanos,
-                idempotent,
-                key,
-                returning,
-                surplus,
-                budget,
-                other);
+        return copy(deadlineNanos, dueNanos, other);
     }
 
     /**
@@ -69,6 +55,10 @@
      * @return the request
      */
     public Request withDeadline(long nanos) {
+        return copy(nanos, Math.min(dueNanos, nanos), observer);
+    }
+
+    private Request copy(long newDeadlineNanos, long newDueNanos, ChainObserver newObserver) {
         return new Request(
                 id,
                 caller,
@@ -76,14 +66,14 @@
                 content,
                 importance,
                 depth,
-                nanos,
-                Math.min(dueNanos, nanos),
+                newDeadlineNanos,
+                newDueNanos,
                 idempotent,
                 key,
                 returning,
                 surplus,
                 budget,
-                observer);
+                newObserver);
     }
 
     /**
