--- a/node/src/test/java/org/verbenadyke/node/http1/FaultLogTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/FaultLogTest.java
@@ -1,18 +1,12 @@
 package org.verbenadyke.node.http1;
 
-import java.util.ArrayList;
 import java.util.List;
 
 import org.apache.logging.log4j.Level;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.core.LogEvent;
-import org.apache.logging.log4j.core.Logger;
-import org.apache.logging.log4j.core.appender.AbstractAppender;
-import org.apache.logging.log4j.core.config.Property;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.verbenadyke.kernel.time.VirtualTimerService;
+import org.verbenadyke.node.trace.RecordedLog;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -21,29 +15,14 @@
     private static final int FAULTS = 100_000;
     private static final long SECOND_NANOS = 1_000_000_000L;
 
-    private final List<String> lines = new ArrayList<>();
-    private final Logger logger = (Logger) LogManager.getLogger("http");
-    private final Level level = logger.getLevel();
-    private final AbstractAppender appender = new AbstractAppender("lines", null, null, true, Property.EMPTY_ARRAY) {
-        @Override
-        public void append(LogEvent event) {
-            lines.add(event.getMessage().getFormattedMessage());
-        }
-    };
+    private final RecordedLog log = RecordedLog.of("http", Level.INFO);
+    private final List<String> lines = log.lines();
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final FaultLog faults = FaultLog.of(clock);
 
-    @BeforeEach
-    void listen() {
-        appender.start();
-        logger.addAppender(appender);
-        logger.setLevel(Level.INFO);
-    }
-
     @AfterEach
     void stop() {
-        logger.removeAppender(appender);
-        logger.setLevel(level);
+        log.close();
     }
 
     @Test
