--- a/node/src/main/java/org/verbenadyke/node/http1/RequestDecoder.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/RequestDecoder.java
@@ -85,9 +85,18 @@
     }
 
     private static Optional<String> fault(HttpRequest head) {
-        if (head.uri().chars().anyMatch(c -> c <= ' ' || c == DELETE)) {
-            return Optional.of("control character in the target");
+        return hasControlCharacter(head.uri())
+                ? Optional.of("control character in the target")
+                : FieldSyntax.framingFault(head);
+    }
+
+    private static boolean hasControlCharacter(String target) {
+        for (int i = 0; i < target.length(); i++) {
+            char c = target.charAt(i);
+            if (c <= ' ' || c == DELETE) {
+                return true;
+            }
         }
-        return FieldSyntax.framingFault(head);
+        return false;
     }
 }
