One fixture for ServiceTalk's upstreams, and shorter reports of faults

HttpUpstreamTest and HttpUpstreamBrokenHeadTest set up the same server; a pool and a server report a fault themselves instead of handing out their log.

--- a/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ClientConnection.java
@@ -235,7 +235,7 @@
         if (closed) {
             return;
         }
-        pool.faults().report("A request to {} could not be written: {}.", pool.server(), cause.toString());
+        pool.reportFault("A request to {} could not be written: {}.", pool.server(), cause.toString());
         if (!context.channel().isActive()) {
             return;
         }
@@ -264,7 +264,7 @@
      */
     private void releaseOnceWritten() {
         if (!pool.tryHoldUnread()) {
-            pool.faults().report("Too many requests that {} answered are not read to their end.", pool.server());
+            pool.reportFault("Too many requests that {} answered are not read to their end.", pool.server());
             close();
             return;
         }
@@ -273,10 +273,8 @@
                         Math.min(idleNanos, pool.settings().idleNanos()),
                         () -> onEventLoop(() -> {
                             if (!written) {
-                                pool.faults()
-                                        .report(
-                                                "{} has not read the rest of a request that it answered.",
-                                                pool.server());
+                                pool.reportFault(
+                                        "{} has not read the rest of a request that it answered.", pool.server());
                                 close();
                             }
                         }));
@@ -302,11 +300,10 @@
             return;
         }
         if (message.decoderResult().isFailure()) {
-            pool.faults()
-                    .report(
-                            "An answer of {} could not be decoded: {}.",
-                            pool.server(),
-                            message.decoderResult().cause().getMessage());
+            pool.reportFault(
+                    "An answer of {} could not be decoded: {}.",
+                    pool.server(),
+                    message.decoderResult().cause().getMessage());
             failCall();
             return;
         }
@@ -374,7 +371,7 @@
     }
 
     private void closeUnrequested() {
-        pool.faults().report("{} sent bytes that belong to no request.", pool.server());
+        pool.reportFault("{} sent bytes that belong to no request.", pool.server());
         close();
     }
 
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpPool.java
@@ -134,9 +134,9 @@
         connectionRefusedListener = listener;
     }
 
-    /** Returns the log of the server's faults. */
-    FaultLog faults() {
-        return faults;
+    /** Logs a fault of the server; see {@link FaultLog#report}. */
+    void reportFault(String format, Object... arguments) {
+        faults.report(format, arguments);
     }
 
     ServerProbe probe() {
--- a/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/HttpServer.java
@@ -132,9 +132,9 @@
         return closing;
     }
 
-    /** Returns the log of the callers' faults. */
-    FaultLog faults() {
-        return faults;
+    /** Logs a fault of a caller; see {@link FaultLog#report}. */
+    void reportFault(String format, Object... arguments) {
+        faults.report(format, arguments);
     }
 
     HttpHandler handler() {
--- a/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/ServerConnection.java
@@ -379,8 +379,7 @@
         if (!discarding) {
             answer.addListener(f -> context.close());
         }
-        server.faults()
-                .report("Request from {} rejected: {}.", context.channel().remoteAddress(), status);
+        server.reportFault("Request from {} rejected: {}.", context.channel().remoteAddress(), status);
     }
 
     /** The wait of one request for memory. The memory may be granted or refused on any thread. */
--- a/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamBrokenHeadTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamBrokenHeadTest.java
@@ -1,8 +1,5 @@
 package org.verbenadyke.node.http;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -10,42 +7,20 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
-import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 
-import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
-import io.servicetalk.transport.netty.internal.NettyIoExecutors;
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Guards against bytes that are no answer in the protocol and that {@link HttpUpstream} takes for one. */
-final class HttpUpstreamBrokenHeadTest {
-    private static final int TIMEOUT_MILLIS = 20_000;
+final class HttpUpstreamBrokenHeadTest extends HttpUpstreamFixture {
     private static final String REST = "Content-Length: 4\r\n\r\nbody";
 
-    private final EventLoopAwareNettyIoExecutor io = NettyIoExecutors.createIoExecutor(1, "io");
-    private ServerSocket server;
-
-    @BeforeEach
-    void listen() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        server.setSoTimeout(TIMEOUT_MILLIS);
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        server.close();
-        io.closeAsync().subscribe();
-    }
-
     @ParameterizedTest
     @MethodSource("brokenAnswers")
     void aBrokenAnswerIsNoAnswer(String answer) throws Exception {
@@ -59,13 +34,13 @@
     }
 
     private String outcomeOf(String answer) throws Exception {
-        try (HttpUpstream upstream = HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io, () -> {})) {
+        try (HttpUpstream upstream = upstream()) {
             Outcome outcome = new Outcome();
             Message.Content content = new Message.Content("GET", "/p", List.of(), new byte[0]);
             outcome.exchange = upstream.start(
                     new UpstreamPort.HandOver(content, "t", new RequestId(1, 1), Importance.NORMAL, 1_000_000_000L),
                     outcome);
-            try (Socket socket = server.accept()) {
+            try (Socket socket = accept()) {
                 socket.getInputStream().read();
                 socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
                 return outcome.result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
--- a/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http/HttpUpstreamTest.java
@@ -1,48 +1,23 @@
 package org.verbenadyke.node.http;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.RepeatedTest;
 import org.verbenadyke.kernel.call.HeaderField;
 import org.verbenadyke.kernel.call.Importance;
 import org.verbenadyke.kernel.call.RequestId;
 import org.verbenadyke.kernel.message.Message;
-import org.verbenadyke.kernel.routing.Endpoint;
 import org.verbenadyke.kernel.serve.UpstreamPort;
 
-import io.servicetalk.transport.netty.internal.EventLoopAwareNettyIoExecutor;
-import io.servicetalk.transport.netty.internal.NettyIoExecutors;
-
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 /** Tests {@link HttpUpstream}. */
-final class HttpUpstreamTest {
-    private static final int TIMEOUT_MILLIS = 20_000;
-
-    private final EventLoopAwareNettyIoExecutor io = NettyIoExecutors.createIoExecutor(1, "io");
-    private ServerSocket server;
-
-    @BeforeEach
-    void listen() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        server.setSoTimeout(TIMEOUT_MILLIS);
-    }
-
-    @AfterEach
-    void stop() throws IOException {
-        server.close();
-        io.closeAsync().subscribe();
-    }
-
+final class HttpUpstreamTest extends HttpUpstreamFixture {
     @RepeatedTest(20)
     void sendsRequestsStartedRightAfterCreation() throws IOException {
-        HttpUpstream upstream = HttpUpstream.to(new Endpoint("127.0.0.1", server.getLocalPort()), io, () -> {});
+        HttpUpstream upstream = upstream();
         send(upstream);
         send(upstream);
         assertEquals('G', firstByteOfNextConnection());
@@ -51,7 +26,7 @@
     }
 
     private int firstByteOfNextConnection() throws IOException {
-        Socket connection = server.accept();
+        Socket connection = accept();
         connection.setSoTimeout(TIMEOUT_MILLIS);
         return connection.getInputStream().read();
     }
