See a slow reader's progress within one long message

A caller that reads an answer steadily, but takes over two idle timeouts for one message of it, was disconnected as one that reads nothing.

Cause: WriteBacklog compares the bytes that wait, and the channel counts a message as pending until all of it is written. Whether the test met it depended on whether the answer was written before or after the clock's first step. What is written of the current message is now taken off.

--- a/node/src/main/java/org/verbenadyke/node/http1/WriteBacklog.java
+++ b/node/src/main/java/org/verbenadyke/node/http1/WriteBacklog.java
@@ -28,7 +28,8 @@
     /** Returns whether answers wait, and their caller has read some of them within the timeout. */
     boolean waitsForReader(Channel channel, long now) {
         ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-        long waiting = buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        // A message counts as pending until all of it is written.
+        long waiting = buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
         if (waiting != bytes) {
             bytes = waiting;
             progressNanos = now;
--- a/node/src/test/java/org/verbenadyke/node/http1/SlowReaderTest.java
+++ b/node/src/test/java/org/verbenadyke/node/http1/SlowReaderTest.java
@@ -24,6 +24,8 @@
     /** More than the buffers of both sockets hold. */
     private static final int BODY_BYTES = 32 * 1024 * 1024;
 
+    private static final int QUARTERS = 4;
+
     private final EventLoops loops = EventLoops.nio(1);
     private final VirtualTimerService clock = VirtualTimerService.startingAt(0);
     private final Endpoint endpoint = freeEndpoint();
@@ -59,6 +61,17 @@
         }
     }
 
+    /** The answer is one message to the channel, which counts it as waiting until all of it is written. */
+    @Test
+    void severalIdleTimeoutsLeaveAnAnswerToAReaderThatReadsOn() throws Exception {
+        try (Socket caller = request()) {
+            for (int i = 0; i < QUARTERS; i++) {
+                sweep(IDLE_NANOS + SECOND);
+                assertEquals(BODY_BYTES / QUARTERS, caller.getInputStream().readNBytes(BODY_BYTES / QUARTERS).length);
+            }
+        }
+    }
+
     @Test
     void aCallerThatReadsNothingIsDisconnected() throws Exception {
         try (Socket caller = request()) {
